--- /dev/null
+++ b/crates/bench/src/daemon.rs
@@ -0,0 +1,70 @@
+use super::*;
+
+/// A daemon of a [`Fleet`].
+#[derive(Debug)]
+pub struct Daemon {
+    /// Name of the daemon.
+    pub name: String,
+    /// Callers' address.
+    pub callers: String,
+    /// Upstreams' address.
+    pub upstreams: String,
+    /// Operators' address.
+    pub operators: String,
+    pub(crate) peers: String,
+    pub(crate) settings: PathBuf,
+    pub(crate) log: PathBuf,
+    pub(crate) program: Option<Program>,
+}
+
+impl Daemon {
+    /// Starts the daemon, unless it runs.
+    pub fn start(&mut self) -> eyre::Result<()> {
+        if self.program.is_none() {
+            let settings = self.settings.display().to_string();
+            self.program = Some(Program::start("sardinevalved", &[&settings], &self.log)?);
+        }
+        Ok(())
+    }
+
+    /// Ends the daemon without warning.
+    pub fn kill(&mut self) {
+        self.program = None;
+    }
+
+    /// The running process.
+    pub fn program(&mut self) -> Option<&mut Program> {
+        self.program.as_mut()
+    }
+
+    /// Whether the balancer would send callers here.
+    pub fn healthy(&self) -> bool {
+        let url = format!("http://{}/health", self.callers);
+        attohttpc::get(url).send().is_ok_and(|response| response.is_success())
+    }
+
+    /// The daemon's status as JSON.
+    pub fn status(&self) -> eyre::Result<serde_json::Value> {
+        let url = format!("http://{}/v1/status", self.operators);
+        let text = attohttpc::get(url).timeout(Duration::from_secs(5)).send()?.text()?;
+        Ok(serde_json::from_str(&text)?)
+    }
+
+    /// Number of the configuration that the daemon acts on.
+    pub fn revision(&self) -> Option<u64> {
+        self.status().ok()?["revision"].as_u64()
+    }
+
+    /// Runs the operators' tool against this daemon.
+    pub fn operate(&self, arguments: &[&str]) -> eyre::Result<Output> {
+        let arguments = [&["--daemon", self.operators.as_str()], arguments].concat();
+        Program::output("sardinevalve", &arguments)
+    }
+
+    /// Calls `service` with `body` as a request of `kind`.
+    pub fn call(&self, service: &str, kind: &str, body: &str) -> eyre::Result<attohttpc::Response> {
+        let url = format!("http://{}/call/{service}/", self.callers);
+        let request = attohttpc::post(url).header("Sardinevalve-Kind", kind).text(body);
+        Ok(request.follow_redirects(false).send()?)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,148 @@
+use super::*;
+
+/// Daemons and fake upstreams on loopback, in a folder of their own; everything ends with it.
+#[derive(Debug)]
+pub struct Fleet {
+    folder: tempfile::TempDir,
+    /// Daemons, voters first.
+    pub daemons: Vec<Daemon>,
+    fakes: Vec<Program>,
+}
+
+/// Data centres over which daemons are spread.
+const DATA_CENTERS: usize = 3;
+
+impl Fleet {
+    /// Prepares `count` daemons, the first `voters` of which vote; none is started.
+    pub fn new(count: usize, voters: usize) -> eyre::Result<Self> {
+        let folder = tempfile::Builder::new().prefix("sardinevalve-").tempdir()?;
+        let mut fleet = Self { folder, daemons: Vec::new(), fakes: Vec::new() };
+        fleet.prepare(count)?;
+        fleet.make_keys()?;
+        for i in 0..count {
+            fs::write(&fleet.daemons[i].settings, fleet.settings(i, voters))?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts every daemon, and waits until the balancer would use each.
+    pub fn start(&mut self) -> eyre::Result<()> {
+        for daemon in &mut self.daemons {
+            daemon.start()?;
+        }
+        self.wait_healthy()
+    }
+
+    /// Waits until the balancer would use every daemon that runs.
+    pub fn wait_healthy(&self) -> eyre::Result<()> {
+        let running = || self.daemons.iter().filter(|daemon| daemon.program.is_some());
+        wait_until("every daemon is healthy", || running().all(Daemon::healthy))
+    }
+
+    /// Folder of the fleet.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Starts fake upstreams of `service`, and waits until each daemon knows them.
+    pub fn add_upstreams(
+        &mut self,
+        service: &str,
+        count: usize,
+        arguments: &[&str],
+    ) -> eyre::Result<()> {
+        let number = count.to_string();
+        let mut all = vec!["upstreams", "--service", service, "--count", &number];
+        for daemon in &self.daemons {
+            all.extend(["--daemon", daemon.upstreams.as_str()]);
+        }
+        all.extend(arguments);
+        let log = self.folder.path().join(format!("fake-{service}.log"));
+        self.fakes.push(Program::start("sardinevalve-fake", &all, &log)?);
+        wait_until("every daemon knows the upstreams", || {
+            self.daemons.iter().all(|daemon| serving(daemon, service) == count)
+        })
+    }
+
+    /// Applies the configuration `text` through the first daemon, and waits until it is in force.
+    pub fn apply(&self, text: &str) -> eyre::Result<Output> {
+        let path = self.folder.path().join("fleet.ini");
+        fs::write(&path, text)?;
+        self.daemons[0].operate(&["apply", "--wait", &path.display().to_string()])
+    }
+
+    fn prepare(&mut self, count: usize) -> eyre::Result<()> {
+        let (mut streams, mut datagrams) = (Vec::new(), Vec::new());
+        for number in 1..=count {
+            let name = format!("daemon-{number}");
+            let mut stream = || -> eyre::Result<String> {
+                let listener = TcpListener::bind("127.0.0.1:0")?;
+                let address = listener.local_addr()?.to_string();
+                streams.push(listener);
+                Ok(address)
+            };
+            let (callers, upstreams, operators) = (stream()?, stream()?, stream()?);
+            let socket = UdpSocket::bind("127.0.0.1:0")?;
+            let peers = socket.local_addr()?.to_string();
+            datagrams.push(socket);
+            let settings = self.folder.path().join(format!("{name}.ini"));
+            let log = self.folder.path().join(format!("{name}.log"));
+            let program = None;
+            self.daemons.push(Daemon {
+                name,
+                callers,
+                upstreams,
+                operators,
+                peers,
+                settings,
+                log,
+                program,
+            });
+        }
+        Ok(())
+    }
+
+    fn make_keys(&self) -> eyre::Result<()> {
+        let folder = self.folder.path().join("keys").display().to_string();
+        check(Program::output("sardinevalve", &["keys", "init", &folder])?)?;
+        for daemon in &self.daemons {
+            check(Program::output("sardinevalve", &["keys", "issue", &folder, &daemon.name])?)?;
+        }
+        Ok(())
+    }
+
+    fn settings(&self, number: usize, voters: usize) -> String {
+        let daemon = &self.daemons[number];
+        let (name, folder) = (&daemon.name, self.folder.path().display());
+        let data_center = number % DATA_CENTERS;
+        let mut text = format!(
+            "[daemon]\nid = {name}\nregion = local\ndata-center = local-{data_center}\n\
+             data = {folder}/{name}\n\
+             [listen]\ncallers = {}\nupstreams = {}\noperators = {}\n\
+             [keys]\nauthority = {folder}/keys/authority.pem\n\
+             certificate = {folder}/keys/{name}.pem\nkey = {folder}/keys/{name}.key\n",
+            daemon.callers, daemon.upstreams, daemon.operators,
+        );
+        for (i, peer) in self.daemons.iter().enumerate() {
+            let role = if i < voters { "voter" } else { "observer" };
+            text += &format!("[peer {}]\naddress = {}\nrole = {role}\n", peer.name, peer.peers);
+        }
+        text
+    }
+}
+
+fn serving(daemon: &Daemon, service: &str) -> usize {
+    let Ok(status) = daemon.status() else { return 0 };
+    let Some(upstreams) = status["upstreams"].as_object() else { return 0 };
+    let serving = upstreams.values().filter(|upstream| {
+        upstream["presence"] == "serving" && upstream["announcement"]["service"] == service
+    });
+    serving.count()
+}
+
+fn check(output: Output) -> eyre::Result<()> {
+    if !output.status.success() {
+        bail!("{}", String::from_utf8_lossy(&output.stderr));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+/// Calls to a daemon.
+#[derive(Debug)]
+pub(crate) struct Client {
+    address: String,
+}
+
+/// Time within which a daemon must reply.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+impl Client {
+    pub(crate) fn new(address: &str) -> Self {
+        Self { address: address.into() }
+    }
+
+    pub(crate) fn config(&self) -> eyre::Result<Reply> {
+        self.call(attohttpc::get(self.url("config")))
+    }
+
+    pub(crate) fn status(&self) -> eyre::Result<Reply> {
+        self.call(attohttpc::get(self.url("status")))
+    }
+
+    pub(crate) fn apply(
+        &self,
+        text: &str,
+        request: &str,
+        author: &str,
+        base: Revision,
+    ) -> eyre::Result<Reply> {
+        let call = attohttpc::post(self.url("changes"))
+            .header("Request-Id", request)
+            .header("Author", author)
+            .header("Base-Revision", base);
+        self.call(call.text(text))
+    }
+
+    fn url(&self, call: &str) -> String {
+        format!("http://{}/v1/{call}", self.address)
+    }
+
+    fn call<B: attohttpc::body::Body>(
+        &self,
+        request: attohttpc::RequestBuilder<B>,
+    ) -> eyre::Result<Reply> {
+        let response = request
+            .follow_redirects(false)
+            .proxy_settings(attohttpc::ProxySettings::builder().build())
+            .timeout(TIMEOUT)
+            .send()
+            .wrap_err_with(|| format!("cannot reach daemon `{}`", self.address))?;
+        let text = response.text()?;
+        match serde_json::from_str(&text) {
+            Ok(reply) => Ok(reply),
+            Err(_) => bail!("daemon `{}` refused: {}", self.address, refusal(&text)),
+        }
+    }
+}
+
+/// The error and findings in a refusal, a line each.
+fn refusal(text: &str) -> String {
+    #[derive(serde::Deserialize)]
+    struct Refusal {
+        error: String,
+        #[serde(default)]
+        findings: settings::Findings,
+    }
+    match serde_json::from_str::<Refusal>(text) {
+        Ok(refusal) if refusal.findings.0.is_empty() => refusal.error,
+        Ok(refusal) => format!("{}\n{}", refusal.error, refusal.findings),
+        Err(_) => text.into(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/keys.rs
@@ -0,0 +1,20 @@
+//! `sardinevalve keys`.
+
+use super::*;
+
+pub(crate) fn run(command: &Keys) -> eyre::Result<ExitCode> {
+    match command {
+        Keys::Init { folder } => {
+            wire::Authority::create(folder)?;
+            println!(
+                "made the authority `{}`",
+                folder.join(wire::Authority::CERTIFICATE).display()
+            );
+        }
+        Keys::Issue { folder, name } => {
+            wire::Authority::open(folder).issue(name)?;
+            println!("issued `{0}.pem` and `{0}.key` in `{1}`", name, folder.display());
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/show.rs
@@ -0,0 +1,36 @@
+//! Replies as an operator reads them.
+
+use super::*;
+
+pub(crate) fn reply(reply: &Reply, json: bool) -> eyre::Result<ExitCode> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(reply)?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    match reply {
+        Reply::Applied { verdict, .. } => println!("{verdict}"),
+        Reply::Unknown => println!("outcome is unknown"),
+        Reply::Config { revision, config } => {
+            println!("revision {revision}");
+            println!("{}", serde_json::to_string_pretty(config)?);
+        }
+        Reply::Status(status) => show_status(status),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn show_status(status: &Status) {
+    let nobody = || Name::from("nobody");
+    println!("daemon    {}", status.daemon);
+    println!("leader    {} (term {})", status.leader.clone().unwrap_or_else(nobody), status.term);
+    println!("view      {}", if status.view { "present" } else { "lapsed" });
+    println!("revision  {}", status.revision);
+    println!("log       {} applied, {} in force everywhere", status.applied, status.forced);
+    println!("requests  {} pending", status.pending);
+    println!("upstreams {}", status.upstreams.len());
+    for (instance, upstream) in &status.upstreams {
+        let announcement = &upstream.announcement;
+        let (service, presence) = (&announcement.service, upstream.presence);
+        println!("  {instance:<20} {service:<16} {presence:<8} {}", announcement.address);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,15 @@
+use super::*;
+
+/// The clock of the process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Clock(Instant);
+
+impl Clock {
+    pub(crate) fn start() -> Self {
+        Self(Instant::now())
+    }
+
+    pub(crate) fn now(self) -> Time {
+        self.0.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/held.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+/// A caller's request that waits for its answer.
+pub(crate) struct Held {
+    pub(crate) request: tiny_http::Request,
+    pub(crate) call: Arc<Call>,
+    pub(crate) answers: BTreeMap<route::AttemptId, Answer>,
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,54 @@
+//! The daemon around the reducer: threads that turn the outside into events, and one loop that
+//! reduces them and hands the effects out. Nothing here decides anything.
+
+use {
+    clap::Parser,
+    crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded},
+    eyre::WrapErr,
+    model::{Map, Name, Time},
+    node::{Effect, Event, Ticket},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        collections::BTreeMap,
+        fs,
+        io::Read,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+mod answer;
+mod arguments;
+mod call;
+mod callers;
+mod clock;
+mod disk;
+mod engine;
+mod header;
+mod held;
+mod http;
+mod logging;
+mod operators;
+mod outbound;
+mod pool;
+mod run;
+mod signals;
+mod tickets;
+mod upstreams;
+
+pub use run::run;
+use {
+    answer::Answer, arguments::Arguments, call::Call, callers::Callers, clock::Clock, disk::Disk,
+    engine::Engine, held::Held, pool::Pool, tickets::Tickets,
+};
+
+/// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,7 @@
+//! The daemon of sardinevalve.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    daemon::run()
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,112 @@
+use {super::*, std::process::ExitCode};
+
+/// Exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs the daemon until it is told to stop.
+pub fn run() -> ExitCode {
+    let arguments = Arguments::parse();
+    let settings = match read(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error:#}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(path: &Path) -> eyre::Result<settings::Daemon> {
+    let text = fs::read_to_string(path)
+        .wrap_err_with(|| format!("cannot read settings `{}`", path.display()))?;
+    Ok(settings::Daemon::parse(&path.display().to_string(), &text)?)
+}
+
+fn serve(settings: settings::Daemon) -> eyre::Result<()> {
+    logging::start()?;
+    let (store, restored) = open_store(&settings)?;
+    let identity = wire::Identity::load(
+        &settings.keys.authority,
+        &settings.keys.certificate,
+        &settings.keys.key,
+    )?;
+    let clock = Clock::start();
+    let (events, inbox) = unbounded();
+    let transport = Arc::new(connect(&settings, &identity, events.clone())?);
+    let disk = Disk::start(store, transport.clone(), events.clone());
+    let boot = boot_number();
+    let quorum = quorum::State::new(settings.id.clone(), members(&settings), restored, boot);
+    let state = node::State::new(quorum, boot);
+    let callers = Callers::start(settings.listen.callers, clock, events.clone())?;
+    let operators = operators::start(settings.listen.operators, events.clone())?;
+    let upstreams = upstreams::start(settings.listen.upstreams, events.clone())?;
+    signals::start(events.clone())?;
+    log::info!(daemon = &*settings.id; "started");
+    Engine { state, clock, inbox, transport, disk, callers, operators, upstreams }.run();
+    log::info!(daemon = &*settings.id; "stopped");
+    Ok(())
+}
+
+fn open_store(
+    settings: &settings::Daemon,
+) -> eyre::Result<(Option<store::Store>, quorum::Restored)> {
+    match (&settings.data, settings.role()) {
+        (Some(folder), settings::Role::Voter) => {
+            let (store, restored) = store::Store::open(folder, &settings.id)?;
+            Ok((Some(store), restored))
+        }
+        _ => Ok((None, quorum::Restored::default())),
+    }
+}
+
+fn connect(
+    settings: &settings::Daemon,
+    identity: &wire::Identity,
+    events: Sender<Event>,
+) -> eyre::Result<wire::Transport> {
+    let (frames, inbox) = unbounded();
+    let own = &settings.peers[&settings.id];
+    let peers = settings.peers.iter().filter(|(name, _)| **name != settings.id);
+    let peers = peers.map(|(name, peer)| (name.clone(), peer.address)).collect();
+    let transport =
+        wire::Transport::start(settings.id.clone(), own.address, identity, peers, frames)?;
+    thread::spawn(move || decode(inbox, events));
+    Ok(transport)
+}
+
+fn decode(frames: Receiver<wire::Frame>, events: Sender<Event>) {
+    for frame in frames {
+        match wire::Codec::decode(&frame.body) {
+            Ok(message) => {
+                if events.send(Event::Peer { from: frame.from, message }).is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::warn!(peer = &*frame.from; "message dropped: {error}"),
+        }
+    }
+}
+
+fn members(settings: &settings::Daemon) -> BTreeMap<Name, quorum::Role> {
+    let role = |peer: &settings::Peer| match peer.role {
+        settings::Role::Voter => quorum::Role::Voter,
+        settings::Role::Observer => quorum::Role::Observer,
+    };
+    settings.peers.iter().map(|(name, peer)| (name.clone(), role(peer))).collect()
+}
+
+/// A number that differs between any two starts.
+fn boot_number() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
--- /dev/null
+++ b/crates/fake/src/arguments.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+/// Stand-ins for what surrounds the daemons.
+#[derive(Debug, Parser)]
+#[command(name = "sardinevalve-fake", version)]
+pub(crate) struct Arguments {
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Play the runners of one service
+    Upstreams(Upstreams),
+}
+
+#[derive(Debug, Clone, Args)]
+pub(crate) struct Upstreams {
+    /// Upstreams' addresses of daemons, IP:PORT, tried in turn
+    #[arg(long, required = true)]
+    pub(crate) daemon: Vec<String>,
+    /// Service that the runners answer
+    #[arg(long)]
+    pub(crate) service: String,
+    /// Number of runners
+    #[arg(long, default_value_t = 1)]
+    pub(crate) count: u32,
+    /// Requests a runner runs at once; more are refused
+    #[arg(long, default_value_t = 8)]
+    pub(crate) slots: u32,
+    /// Time that a request takes, in milliseconds
+    #[arg(long, default_value_t = 1)]
+    pub(crate) service_time_ms: u64,
+}
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,28 @@
+//! Stand-ins for upstreams, for tests and measurement. One process plays many runners; each
+//! announces itself, renews, answers, and leaves when the process is told to stop.
+
+use {
+    clap::{Args, Parser, Subcommand},
+    model::{Announcement, Labels, Location},
+    std::{
+        process::ExitCode,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, AtomicU64, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+mod arguments;
+mod client;
+mod run;
+mod runner;
+
+pub use run::run;
+use {
+    arguments::{Arguments, Command, Upstreams},
+    client::Client,
+    runner::Runner,
+};
--- /dev/null
+++ b/crates/fake/src/run.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+/// Runs the stand-ins until the process is told to stop.
+pub fn run() -> ExitCode {
+    let Arguments { command: Command::Upstreams(settings) } = Arguments::parse();
+    match play(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn play(settings: &Upstreams) -> eyre::Result<()> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
+    let runners: Vec<_> = (0..settings.count)
+        .map(|number| Runner::start(settings, number))
+        .collect::<eyre::Result<_>>()?;
+    signals.forever().next();
+    for runner in runners {
+        runner.leave();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/metric/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics of a daemon.
--- /dev/null
+++ b/crates/model/src/labels.rs
@@ -0,0 +1,44 @@
+use super::*;
+
+/// Labels of an instance or a job, by key.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deref, From, Serialize, Deserialize)]
+pub struct Labels(BTreeMap<Name, Name>);
+
+impl Labels {
+    /// Sets `key` to `value`, replacing a former value.
+    pub fn set(&mut self, key: Name, value: Name) {
+        self.0.insert(key, value);
+    }
+
+    /// Adds every label of `other`; those of `other` win.
+    pub fn merge(&mut self, other: &Labels) {
+        for (key, value) in &other.0 {
+            self.set(key.clone(), value.clone());
+        }
+    }
+}
+
+impl FromStr for Labels {
+    type Err = Error;
+
+    /// Reads `key=value, key=value`.
+    fn from_str(text: &str) -> Result<Self> {
+        let mut labels = Labels::default();
+        for term in text.split(',').map(str::trim).filter(|term| !term.is_empty()) {
+            let Some((key, value)) = term.split_once('=') else {
+                return Err(Error::Label { label: term.into() });
+            };
+            labels.set(name(key.trim())?, name(value.trim())?);
+        }
+        Ok(labels)
+    }
+}
+
+/// Checks and shares a name.
+pub(crate) fn name(text: &str) -> Result<Name> {
+    let valid = |c: char| c.is_ascii_alphanumeric() || "._-/".contains(c);
+    if text.is_empty() || text.len() > Config::MAX_NAME_BYTES || !text.chars().all(valid) {
+        return Err(Error::Name { name: text.into() });
+    }
+    Ok(text.into())
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,50 @@
+//! The nouns that every area shares: names, labels, selectors, and the fleet's configuration as
+//! operators describe it. Nothing here does I/O, and every type is cheap to clone and to encode.
+
+use {
+    derive_more::{Deref, Display, Error, From},
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, str::FromStr, sync::Arc, time::Duration},
+};
+
+mod announcement;
+mod budget;
+mod config;
+mod error;
+mod instance;
+mod kind;
+mod labels;
+mod location;
+mod pool;
+mod quota;
+mod requirement;
+mod selector;
+mod service;
+mod tenant;
+
+pub use {
+    announcement::Announcement, budget::Budget, config::Config, error::Error, instance::Instance,
+    kind::Kind, labels::Labels, location::Location, pool::Pool, quota::Quota,
+    requirement::Requirement, selector::Selector, service::Service, tenant::Tenant,
+};
+
+/// Name of anything that operators or instances name.
+pub type Name = Arc<str>;
+
+/// Monotonic time since the process started.
+pub type Time = Duration;
+
+/// Number of an accepted configuration, counted from 1; 0 is the empty configuration.
+pub type Revision = u64;
+
+/// Position of an entry in the replicated log, counted from 1.
+pub type Index = u64;
+
+/// Hash map with a fast, per-process seeded hasher. Never iterated where order matters.
+pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+
+/// Hash set with the same hasher as [`Map`].
+pub type Set<K> = std::collections::HashSet<K, foldhash::fast::RandomState>;
+
+/// Result of this crate's fallible functions.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/model/src/location.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+/// Failure domains of an instance, from the widest to the narrowest.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Location {
+    /// Region of the data centre.
+    pub region: Name,
+    /// Data centre of the rack.
+    pub data_center: Name,
+    /// Rack of the instance.
+    pub rack: Name,
+}
--- /dev/null
+++ b/crates/node/src/command.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+/// Commands of every area.
+#[derive(Debug, Clone, PartialEq, Eq, From, Serialize, Deserialize)]
+pub enum Command {
+    /// Concerns the fleet.
+    Fleet(fleet::Command),
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,38 @@
+//! The one reducer of a daemon. Every event passes through [`State::reduce`], which hands it to the
+//! area it concerns and turns what the areas want into effects for the edges. It is deterministic:
+//! the same events at the same times give the same effects.
+//!
+//! What must survive goes through the replicated log as a [`Proposal`]. The daemon that makes a
+//! proposal repeats it to whoever leads until it sees it applied; commands are idempotent, so that
+//! a repetition changes nothing.
+
+use {
+    derive_more::From,
+    model::{Announcement, Index, Name, Revision, Time},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+mod beat;
+mod command;
+mod effect;
+mod event;
+mod message;
+pub mod operator;
+mod pending;
+mod proposal;
+mod state;
+mod timer;
+pub mod upstream;
+
+use {beat::Beat, pending::Pending};
+pub use {
+    command::Command, effect::Effect, event::Event, message::Message, proposal::Proposal,
+    state::State, timer::Timer,
+};
+
+/// Number of a call that waits for a reply at an edge.
+pub type Ticket = u64;
--- /dev/null
+++ b/crates/node/src/message.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+/// Messages between daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Agreement.
+    Quorum(quorum::Message),
+    /// A proposal for whoever leads.
+    Propose(Proposal),
+    /// Upstreams that were heard by the sender, for whoever leads.
+    Heard(Vec<Name>),
+}
--- /dev/null
+++ b/crates/node/src/operator.rs
@@ -0,0 +1,62 @@
+//! What operators ask of a daemon, and what they are told.
+
+use super::*;
+
+/// An operator's call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Call {
+    /// Replace the configuration.
+    Apply(fleet::Change),
+    /// Show the configuration.
+    Config,
+    /// Show the state of the fleet.
+    Status,
+}
+
+/// Reply to an operator.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "reply")]
+pub enum Reply {
+    /// A change was judged.
+    Applied {
+        /// What became of it.
+        #[serde(flatten)]
+        verdict: fleet::Verdict,
+        /// Position of the verdict in the log; in force once the status shows as much.
+        index: Index,
+    },
+    /// No majority has answered in time; a resend of the same request finds the outcome.
+    Unknown,
+    /// The configuration.
+    Config {
+        /// Its number.
+        revision: Revision,
+        /// The configuration.
+        config: model::Config,
+    },
+    /// The state of the fleet.
+    Status(Status),
+}
+
+/// State of the fleet as one daemon sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Daemon that replies.
+    pub daemon: Name,
+    /// Who leads, as far as it knows.
+    pub leader: Option<Name>,
+    /// Its term.
+    pub term: quorum::Term,
+    /// Whether it may act on its configuration.
+    pub view: bool,
+    /// Number of its configuration.
+    pub revision: Revision,
+    /// Highest log position that it has applied.
+    pub applied: Index,
+    /// Highest log position in force on every daemon.
+    pub forced: Index,
+    /// Caller requests without a final answer.
+    pub pending: usize,
+    /// Upstreams by instance.
+    pub upstreams: BTreeMap<Name, fleet::Upstream>,
+}
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,362 @@
+use {super::*, pending::Caller};
+
+/// State of a daemon.
+#[derive(Debug)]
+pub struct State {
+    id: Name,
+    boot: u64,
+    sequence: u64,
+    quorum: quorum::State,
+    fleet: fleet::State,
+    route: route::State,
+    pending: BTreeMap<u64, Pending>,
+    /// Upstreams heard here since the last beat.
+    heard: BTreeSet<Name>,
+    /// While leading: when each upstream's lease runs out.
+    leases: BTreeMap<Name, Time>,
+    applied: Index,
+    view: bool,
+    stopping: bool,
+}
+
+impl State {
+    /// A daemon that has just started; `boot` differs between any two starts.
+    pub fn new(quorum: quorum::State, boot: u64) -> Self {
+        Self {
+            id: quorum.id().clone(),
+            boot,
+            sequence: 0,
+            quorum,
+            fleet: fleet::State::default(),
+            route: route::State::default(),
+            pending: BTreeMap::new(),
+            heard: BTreeSet::new(),
+            leases: BTreeMap::new(),
+            applied: 0,
+            view: false,
+            stopping: false,
+        }
+    }
+
+    /// Takes one event, and says what is to be done.
+    pub fn reduce(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.look_at_view(now, &mut effects);
+        match event {
+            Event::Start => self.start(now, &mut effects),
+            Event::Timer(timer) => self.on_timer(now, timer, &mut effects),
+            Event::Peer { from, message } => self.on_peer(now, from, message, &mut effects),
+            Event::Synced { term, index } => {
+                self.agree(now, quorum::Event::Synced { term, index }, &mut effects);
+            }
+            Event::Operator { ticket, call } => self.on_operator(now, ticket, call, &mut effects),
+            Event::Upstream { ticket, call } => self.on_upstream(now, ticket, call, &mut effects),
+            Event::Route(event) => self.route(now, event, &mut effects),
+            Event::Stop => self.stop(now, &mut effects),
+        }
+        self.look_at_view(now, &mut effects);
+        if self.stopping && self.route.pending() == 0 {
+            effects.push(Effect::Stopped);
+        }
+        effects
+    }
+
+    fn start(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        effects.push(Effect::Health(false));
+        effects.push(Effect::Subscribe { timer: Timer::Beat, after: Beat::PERIOD });
+        self.agree(now, quorum::Event::Start, effects);
+    }
+
+    fn stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.stopping = true;
+        effects.push(Effect::Health(false));
+        self.route(now, route::Event::Stop, effects);
+    }
+
+    fn look_at_view(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let view = self.quorum.has_view(now);
+        if view != self.view {
+            self.view = view;
+            effects.push(Effect::Health(view && !self.stopping));
+            self.route(now, route::Event::View(view), effects);
+        }
+    }
+
+    fn on_timer(&mut self, now: Time, timer: Timer, effects: &mut Vec<Effect>) {
+        match timer {
+            Timer::Quorum(timer) => self.agree(now, quorum::Event::Timer(timer), effects),
+            Timer::Route(timer) => self.route(now, route::Event::Timer(timer), effects),
+            Timer::Beat => self.beat(now, effects),
+        }
+    }
+
+    fn on_peer(&mut self, now: Time, from: Name, message: Message, effects: &mut Vec<Effect>) {
+        match message {
+            Message::Quorum(message) => {
+                self.agree(now, quorum::Event::Message { from, message }, effects);
+            }
+            Message::Propose(proposal) => self.append(now, &proposal, effects),
+            Message::Heard(instances) => self.renew(now, instances),
+        }
+    }
+
+    fn on_operator(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        call: operator::Call,
+        effects: &mut Vec<Effect>,
+    ) {
+        let reply = match call {
+            operator::Call::Apply(change) => {
+                let command = fleet::Command::Change(change).into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
+            operator::Call::Config => operator::Reply::Config {
+                revision: self.fleet.revision(),
+                config: model::Config::clone(self.fleet.config()),
+            },
+            operator::Call::Status => operator::Reply::Status(self.status(now)),
+        };
+        effects.push(Effect::Operator { ticket, reply });
+    }
+
+    fn status(&self, now: Time) -> operator::Status {
+        operator::Status {
+            daemon: self.id.clone(),
+            leader: self.quorum.leader().cloned(),
+            term: self.quorum.term(),
+            view: self.quorum.has_view(now),
+            revision: self.fleet.revision(),
+            applied: self.applied,
+            forced: self.quorum.forced(),
+            pending: self.route.pending(),
+            upstreams: self.fleet.upstreams().clone(),
+        }
+    }
+
+    fn on_upstream(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        call: upstream::Call,
+        effects: &mut Vec<Effect>,
+    ) {
+        let caller = Some(Caller::Upstream(ticket));
+        match call {
+            upstream::Call::Announce(announcement) => {
+                self.heard.insert(announcement.instance.clone());
+                let command = fleet::Command::Announce(announcement).into();
+                self.propose(now, command, caller, effects);
+            }
+            upstream::Call::Renew { instance, incarnation } => {
+                let known = self.fleet.upstreams().get(&instance).is_some_and(|upstream| {
+                    upstream.announcement.incarnation == incarnation
+                        && upstream.presence != fleet::Presence::Lapsed
+                });
+                if known {
+                    self.heard.insert(instance);
+                }
+                let reply =
+                    if known { upstream::Reply::Done } else { upstream::Reply::NotAnnounced };
+                effects.push(Effect::Upstream { ticket, reply });
+            }
+            upstream::Call::Leave { instance, incarnation } => {
+                let command = fleet::Command::Leave { instance, incarnation }.into();
+                self.propose(now, command, caller, effects);
+            }
+        }
+    }
+
+    fn propose(
+        &mut self,
+        now: Time,
+        command: Command,
+        caller: Option<Caller>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.sequence += 1;
+        let (origin, boot, sequence) = (self.id.clone(), self.boot, self.sequence);
+        let proposal = Proposal { origin, boot, sequence, command };
+        self.pass_on(now, &proposal, effects);
+        self.pending.insert(sequence, Pending { proposal, caller, proposed: now });
+    }
+
+    fn pass_on(&mut self, now: Time, proposal: &Proposal, effects: &mut Vec<Effect>) {
+        if self.quorum.leads() {
+            return self.append(now, proposal, effects);
+        }
+        if let Some(to) = self.quorum.leader().cloned() {
+            effects.push(Effect::Send { to, message: Message::Propose(proposal.clone()) });
+        }
+    }
+
+    fn append(&mut self, now: Time, proposal: &Proposal, effects: &mut Vec<Effect>) {
+        let Ok(command) = postcard::to_stdvec(proposal) else { return };
+        self.agree(now, quorum::Event::Propose(command), effects);
+    }
+
+    fn agree(&mut self, now: Time, event: quorum::Event, effects: &mut Vec<Effect>) {
+        for effect in self.quorum.reduce(now, event) {
+            match effect {
+                quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
+                quorum::Effect::Send { to, message } => {
+                    effects.push(Effect::Send { to, message: Message::Quorum(message) });
+                }
+                quorum::Effect::Subscribe { timer, after } => {
+                    effects.push(Effect::Subscribe { timer: timer.into(), after });
+                }
+                quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
+                quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
+            }
+        }
+    }
+
+    fn on_leader(&mut self, now: Time, leader: Option<Name>, effects: &mut Vec<Effect>) {
+        self.leases.clear();
+        if self.quorum.leads() {
+            let instances = self.fleet.upstreams().keys().cloned().collect();
+            self.renew(now, instances);
+        }
+        effects.push(Effect::Leader(leader));
+        self.repeat(now, Duration::ZERO, effects);
+    }
+
+    fn apply(&mut self, now: Time, index: Index, entry: quorum::Entry, effects: &mut Vec<Effect>) {
+        self.applied = index;
+        if entry.command.is_empty() {
+            return;
+        }
+        let proposal = postcard::from_bytes::<Proposal>(&entry.command);
+        let proposal = proposal.expect("committed entries decode: the leader encoded them");
+        let own = proposal.origin == self.id && proposal.boot == self.boot;
+        let pending = if own { self.pending.remove(&proposal.sequence) } else { None };
+        let caller = pending.and_then(|pending| pending.caller);
+        let Command::Fleet(command) = proposal.command;
+        let results = self.fleet.apply(command);
+        self.reply(index, caller, &results, effects);
+        for effect in results {
+            self.on_fleet(now, effect, effects);
+        }
+    }
+
+    fn reply(
+        &self,
+        index: Index,
+        caller: Option<Caller>,
+        results: &[fleet::Effect],
+        effects: &mut Vec<Effect>,
+    ) {
+        match caller {
+            Some(Caller::Upstream(ticket)) => {
+                effects.push(Effect::Upstream { ticket, reply: upstream::Reply::Done });
+            }
+            Some(Caller::Operator(ticket)) => {
+                let verdict = results.iter().find_map(|effect| match effect {
+                    fleet::Effect::Verdict { verdict, .. } => Some(verdict.clone()),
+                    _ => None,
+                });
+                let Some(verdict) = verdict else { return };
+                let reply = operator::Reply::Applied { verdict, index };
+                effects.push(Effect::Operator { ticket, reply });
+            }
+            None => {}
+        }
+    }
+
+    fn on_fleet(&mut self, now: Time, effect: fleet::Effect, effects: &mut Vec<Effect>) {
+        match effect {
+            fleet::Effect::Verdict { .. } => {}
+            fleet::Effect::Configured(config) => {
+                self.route(now, route::Event::Configured(config), effects);
+            }
+            fleet::Effect::Upstream(upstream) => {
+                let instance = upstream.announcement.instance.clone();
+                if upstream.presence == fleet::Presence::Serving {
+                    self.renew(now, vec![instance]);
+                    self.route(now, route::Event::Serving(upstream.announcement), effects);
+                } else {
+                    self.leases.remove(&instance);
+                    self.route(now, route::Event::Gone(instance), effects);
+                }
+            }
+        }
+    }
+
+    fn route(&mut self, now: Time, event: route::Event, effects: &mut Vec<Effect>) {
+        for effect in self.route.reduce(now, event) {
+            effects.push(match effect {
+                route::Effect::Attempt(attempt) => Effect::Attempt(attempt),
+                route::Effect::Answer { request, outcome } => Effect::Answer { request, outcome },
+                route::Effect::Subscribe { timer, after } => {
+                    Effect::Subscribe { timer: timer.into(), after }
+                }
+            });
+        }
+    }
+
+    fn beat(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        effects.push(Effect::Subscribe { timer: Timer::Beat, after: Beat::PERIOD });
+        self.pass_on_heard(now, effects);
+        self.lapse(now, effects);
+        self.give_up(now, effects);
+        self.repeat(now, Beat::REPEAT, effects);
+    }
+
+    fn pass_on_heard(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let instances: Vec<_> = std::mem::take(&mut self.heard).into_iter().collect();
+        if instances.is_empty() {
+            return;
+        }
+        if self.quorum.leads() {
+            return self.renew(now, instances);
+        }
+        if let Some(to) = self.quorum.leader().cloned() {
+            effects.push(Effect::Send { to, message: Message::Heard(instances) });
+        }
+    }
+
+    fn renew(&mut self, now: Time, instances: Vec<Name>) {
+        if !self.quorum.leads() {
+            return;
+        }
+        for instance in instances {
+            self.leases.insert(instance, now + Beat::ANNOUNCEMENT);
+        }
+    }
+
+    fn lapse(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let lapsed = self.leases.extract_if(.., |_, until| *until <= now);
+        let lapsed: Vec<_> = lapsed.map(|(instance, _)| instance).collect();
+        for instance in lapsed {
+            let Some(upstream) = self.fleet.upstreams().get(&instance) else { continue };
+            let incarnation = upstream.announcement.incarnation;
+            let command = fleet::Command::Lapse { instance, incarnation }.into();
+            self.propose(now, command, None, effects);
+        }
+    }
+
+    fn give_up(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let old = self.pending.extract_if(.., |_, p| p.proposed + Beat::GIVE_UP <= now);
+        for (_, pending) in old {
+            match pending.caller {
+                Some(Caller::Operator(ticket)) => {
+                    effects.push(Effect::Operator { ticket, reply: operator::Reply::Unknown });
+                }
+                Some(Caller::Upstream(ticket)) => {
+                    effects.push(Effect::Upstream { ticket, reply: upstream::Reply::Unknown });
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Passes proposals on again that are older than `age`.
+    fn repeat(&mut self, now: Time, age: Duration, effects: &mut Vec<Effect>) {
+        let due = self.pending.values().filter(|pending| pending.proposed + age <= now);
+        let due: Vec<_> = due.map(|pending| pending.proposal.clone()).collect();
+        for proposal in due {
+            self.pass_on(now, &proposal, effects);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/timer.rs
@@ -0,0 +1,14 @@
+use super::*;
+
+/// Timers of every area.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, From, Serialize, Deserialize,
+)]
+pub enum Timer {
+    /// Agreement.
+    Quorum(quorum::Timer),
+    /// Requests.
+    Route(route::Timer),
+    /// Proposals are due to be repeated, leases to be looked at.
+    Beat,
+}
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,1 @@
+//! Jobs on workers.
--- /dev/null
+++ b/crates/quorum/src/event.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+/// What may happen to a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Event {
+    /// The process started.
+    Start,
+    /// A timer fell due.
+    Timer(Timer),
+    /// A message arrived.
+    Message {
+        /// Member that sent it, as the transport verified it.
+        from: Name,
+        /// What it sent.
+        message: Message,
+    },
+    /// A command is to be appended; ignored unless this member leads.
+    Propose(Vec<u8>),
+    /// Everything up to this entry is on disk.
+    Synced {
+        /// Term of the entry.
+        term: Term,
+        /// Index of the entry.
+        index: Index,
+    },
+}
--- /dev/null
+++ b/crates/quorum/src/lib.rs
@@ -0,0 +1,43 @@
+//! The replicated log. A pure reducer: events in, effects out, no clock, no I/O. Terms, pre-vote,
+//! log matching and commit only in the leader's own term, after Ongaro and Ousterhout, "In Search
+//! of an Understandable Consensus Algorithm" (2014).
+//!
+//! Two leases ride on the heartbeats. The leader leads only while a majority has answered within
+//! [`Timing::LEADER_LEASE`], and no voter helps to elect another within [`Timing::ELECTION_MIN`]
+//! of hearing from it. Every daemon holds a view lease, counted from the moment at which it sent
+//! the message that the leader echoes, so that no clocks need to agree; while it lasts, the daemon
+//! may act on the configuration it has.
+
+use {
+    model::{Index, Name, Time},
+    rand::Rng,
+    rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        time::Duration,
+    },
+};
+
+mod effect;
+mod entry;
+mod event;
+mod log;
+mod message;
+mod progress;
+mod record;
+mod restored;
+mod role;
+mod standing;
+mod state;
+mod timer;
+mod timing;
+
+pub use {
+    effect::Effect, entry::Entry, event::Event, log::Log, message::Message, progress::Progress,
+    record::Record, restored::Restored, role::Role, standing::Standing, state::State, timer::Timer,
+    timing::Timing,
+};
+
+/// Number of an election.
+pub type Term = u64;
--- /dev/null
+++ b/crates/quorum/src/progress.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+/// What the leader knows of another member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Progress {
+    /// Highest index known to match.
+    pub matched: Index,
+    /// Next index to send.
+    pub next: Index,
+    /// Highest index that the member has applied.
+    pub applied: Index,
+    /// When the leader sent the last message that was answered.
+    pub answered: Option<Time>,
+    /// Member's clock in its last answer.
+    pub stamp: Option<Time>,
+    /// When the last view lease granted to the member has surely run out.
+    pub granted_until: Time,
+}
+
+impl Progress {
+    pub(crate) fn new(next: Index, granted_until: Time) -> Self {
+        Self { matched: 0, next, applied: 0, answered: None, stamp: None, granted_until }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/record.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+/// What must be on disk before a member answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// Term and vote.
+    Vote {
+        /// Highest term seen.
+        term: Term,
+        /// Member voted for in that term.
+        vote: Option<Name>,
+    },
+    /// Entries from `first` on; they replace whatever stood there and after.
+    Entries {
+        /// Index of the first entry.
+        first: Index,
+        /// Entries in order.
+        entries: Vec<Entry>,
+    },
+}
--- /dev/null
+++ b/crates/quorum/src/timing.rs
@@ -0,0 +1,23 @@
+use super::*;
+
+/// Durations of the agreement; all follow from the bound of 5 s for a change to be in force.
+#[derive(Debug)]
+pub struct Timing;
+
+impl Timing {
+    /// Between heartbeats of the leader.
+    pub const HEARTBEAT: Duration = Duration::from_millis(100);
+    /// Shortest wait for a leader before an election.
+    pub const ELECTION_MIN: Duration = Duration::from_millis(600);
+    /// Longest wait for a leader before an election.
+    pub const ELECTION_MAX: Duration = Duration::from_millis(1200);
+    /// How long a leader leads on the answers of a majority; below `ELECTION_MIN` by the drift
+    /// allowed between two clocks.
+    pub const LEADER_LEASE: Duration = Duration::from_millis(500);
+    /// How long a daemon acts on its configuration without hearing from the leader.
+    pub const VIEW_LEASE: Duration = Duration::from_millis(2000);
+    /// Added by the leader to leases that others count, for the drift between two clocks.
+    pub const DRIFT: Duration = Duration::from_millis(100);
+    /// Most bytes of commands in one message.
+    pub const MAX_APPEND_BYTES: usize = 256 * 1024;
+}
--- /dev/null
+++ b/crates/route/src/event.rs
@@ -0,0 +1,27 @@
+use super::*;
+
+/// What may happen to requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Event {
+    /// A caller's request arrived whole.
+    Arrive(Request),
+    /// An attempt ended.
+    Done {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How it ended.
+        report: Report,
+    },
+    /// A timer fell due.
+    Timer(Timer),
+    /// The configuration is another.
+    Configured(Arc<Config>),
+    /// An upstream takes new work.
+    Serving(Announcement),
+    /// An upstream takes no new work.
+    Gone(Name),
+    /// The daemon got, or lost, its view of the configuration.
+    View(bool),
+    /// The daemon takes no further requests.
+    Stop,
+}
--- /dev/null
+++ b/crates/route/src/outcome.rs
@@ -0,0 +1,17 @@
+use super::*;
+
+/// What a caller learns of its request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It ran; the answer is that of the attempt.
+    Run(AttemptId),
+    /// It certainly did not run.
+    NotRun {
+        /// Why.
+        reason: Reason,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It may have run.
+    Unknown(Reason),
+}
--- /dev/null
+++ b/crates/route/src/timer.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+/// Timers of the reducer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Timer {
+    /// The deadline of a request that may still wait.
+    Deadline(RequestId),
+}
--- /dev/null
+++ b/crates/settings/src/daemon.rs
@@ -0,0 +1,145 @@
+use super::*;
+
+/// Settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Daemon {
+    /// Name of the daemon, one of the peers.
+    pub id: Name,
+    /// Where the daemon stands.
+    pub location: Location,
+    /// Folder for state that must survive; voters only.
+    pub data: Option<PathBuf>,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Key files.
+    pub keys: Keys,
+    /// Every daemon of the fleet, by name.
+    pub peers: BTreeMap<Name, Peer>,
+}
+
+impl Daemon {
+    /// Reads the settings of a daemon from `text`; `file` names it in findings.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let document = Document::parse(file, text)?;
+        let mut findings = Vec::new();
+        let mut draft = Draft::default();
+        for section in &document.sections {
+            draft.read(section, Reader::new(&document, section, &mut findings));
+        }
+        draft.check(&document, &mut findings);
+        match draft.finish() {
+            Some(daemon) if findings.is_empty() => Ok(daemon),
+            _ => Err(Findings(findings)),
+        }
+    }
+
+    /// The part of this daemon in the agreement.
+    pub fn role(&self) -> Role {
+        self.peers.get(&self.id).map_or(Role::Observer, |peer| peer.role)
+    }
+}
+
+/// Settings read so far.
+#[derive(Default)]
+struct Draft {
+    seen: Vec<&'static str>,
+    id: Option<Name>,
+    location: Option<Location>,
+    data: Option<PathBuf>,
+    listen: Option<Listen>,
+    keys: Option<Keys>,
+    peers: BTreeMap<Name, Peer>,
+}
+
+impl Draft {
+    const REQUIRED: [&'static str; 3] = ["daemon", "listen", "keys"];
+
+    fn read(&mut self, section: &Section, mut reader: Reader) {
+        match section.kind.as_str() {
+            "daemon" => self.read_daemon(&mut reader),
+            "listen" => self.read_listen(&mut reader),
+            "keys" => self.read_keys(&mut reader),
+            "peer" => self.read_peer(&mut reader),
+            _ => return reader.unknown(),
+        }
+        reader.finish();
+    }
+
+    fn read_daemon(&mut self, reader: &mut Reader) {
+        self.seen.push("daemon");
+        self.id = reader.required::<String>("id").map(Into::into);
+        self.data = reader.optional("data");
+        let region = reader.required::<String>("region");
+        let data_center = reader.required::<String>("data-center");
+        let rack = reader.optional::<String>("rack").unwrap_or_else(|| "none".into());
+        self.location = region.zip(data_center).map(|(region, data_center)| Location {
+            region: region.into(),
+            data_center: data_center.into(),
+            rack: rack.into(),
+        });
+    }
+
+    fn read_listen(&mut self, reader: &mut Reader) {
+        self.seen.push("listen");
+        let callers = reader.required("callers");
+        let upstreams = reader.required("upstreams");
+        let operators = reader.required("operators");
+        if let (Some(callers), Some(upstreams), Some(operators)) = (callers, upstreams, operators) {
+            self.listen = Some(Listen { callers, upstreams, operators });
+        }
+    }
+
+    fn read_keys(&mut self, reader: &mut Reader) {
+        self.seen.push("keys");
+        let authority = reader.required("authority");
+        let certificate = reader.required("certificate");
+        let key = reader.required("key");
+        if let (Some(authority), Some(certificate), Some(key)) = (authority, certificate, key) {
+            self.keys = Some(Keys { authority, certificate, key });
+        }
+    }
+
+    fn read_peer(&mut self, reader: &mut Reader) {
+        let name = reader.name();
+        let address = reader.required("address");
+        let role = reader.optional("role").unwrap_or(Role::Observer);
+        if let (Some(name), Some(address)) = (name, address) {
+            self.peers.insert(name, Peer { address, role });
+        }
+    }
+
+    fn check(&self, document: &Document, findings: &mut Vec<Finding>) {
+        let mut report = |section: &str, key: Option<&str>, problem| {
+            findings.push(Finding {
+                file: document.file.clone(),
+                line: 0,
+                section: Some(section.into()),
+                key: key.map(Into::into),
+                problem,
+            });
+        };
+        for section in Self::REQUIRED {
+            if !self.seen.contains(&section) {
+                report(section, None, Problem::MissingSection);
+            }
+        }
+        let Some(id) = &self.id else { return };
+        let Some(peer) = self.peers.get(id) else {
+            return report(&format!("peer {id}"), None, Problem::MissingSection);
+        };
+        if peer.role == Role::Voter && self.data.is_none() {
+            report("daemon", Some("data"), Problem::MissingKey);
+        }
+    }
+
+    fn finish(self) -> Option<Daemon> {
+        Some(Daemon {
+            id: self.id?,
+            location: self.location?,
+            data: self.data,
+            listen: self.listen?,
+            keys: self.keys?,
+            peers: self.peers,
+        })
+    }
+}
--- /dev/null
+++ b/crates/settings/src/document.rs
@@ -0,0 +1,72 @@
+use super::*;
+
+/// An INI document that keeps the line of everything.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Document {
+    /// File as findings name it.
+    pub file: String,
+    /// Sections in the order written.
+    pub sections: Vec<Section>,
+}
+
+impl Document {
+    /// Reads `text`; syntax errors and repeated sections or keys are findings.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let mut document = Self { file: file.into(), sections: Vec::new() };
+        let mut findings = Vec::new();
+        let text = comments_blanked(text);
+        let mut parser = ini_core::Parser::new(&text).auto_trim(true);
+        while let Some(item) = parser.next() {
+            if let Some(finding) = document.add(item, parser.line()) {
+                findings.push(finding);
+            }
+        }
+        if findings.is_empty() { Ok(document) } else { Err(Findings(findings)) }
+    }
+
+    fn add(&mut self, item: ini_core::Item, line: u32) -> Option<Finding> {
+        match item {
+            ini_core::Item::Section(header) => self.add_section(header, line),
+            ini_core::Item::Property(key, Some(value)) => self.add_entry(key, value, line),
+            ini_core::Item::Property(text, None) | ini_core::Item::Error(text) => {
+                Some(self.finding(line, None, Problem::Syntax(text.into())))
+            }
+            ini_core::Item::SectionEnd | ini_core::Item::Comment(_) | ini_core::Item::Blank => None,
+        }
+    }
+
+    fn add_section(&mut self, header: &str, line: u32) -> Option<Finding> {
+        let (kind, name) = header.trim().split_once(' ').unwrap_or((header.trim(), ""));
+        let section =
+            Section { line, kind: kind.into(), name: name.trim().into(), entries: Vec::new() };
+        let former = self.sections.iter().find(|s| s.header() == section.header()).map(|s| s.line);
+        self.sections.push(section);
+        former.map(|line_before| self.finding(line, None, Problem::DuplicateSection(line_before)))
+    }
+
+    fn add_entry(&mut self, key: &str, value: &str, line: u32) -> Option<Finding> {
+        let Some(section) = self.sections.last_mut() else {
+            return Some(self.finding(line, Some(key), Problem::Orphan));
+        };
+        let former = section.entries.iter().find(|entry| entry.key == key).map(|entry| entry.line);
+        section.entries.push(Entry { line, key: key.into(), value: value.into() });
+        former.map(|line_before| self.finding(line, Some(key), Problem::DuplicateKey(line_before)))
+    }
+
+    fn finding(&self, line: u32, key: Option<&str>, problem: Problem) -> Finding {
+        Finding {
+            file: self.file.clone(),
+            line,
+            section: self.sections.last().map(Section::header),
+            key: key.map(Into::into),
+            problem,
+        }
+    }
+}
+
+/// Blanks lines that start with `#`, which the parser would read as keys, and ends every line, the
+/// last one included: the parser counts line ends.
+fn comments_blanked(text: &str) -> String {
+    let line = |line: &str| if line.trim_start().starts_with('#') { "" } else { line }.to_owned();
+    text.lines().map(|text| line(text) + "\n").collect()
+}
--- /dev/null
+++ b/crates/settings/src/findings.rs
@@ -0,0 +1,17 @@
+use super::*;
+
+/// Everything wrong with a document, in the order of its lines.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Findings(pub Vec<Finding>);
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        for (i, finding) in self.0.iter().enumerate() {
+            let separator = if i == 0 { "" } else { "\n" };
+            write!(f, "{separator}{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
--- /dev/null
+++ b/crates/settings/src/fleet.rs
@@ -0,0 +1,72 @@
+use super::*;
+
+/// Requests that may wait for a slot of a service that names no queue.
+const DEFAULT_QUEUE_REQUESTS: u32 = 1024;
+
+/// Deadline of a kind that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Weight of a kind or tenant that names none.
+const DEFAULT_WEIGHT: u32 = 1;
+
+pub(crate) fn read(document: &Document) -> Result<Config> {
+    let mut config = Config::default();
+    let mut findings = Vec::new();
+    for section in &document.sections {
+        let mut reader = Reader::new(document, section, &mut findings);
+        match section.kind.as_str() {
+            "service" => insert(&mut config.services, reader.name(), service(&mut reader)),
+            "kind" => insert(&mut config.kinds, reader.name(), kind(&mut reader)),
+            "tenant" => insert(&mut config.tenants, reader.name(), tenant(&mut reader)),
+            "pool" => insert(&mut config.pools, reader.name(), pool(&mut reader)),
+            "budget" => insert(&mut config.budgets, reader.name(), budget(&mut reader)),
+            "instance" => insert(&mut config.instances, reader.name(), instance(&mut reader)),
+            _ => {
+                reader.unknown();
+                continue;
+            }
+        }
+        reader.finish();
+    }
+    if findings.is_empty() { Ok(config) } else { Err(Findings(findings)) }
+}
+
+fn insert<T>(map: &mut BTreeMap<Name, T>, name: Option<Name>, value: Option<T>) {
+    if let (Some(name), Some(value)) = (name, value) {
+        map.insert(name, value);
+    }
+}
+
+fn service(reader: &mut Reader) -> Option<Service> {
+    Some(Service { queue: reader.optional("queue").unwrap_or(DEFAULT_QUEUE_REQUESTS) })
+}
+
+fn kind(reader: &mut Reader) -> Option<Kind> {
+    Some(Kind {
+        idempotent: reader.optional("idempotent").unwrap_or(false),
+        weight: reader.optional("weight").unwrap_or(DEFAULT_WEIGHT),
+        deadline: reader.milliseconds("deadline-ms").unwrap_or(DEFAULT_DEADLINE),
+    })
+}
+
+fn tenant(reader: &mut Reader) -> Option<Tenant> {
+    Some(Tenant { weight: reader.optional("weight").unwrap_or(DEFAULT_WEIGHT) })
+}
+
+fn pool(reader: &mut Reader) -> Option<Pool> {
+    let selector = reader.required("selector");
+    let spare = reader.optional("spare").unwrap_or(false);
+    Some(Pool { selector: selector?, spare })
+}
+
+fn budget(reader: &mut Reader) -> Option<Budget> {
+    let selector = reader.required::<Selector>("selector");
+    let max_unavailable = reader.required("max-unavailable");
+    let reserve = reader.optional("reserve").unwrap_or(model::Quota::Count(0));
+    Some(Budget { selector: selector?, max_unavailable: max_unavailable?, reserve })
+}
+
+fn instance(reader: &mut Reader) -> Option<Instance> {
+    let labels = reader.required::<Labels>("labels");
+    Some(Instance { labels: labels? })
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,47 @@
+//! Settings in INI: the daemon's own, and the fleet's configuration that operators apply. A
+//! document is read whole; everything wrong with it is collected with its place and reported
+//! together, unknown sections and keys included.
+
+use {
+    derive_more::Display,
+    model::{
+        Budget, Config, Instance, Kind, Labels, Location, Name, Pool, Selector, Service, Tenant,
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        fmt::{self, Formatter},
+        net::SocketAddr,
+        path::PathBuf,
+        str::FromStr,
+        time::Duration,
+    },
+};
+
+mod daemon;
+mod document;
+mod entry;
+mod finding;
+mod findings;
+mod fleet;
+mod keys;
+mod listen;
+mod peer;
+mod problem;
+mod reader;
+mod role;
+mod section;
+
+use reader::Reader;
+pub use {
+    daemon::Daemon, document::Document, entry::Entry, finding::Finding, findings::Findings,
+    keys::Keys, listen::Listen, peer::Peer, problem::Problem, role::Role, section::Section,
+};
+
+/// Result of reading a document.
+pub type Result<T = (), E = Findings> = std::result::Result<T, E>;
+
+/// Reads the fleet's configuration from `text`; `file` names it in findings.
+pub fn config(file: &str, text: &str) -> Result<Config> {
+    fleet::read(&Document::parse(file, text)?)
+}
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,87 @@
+use super::*;
+
+/// Reads a section key by key, and collects what is wrong on the way.
+pub(crate) struct Reader<'a> {
+    file: &'a str,
+    section: &'a Section,
+    known: Vec<&'static str>,
+    findings: &'a mut Vec<Finding>,
+}
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(
+        document: &'a Document,
+        section: &'a Section,
+        findings: &'a mut Vec<Finding>,
+    ) -> Self {
+        Self { file: &document.file, section, known: Vec::new(), findings }
+    }
+
+    /// The value of `key`, `None` where it is absent or unreadable.
+    pub(crate) fn optional<T: FromStr<Err: fmt::Display>>(
+        &mut self,
+        key: &'static str,
+    ) -> Option<T> {
+        self.known.push(key);
+        let entry = self.section.entries.iter().find(|entry| entry.key == key)?;
+        match entry.value.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.report(entry.line, Some(key), Problem::Value(error.to_string()));
+                None
+            }
+        }
+    }
+
+    /// The value of `key`; its absence is a finding.
+    pub(crate) fn required<T: FromStr<Err: fmt::Display>>(
+        &mut self,
+        key: &'static str,
+    ) -> Option<T> {
+        let present = self.section.entries.iter().any(|entry| entry.key == key);
+        if !present {
+            self.report(self.section.line, Some(key), Problem::MissingKey);
+        }
+        self.optional(key)
+    }
+
+    /// The value of `key` in milliseconds.
+    pub(crate) fn milliseconds(&mut self, key: &'static str) -> Option<Duration> {
+        self.optional(key).map(Duration::from_millis)
+    }
+
+    /// The name of the section; an empty one is a finding.
+    pub(crate) fn name(&mut self) -> Option<Name> {
+        if self.section.name.is_empty() {
+            let problem =
+                Problem::Value(format!("name is missing, use `[{} NAME]`", self.section.kind));
+            self.report(self.section.line, None, problem);
+            return None;
+        }
+        Some(self.section.name.as_str().into())
+    }
+
+    /// Reports every key that nobody asked for.
+    pub(crate) fn finish(mut self) {
+        for entry in &self.section.entries {
+            if !self.known.contains(&entry.key.as_str()) {
+                self.report(entry.line, Some(&entry.key), Problem::UnknownKey);
+            }
+        }
+    }
+
+    /// Reports the section itself as unknown.
+    pub(crate) fn unknown(mut self) {
+        self.report(self.section.line, None, Problem::UnknownSection);
+    }
+
+    fn report(&mut self, line: u32, key: Option<&str>, problem: Problem) {
+        self.findings.push(Finding {
+            file: self.file.into(),
+            line,
+            section: Some(self.section.header()),
+            key: key.map(Into::into),
+            problem,
+        });
+    }
+}
--- /dev/null
+++ b/crates/timer/src/queue.rs
@@ -0,0 +1,49 @@
+use super::*;
+
+/// Keys with the times at which they fall due.
+#[derive(Debug)]
+pub struct Queue<K> {
+    heap: BinaryHeap<Reverse<(Time, u64, K)>>,
+    latest: Map<K, u64>,
+    sequence: u64,
+}
+
+impl<K: Clone + Eq + Hash + Ord> Default for Queue<K> {
+    fn default() -> Self {
+        Self { heap: BinaryHeap::new(), latest: Map::default(), sequence: 0 }
+    }
+}
+
+impl<K: Clone + Eq + Hash + Ord> Queue<K> {
+    /// Calls `key` at `at`, and no longer at the time it was subscribed to before.
+    pub fn subscribe(&mut self, key: K, at: Time) {
+        self.sequence += 1;
+        self.latest.insert(key.clone(), self.sequence);
+        self.heap.push(Reverse((at, self.sequence, key)));
+    }
+
+    /// Time at which the next key falls due.
+    pub fn next_due(&mut self) -> Option<Time> {
+        self.discard_replaced();
+        self.heap.peek().map(|Reverse((at, _, _))| *at)
+    }
+
+    /// Takes one key that is due at `now`.
+    pub fn pop(&mut self, now: Time) -> Option<K> {
+        if self.next_due()? > now {
+            return None;
+        }
+        let Reverse((_, _, key)) = self.heap.pop()?;
+        self.latest.remove(&key);
+        Some(key)
+    }
+
+    fn discard_replaced(&mut self) {
+        while let Some(Reverse((_, sequence, key))) = self.heap.peek() {
+            if self.latest.get(key) == Some(sequence) {
+                return;
+            }
+            self.heap.pop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,36 @@
+//! Frames between daemons over QUIC with mutual TLS. The transport owns one thread with the only
+//! asynchronous runtime of the process; everything else talks to it through channels. A frame that
+//! cannot be sent is dropped: every protocol above repeats what it needs.
+
+use {
+    crossbeam::channel::Sender,
+    derive_more::{Display, Error, From},
+    model::Name,
+    rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, pem::PemObject},
+    std::{
+        collections::BTreeMap,
+        fs, io,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        sync::Arc,
+        thread,
+        time::Duration,
+    },
+    tokio::sync::mpsc,
+};
+
+mod authority;
+mod codec;
+mod error;
+mod frame;
+mod identity;
+mod link;
+mod transport;
+
+pub use {
+    authority::Authority, codec::Codec, error::Error, frame::Frame, identity::Identity,
+    transport::Transport,
+};
+
+/// Result of this crate's fallible functions.
+pub type Result<T = (), E = Error> = std::result::Result<T, E>;
