--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// The replicated state of the fleet.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
     config: Arc<Config>,
     revision: Revision,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,22 +16,29 @@
     },
 };
 
-mod beat;
 mod command;
 mod effect;
 mod event;
+mod leases;
 mod message;
 pub mod operator;
+mod outcome;
 mod pending;
 mod proposal;
+mod proposals;
+mod replica;
 mod state;
 mod timer;
 pub mod upstream;
 
-use {beat::Beat, pending::Pending};
 pub use {
-    command::Command, effect::Effect, event::Event, message::Message, proposal::Proposal,
-    state::State, timer::Timer,
+    command::Command, effect::Effect, event::Event, message::Message, outcome::Outcome,
+    proposal::Proposal, replica::Replica, state::State, timer::Timer,
+};
+use {
+    leases::Leases,
+    pending::{Caller, Pending},
+    proposals::Proposals,
 };
 
 /// Number of a call that waits for a reply at an edge.
--- /dev/null
+++ b/crates/node/src/outcome.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+/// What follows from a committed command, by area.
+#[derive(Debug, Clone, PartialEq, Eq, From)]
+pub enum Outcome {
+    /// Concerns the fleet.
+    Fleet(fleet::Effect),
+}
--- /dev/null
+++ b/crates/node/src/replica.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+/// What the replicated log determines, the same on every daemon; a snapshot holds just this.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    /// Index of the last entry applied.
+    pub applied: Index,
+    /// The fleet.
+    pub fleet: fleet::State,
+}
+
+impl Replica {
+    /// Applies a committed command.
+    pub fn apply(&mut self, index: Index, command: Command) -> Vec<Outcome> {
+        self.applied = index;
+        match command {
+            Command::Fleet(command) => into_outcomes(self.fleet.apply(command)),
+        }
+    }
+}
+
+fn into_outcomes<T: Into<Outcome>>(effects: Vec<T>) -> Vec<Outcome> {
+    effects.into_iter().map(Into::into).collect()
+}
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,20 +1,19 @@
-use {super::*, pending::Caller};
+use super::*;
+
+/// Between two looks at leases and proposals.
+const BEAT: Duration = Duration::from_millis(200);
 
 /// State of a daemon.
 #[derive(Debug)]
 pub struct State {
     id: Name,
-    boot: u64,
-    sequence: u64,
     quorum: quorum::State,
-    fleet: fleet::State,
+    replica: Replica,
     route: route::State,
-    pending: BTreeMap<u64, Pending>,
+    proposals: Proposals,
     /// Upstreams heard here since the last beat.
     heard: BTreeSet<Name>,
-    /// While leading: when each upstream's lease runs out.
-    leases: BTreeMap<Name, Time>,
-    applied: Index,
+    leases: Leases,
     view: bool,
     stopping: bool,
 }
@@ -24,15 +23,12 @@
     pub fn new(quorum: quorum::State, boot: u64) -> Self {
         Self {
             id: quorum.id().clone(),
-            boot,
-            sequence: 0,
+            proposals: Proposals::new(quorum.id().clone(), boot),
             quorum,
-            fleet: fleet::State::default(),
+            replica: Replica::default(),
             route: route::State::default(),
-            pending: BTreeMap::new(),
             heard: BTreeSet::new(),
-            leases: BTreeMap::new(),
-            applied: 0,
+            leases: Leases::default(),
             view: false,
             stopping: false,
         }
@@ -63,7 +59,7 @@
 
     fn start(&mut self, now: Time, effects: &mut Vec<Effect>) {
         effects.push(Effect::Health(false));
-        effects.push(Effect::Subscribe { timer: Timer::Beat, after: Beat::PERIOD });
+        effects.push(Effect::Subscribe { timer: Timer::Beat, after: BEAT });
         self.agree(now, quorum::Event::Start, effects);
     }
 
@@ -113,8 +109,8 @@
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
             operator::Call::Config => operator::Reply::Config {
-                revision: self.fleet.revision(),
-                config: model::Config::clone(self.fleet.config()),
+                revision: self.replica.fleet.revision(),
+                config: model::Config::clone(self.replica.fleet.config()),
             },
             operator::Call::Status => operator::Reply::Status(self.status(now)),
         };
@@ -127,11 +123,11 @@
             leader: self.quorum.leader().cloned(),
             term: self.quorum.term(),
             view: self.quorum.has_view(now),
-            revision: self.fleet.revision(),
-            applied: self.applied,
+            revision: self.replica.fleet.revision(),
+            applied: self.replica.applied,
             forced: self.quorum.forced(),
             pending: self.route.pending(),
-            upstreams: self.fleet.upstreams().clone(),
+            upstreams: self.replica.fleet.upstreams().clone(),
         }
     }
 
@@ -150,7 +146,7 @@
                 self.propose(now, command, caller, effects);
             }
             upstream::Call::Renew { instance, incarnation } => {
-                let known = self.fleet.upstreams().get(&instance).is_some_and(|upstream| {
+                let known = self.replica.fleet.upstreams().get(&instance).is_some_and(|upstream| {
                     upstream.announcement.incarnation == incarnation
                         && upstream.presence != fleet::Presence::Lapsed
                 });
@@ -175,11 +171,8 @@
         caller: Option<Caller>,
         effects: &mut Vec<Effect>,
     ) {
-        self.sequence += 1;
-        let (origin, boot, sequence) = (self.id.clone(), self.boot, self.sequence);
-        let proposal = Proposal { origin, boot, sequence, command };
+        let proposal = self.proposals.make(now, command, caller);
         self.pass_on(now, &proposal, effects);
-        self.pending.insert(sequence, Pending { proposal, caller, proposed: now });
     }
 
     fn pass_on(&mut self, now: Time, proposal: &Proposal, effects: &mut Vec<Effect>) {
@@ -215,7 +208,7 @@
     fn on_leader(&mut self, now: Time, leader: Option<Name>, effects: &mut Vec<Effect>) {
         self.leases.clear();
         if self.quorum.leads() {
-            let instances = self.fleet.upstreams().keys().cloned().collect();
+            let instances = self.replica.fleet.upstreams().keys().cloned().collect();
             self.renew(now, instances);
         }
         effects.push(Effect::Leader(leader));
@@ -223,20 +216,19 @@
     }
 
     fn apply(&mut self, now: Time, index: Index, entry: quorum::Entry, effects: &mut Vec<Effect>) {
-        self.applied = index;
         if entry.command.is_empty() {
+            self.replica.applied = index;
             return;
         }
         let proposal = postcard::from_bytes::<Proposal>(&entry.command);
         let proposal = proposal.expect("committed entries decode: the leader encoded them");
-        let own = proposal.origin == self.id && proposal.boot == self.boot;
-        let pending = if own { self.pending.remove(&proposal.sequence) } else { None };
-        let caller = pending.and_then(|pending| pending.caller);
-        let Command::Fleet(command) = proposal.command;
-        let results = self.fleet.apply(command);
-        self.reply(index, caller, &results, effects);
-        for effect in results {
-            self.on_fleet(now, effect, effects);
+        let caller = self.proposals.finish(&proposal);
+        let outcomes = self.replica.apply(index, proposal.command);
+        self.reply(index, caller, &outcomes, effects);
+        for outcome in outcomes {
+            match outcome {
+                Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
+            }
         }
     }
 
@@ -244,7 +236,7 @@
         &self,
         index: Index,
         caller: Option<Caller>,
-        results: &[fleet::Effect],
+        outcomes: &[Outcome],
         effects: &mut Vec<Effect>,
     ) {
         match caller {
@@ -252,8 +244,8 @@
                 effects.push(Effect::Upstream { ticket, reply: upstream::Reply::Done });
             }
             Some(Caller::Operator(ticket)) => {
-                let verdict = results.iter().find_map(|effect| match effect {
-                    fleet::Effect::Verdict { verdict, .. } => Some(verdict.clone()),
+                let verdict = outcomes.iter().find_map(|outcome| match outcome {
+                    Outcome::Fleet(fleet::Effect::Verdict { verdict, .. }) => Some(verdict.clone()),
                     _ => None,
                 });
                 let Some(verdict) = verdict else { return };
@@ -296,11 +288,11 @@
     }
 
     fn beat(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        effects.push(Effect::Subscribe { timer: Timer::Beat, after: Beat::PERIOD });
+        effects.push(Effect::Subscribe { timer: Timer::Beat, after: BEAT });
         self.pass_on_heard(now, effects);
         self.lapse(now, effects);
         self.give_up(now, effects);
-        self.repeat(now, Beat::REPEAT, effects);
+        self.repeat(now, Proposals::REPEAT, effects);
     }
 
     fn pass_on_heard(&mut self, now: Time, effects: &mut Vec<Effect>) {
@@ -321,15 +313,13 @@
             return;
         }
         for instance in instances {
-            self.leases.insert(instance, now + Beat::ANNOUNCEMENT);
+            self.leases.renew(now, instance);
         }
     }
 
     fn lapse(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let lapsed = self.leases.extract_if(.., |_, until| *until <= now);
-        let lapsed: Vec<_> = lapsed.map(|(instance, _)| instance).collect();
-        for instance in lapsed {
-            let Some(upstream) = self.fleet.upstreams().get(&instance) else { continue };
+        for instance in self.leases.take_lapsed(now) {
+            let Some(upstream) = self.replica.fleet.upstreams().get(&instance) else { continue };
             let incarnation = upstream.announcement.incarnation;
             let command = fleet::Command::Lapse { instance, incarnation }.into();
             self.propose(now, command, None, effects);
@@ -337,25 +327,21 @@
     }
 
     fn give_up(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let old = self.pending.extract_if(.., |_, p| p.proposed + Beat::GIVE_UP <= now);
-        for (_, pending) in old {
-            match pending.caller {
-                Some(Caller::Operator(ticket)) => {
-                    effects.push(Effect::Operator { ticket, reply: operator::Reply::Unknown });
+        for caller in self.proposals.give_up(now) {
+            effects.push(match caller {
+                Caller::Operator(ticket) => {
+                    Effect::Operator { ticket, reply: operator::Reply::Unknown }
                 }
-                Some(Caller::Upstream(ticket)) => {
-                    effects.push(Effect::Upstream { ticket, reply: upstream::Reply::Unknown });
+                Caller::Upstream(ticket) => {
+                    Effect::Upstream { ticket, reply: upstream::Reply::Unknown }
                 }
-                None => {}
-            }
+            });
         }
     }
 
     /// Passes proposals on again that are older than `age`.
     fn repeat(&mut self, now: Time, age: Duration, effects: &mut Vec<Effect>) {
-        let due = self.pending.values().filter(|pending| pending.proposed + age <= now);
-        let due: Vec<_> = due.map(|pending| pending.proposal.clone()).collect();
-        for proposal in due {
+        for proposal in self.proposals.older(now, age) {
             self.pass_on(now, &proposal, effects);
         }
     }
