A daemon that is cut off no longer holds back a change being in force

Cause: the leader took a view lease as granted each time it echoed a member's clock, even where the clock it echoed was old. A member behind a partition answered no more, yet its lease seemed to be renewed with every heartbeat, and no later change was ever in force.

Ruled out: the member itself (its health check failed in time); ports taken by two tests (a real fault of the test bench, mended here: ports now come from below those the kernel gives out).

Change: a lease ends a view lease after the leader heard the clock that it echoes.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -6,6 +6,8 @@
     folder: tempfile::TempDir,
     /// Daemons, voters first.
     pub daemons: Vec<Daemon>,
+    /// Links between the daemons.
+    pub network: Network,
     fakes: Vec<Program>,
 }
 
@@ -16,8 +18,11 @@
     /// Prepares `count` daemons, the first `voters` of which vote; none is started.
     pub fn new(count: usize, voters: usize) -> eyre::Result<Self> {
         let folder = tempfile::Builder::new().prefix("sardinevalve-").tempdir()?;
-        let mut fleet = Self { folder, daemons: Vec::new(), fakes: Vec::new() };
+        let network = Network::default();
+        let mut fleet = Self { folder, daemons: Vec::new(), network, fakes: Vec::new() };
         fleet.prepare(count)?;
+        let peers: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.peers.clone()).collect();
+        fleet.network = Network::start(&peers)?;
         fleet.make_keys()?;
         for i in 0..count {
             fs::write(&fleet.daemons[i].settings, fleet.settings(i, voters))?;
@@ -39,6 +44,17 @@
         wait_until("every daemon is healthy", || running().all(Daemon::healthy))
     }
 
+    /// Number of the daemon that leads, as the others that have a view agree.
+    pub fn leader(&self) -> Option<usize> {
+        let statuses = self.daemons.iter().filter_map(|daemon| daemon.status().ok());
+        let mut leaders = statuses.filter(|s| s["view"] == true).map(|s| s["leader"].clone());
+        let leader = leaders.next()?;
+        if leaders.any(|other| other != leader) {
+            return None;
+        }
+        self.daemons.iter().position(|daemon| leader == daemon.name)
+    }
+
     /// Folder of the fleet.
     pub fn folder(&self) -> &Path {
         self.folder.path()
@@ -72,19 +88,10 @@
     }
 
     fn prepare(&mut self, count: usize) -> eyre::Result<()> {
-        let (mut streams, mut datagrams) = (Vec::new(), Vec::new());
         for number in 1..=count {
             let name = format!("daemon-{number}");
-            let mut stream = || -> eyre::Result<String> {
-                let listener = TcpListener::bind("127.0.0.1:0")?;
-                let address = listener.local_addr()?.to_string();
-                streams.push(listener);
-                Ok(address)
-            };
-            let (callers, upstreams, operators) = (stream()?, stream()?, stream()?);
-            let socket = UdpSocket::bind("127.0.0.1:0")?;
-            let peers = socket.local_addr()?.to_string();
-            datagrams.push(socket);
+            let (callers, upstreams, operators) = (Port::free()?, Port::free()?, Port::free()?);
+            let peers = Port::free()?;
             let settings = self.folder.path().join(format!("{name}.ini"));
             let log = self.folder.path().join(format!("{name}.log"));
             let program = None;
@@ -125,7 +132,9 @@
         );
         for (i, peer) in self.daemons.iter().enumerate() {
             let role = if i < voters { "voter" } else { "observer" };
-            text += &format!("[peer {}]\naddress = {}\nrole = {role}\n", peer.name, peer.peers);
+            let link = self.network.address(number, i).map(|address| address.to_string());
+            let address = link.as_ref().unwrap_or(&peer.peers);
+            text += &format!("[peer {}]\naddress = {address}\nrole = {role}\n", peer.name);
         }
         text
     }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,10 +5,15 @@
     clap::{Parser, Subcommand, ValueEnum},
     eyre::{WrapErr, bail, ensure},
     std::{
-        env, fs,
-        net::{TcpListener, UdpSocket},
+        collections::BTreeMap,
+        env, fs, io,
+        net::{SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
         process::{Child, Command, ExitCode, Output, Stdio},
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -18,9 +23,15 @@
 mod daemon;
 mod first_fleet;
 mod fleet;
+mod link;
+mod network;
+mod port;
 mod program;
 mod run;
 mod wait;
 
 use arguments::{Arguments, Experiment};
-pub use {daemon::Daemon, fleet::Fleet, program::Program, run::run, wait::wait_until};
+pub use {
+    daemon::Daemon, fleet::Fleet, network::Network, program::Program, run::run, wait::wait_until,
+};
+use {link::Link, port::Port};
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -13,7 +13,8 @@
     pub answered: Option<Time>,
     /// Member's clock in its last answer.
     pub stamp: Option<Time>,
-    /// When the last view lease granted to the member has surely run out.
+    /// When every view lease that the member may hold has surely run out: a lease counts from a
+    /// clock that the member read before the leader heard of it.
     pub granted_until: Time,
 }
 
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -224,9 +224,6 @@
         let entries = self.log.slice(progress.next, Timing::MAX_APPEND_BYTES);
         progress.next += entries.len() as Index;
         let echo = progress.stamp.filter(|_| grants);
-        if echo.is_some() {
-            progress.granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
-        }
         let message = Message::Append {
             term: self.term,
             prev_index,
@@ -451,6 +448,7 @@
         let Some(peer) = progress.get_mut(&from).filter(|_| term == self.term) else { return };
         peer.answered = peer.answered.max(Some(sent));
         peer.stamp = Some(stamp);
+        peer.granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
         peer.applied = applied;
         if matched {
             peer.matched = peer.matched.max(index.min(last));
