--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -13,14 +13,30 @@
     /// List the experiments
     List,
     /// Run an experiment
-    Run {
-        /// Which
-        experiment: Experiment,
-    },
+    #[command(subcommand)]
+    Run(Experiment),
 }
 
-#[derive(Debug, Clone, Copy, ValueEnum)]
+#[derive(Debug, Clone, Subcommand)]
 pub(crate) enum Experiment {
     /// Three daemons, two fake upstreams, one request, one change
     FirstFleet,
+    /// Leaders killed under a steady load: when changes are accepted again, who is refused
+    LeaderKills {
+        /// Number of kills
+        #[arg(long, default_value_t = 100)]
+        kills: u32,
+    },
+    /// What daemons spend on control while nobody calls
+    Idle {
+        /// Number of daemons
+        #[arg(long, default_value_t = 10)]
+        daemons: usize,
+        /// Number of upstreams
+        #[arg(long, default_value_t = 50)]
+        upstreams: usize,
+        /// How long to watch, in seconds
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+    },
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,8 +2,9 @@
 //! start them with.
 
 use {
-    clap::{Parser, Subcommand, ValueEnum},
+    clap::{Parser, Subcommand},
     eyre::{WrapErr, bail, ensure},
+    serde::Serialize,
     std::{
         collections::BTreeMap,
         env, fs, io,
@@ -12,7 +13,7 @@
         process::{Child, Command, ExitCode, Output, Stdio},
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -23,15 +24,19 @@
 mod daemon;
 mod first_fleet;
 mod fleet;
+mod idle;
+mod leader_kills;
 mod link;
 mod network;
 mod port;
 mod program;
+mod quantiles;
 mod run;
+mod usage;
 mod wait;
 
 use arguments::{Arguments, Experiment};
 pub use {
     daemon::Daemon, fleet::Fleet, network::Network, program::Program, run::run, wait::wait_until,
 };
-use {link::Link, port::Port};
+use {link::Link, port::Port, quantiles::Quantiles, usage::Usage};
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -12,18 +12,27 @@
 }
 
 fn dispatch(arguments: &Arguments) -> eyre::Result<()> {
-    match arguments.command {
+    match &arguments.command {
         arguments::Action::List => list(),
-        arguments::Action::Run { experiment: Experiment::FirstFleet } => first_fleet::run()?,
+        arguments::Action::Run(experiment) => experiment.run()?,
     }
     Ok(())
 }
 
-fn list() {
-    for experiment in Experiment::value_variants() {
-        if let Some(value) = experiment.to_possible_value() {
-            let help = value.get_help().map(ToString::to_string).unwrap_or_default();
-            println!("{:<16} {help}", value.get_name());
+impl Experiment {
+    fn run(&self) -> eyre::Result<()> {
+        match self {
+            Self::FirstFleet => first_fleet::run(),
+            Self::LeaderKills { kills } => leader_kills::run(*kills),
+            Self::Idle { daemons, upstreams, seconds } => idle::run(*daemons, *upstreams, *seconds),
         }
     }
 }
+
+fn list() {
+    let command = Experiment::augment_subcommands(clap::Command::new("run"));
+    for experiment in command.get_subcommands() {
+        let about = experiment.get_about().map(ToString::to_string).unwrap_or_default();
+        println!("{:<16} {about}", experiment.get_name());
+    }
+}
--- a/crates/bench/tests/agreement.rs
+++ b/crates/bench/tests/agreement.rs
@@ -1,5 +1,7 @@
 //! Agreement of real daemons under kills, pauses, cuts and racing operators.
 
+#![allow(clippy::unwrap_used)]
+
 use bench::{Fleet, wait_until};
 
 const CONFIG: &str = "[service quotes]\n[kind quote]\nidempotent = true\n";
