Agreement: fuzz the reducer; a lease no longer outlives the start it was granted to

Cause: the leader echoes a member's clock, and a view lease counts from the echo. A clock starts anew with its process, so that an echo of the former start, delayed or still kept by the leader, gave a restarted member a view lease far in the future: it acted on entries older than 5 s, and on entry 6 while 11 were in force. Found by: a simulated fleet (messages lost, doubled, delayed; crashes with part of the unsynced records written; freezes; partitions, also one-way; clocks that drift by 2.4 % either way) against an oracle: one leader a term, accepted entries alike on all, no gaps, nothing in force that a member with a view has not applied, no view on what was replaced 5 s ago, recovery once faults end. Change: stamps name the start of the member (quorum::Stamp); an echo of another start grants nothing. Regression test: leases::a_restarted_member_takes_no_lease_of_its_former_start.

--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -28,6 +28,7 @@
 mod record;
 mod restored;
 mod role;
+mod stamp;
 mod standing;
 mod state;
 mod timer;
@@ -35,8 +36,8 @@
 
 pub use {
     effect::Effect, entry::Entry, event::Event, log::Log, message::Message, progress::Progress,
-    record::Record, restored::Restored, role::Role, standing::Standing, state::State, timer::Timer,
-    timing::Timing,
+    record::Record, restored::Restored, role::Role, stamp::Stamp, standing::Standing, state::State,
+    timer::Timer, timing::Timing,
 };
 
 /// Number of an election.
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -40,7 +40,7 @@
         /// Leader's clock when it sent this.
         sent: Time,
         /// Member's clock as it last reported, present while the leader may grant leases.
-        echo: Option<Time>,
+        echo: Option<Stamp>,
     },
     /// Answers `Append`.
     Appended {
@@ -55,6 +55,6 @@
         /// `sent` of the message answered.
         sent: Time,
         /// Member's clock.
-        stamp: Time,
+        stamp: Stamp,
     },
 }
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -12,7 +12,7 @@
     /// When the leader sent the last message that was answered.
     pub answered: Option<Time>,
     /// Member's clock in its last answer.
-    pub stamp: Option<Time>,
+    pub stamp: Option<Stamp>,
     /// When the last view lease granted to the member has surely run out.
     pub granted_until: Time,
 }
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -4,6 +4,8 @@
 #[derive(Debug, Clone)]
 pub struct State {
     id: Name,
+    /// Differs between any two starts.
+    boot: u64,
     members: BTreeMap<Name, Role>,
     term: Term,
     vote: Option<Name>,
@@ -22,11 +24,13 @@
 }
 
 impl State {
-    /// A member that has just started with what its disk held.
-    pub fn new(id: Name, members: BTreeMap<Name, Role>, restored: Restored, seed: u64) -> Self {
+    /// A member that has just started with what its disk held; `boot` differs between any two
+    /// starts.
+    pub fn new(id: Name, members: BTreeMap<Name, Role>, restored: Restored, boot: u64) -> Self {
         let log = Log::from(restored.entries);
         Self {
             id,
+            boot,
             members,
             term: restored.term,
             vote: restored.vote,
@@ -39,7 +43,7 @@
             forced: 0,
             heard: Time::ZERO,
             view_until: Time::ZERO,
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng: ChaCha8Rng::seed_from_u64(boot),
         }
     }
 
@@ -379,7 +383,7 @@
             index,
             applied: self.applied,
             sent,
-            stamp: now,
+            stamp: Stamp { boot: self.boot, at: now },
         };
         effects.push(Effect::Send { to, message });
     }
@@ -399,8 +403,8 @@
         self.merge(prev_index + 1, entries, effects);
         self.advance_commit(commit.min(index), effects);
         self.forced = self.forced.max(forced.min(self.applied));
-        if let Some(echo) = echo.filter(|_| self.applied >= commit) {
-            self.view_until = self.view_until.max(echo + Timing::VIEW_LEASE);
+        if let Some(echo) = echo.filter(|echo| echo.boot == self.boot && self.applied >= commit) {
+            self.view_until = self.view_until.max(echo.at + Timing::VIEW_LEASE);
         }
         self.answer_append(now, from, true, index, sent, effects);
     }
--- /dev/null
+++ b/crates/quorum/tests/fuzz.rs
@@ -0,0 +1,52 @@
+//! Random faults on a simulated fleet, against an oracle. `QUORUM_SEEDS=N` runs N seeds of each
+//! size in place of the few that CI runs.
+
+mod simulator;
+
+use {simulator::World, std::time::Duration};
+
+/// Seeds of each size that CI runs.
+const SEEDS: u64 = 30;
+
+/// How long faults last.
+const FAULTY: Duration = Duration::from_secs(30);
+
+/// How long a fleet without faults may take to be whole again.
+const CALM: Duration = Duration::from_secs(20);
+
+#[test]
+fn three_voters() {
+    explore(3, 0);
+}
+
+#[test]
+fn three_voters_and_observers() {
+    explore(3, 3);
+}
+
+#[test]
+fn five_voters_and_observers() {
+    explore(5, 2);
+}
+
+fn explore(voters: usize, observers: usize) {
+    let seeds = std::env::var("QUORUM_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
+    for seed in 0..seeds.unwrap_or(SEEDS) {
+        println!("seed {seed}");
+        let mut world = World::new(seed, voters, observers);
+        world.run(FAULTY);
+        world.calm();
+        world.run(CALM);
+        recovered(&world);
+    }
+}
+
+/// Asserts that one member leads, and that all the others act on nearly all that is accepted.
+fn recovered(world: &World) {
+    let leader = world.leader().expect("one member leads");
+    assert!(leader.state.forced() > 0, "nothing is in force");
+    for (name, host) in &world.hosts {
+        assert!(host.has_view(world.now), "`{name}` has no view");
+        assert!(host.applied + 20 > world.oracle.accepted(), "`{name}` lags");
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/leases.rs
@@ -0,0 +1,55 @@
+//! View leases, one case a test.
+
+use {
+    model::{Name, Time},
+    quorum::{Effect, Event, Message, Restored, Role, Stamp, State},
+    std::time::Duration,
+};
+
+fn observer(boot: u64) -> State {
+    let roles = [("leader", Role::Voter), ("observer", Role::Observer)];
+    let members = roles.map(|(name, role)| (Name::from(name), role)).into();
+    let mut state = State::new("observer".into(), members, Restored::default(), boot);
+    state.reduce(Time::ZERO, Event::Start);
+    state
+}
+
+fn append(echo: Option<Stamp>) -> Event {
+    let message = Message::Append {
+        term: 1,
+        prev_index: 0,
+        prev_term: 0,
+        entries: Vec::new(),
+        commit: 0,
+        forced: 0,
+        sent: Time::ZERO,
+        echo,
+    };
+    Event::Message { from: "leader".into(), message }
+}
+
+fn stamp(effects: &[Effect]) -> Option<Stamp> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send { message: Message::Appended { stamp, .. }, .. } => Some(*stamp),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_restarted_member_takes_no_lease_of_its_former_start() {
+    let second = Duration::from_secs(1);
+    let former = stamp(&observer(1).reduce(100 * second, append(None)));
+    let mut restarted = observer(2);
+    restarted.reduce(second, append(former));
+    assert!(!restarted.has_view(second));
+}
+
+#[test]
+fn a_lease_counts_from_the_stamp_and_ends() {
+    let second = Duration::from_secs(1);
+    let mut state = observer(1);
+    let stamp = stamp(&state.reduce(second, append(None)));
+    state.reduce(2 * second, append(stamp));
+    assert!(state.has_view(2 * second));
+    assert!(!state.has_view(3 * second));
+}
--- /dev/null
+++ b/crates/quorum/tests/simulator/fault.rs
@@ -0,0 +1,83 @@
+use super::*;
+
+/// A fault that the world brings about.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Fault {
+    Crash,
+    CrashLeader,
+    Freeze,
+    Isolate,
+    IsolateLeader,
+    Split,
+    OneWay,
+    Heal,
+}
+
+impl Fault {
+    const ALL: [Self; 8] = [
+        Self::Crash,
+        Self::CrashLeader,
+        Self::Freeze,
+        Self::Isolate,
+        Self::IsolateLeader,
+        Self::Split,
+        Self::OneWay,
+        Self::Heal,
+    ];
+
+    pub(super) fn any(rng: &mut ChaCha8Rng) -> Self {
+        *Self::ALL.choose(rng).expect("there are faults")
+    }
+}
+
+impl World {
+    pub(super) fn bring_about(&mut self, fault: Fault) {
+        let names: Vec<_> = self.hosts.keys().cloned().collect();
+        let any = names.choose(&mut self.rng).expect("there are members").clone();
+        let leader = names.iter().find(|name| self.hosts[*name].state.leads()).cloned();
+        let leader = leader.unwrap_or_else(|| any.clone());
+        match fault {
+            Fault::Crash => self.crash(&any),
+            Fault::CrashLeader => self.crash(&leader),
+            Fault::Freeze => {
+                let until = self.now + self.up_to(4000);
+                self.host(&any).frozen_until = until;
+            }
+            Fault::Isolate => self.isolate(&names, &any),
+            Fault::IsolateLeader => self.isolate(&names, &leader),
+            Fault::Split => self.split(&names),
+            Fault::OneWay => {
+                let pair = (any, names.choose(&mut self.rng).expect("there are members").clone());
+                self.cut.insert(pair);
+            }
+            Fault::Heal => self.cut.clear(),
+        }
+    }
+
+    fn crash(&mut self, name: &Name) {
+        if !self.hosts[name].up {
+            return;
+        }
+        let written = self.rng.random_range(0..4);
+        self.host(name).crash(written);
+        let after = self.up_to(4000);
+        self.schedule(after, world::Happening::Start(name.clone()));
+    }
+
+    fn isolate(&mut self, names: &[Name], lone: &Name) {
+        for name in names {
+            self.cut.insert((lone.clone(), name.clone()));
+            self.cut.insert((name.clone(), lone.clone()));
+        }
+    }
+
+    fn split(&mut self, names: &[Name]) {
+        let side: BTreeSet<_> =
+            names.iter().filter(|_| self.rng.random_bool(0.5)).cloned().collect();
+        for from in names {
+            for to in names.iter().filter(|to| side.contains(from) != side.contains(*to)) {
+                self.cut.insert((from.clone(), to.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/simulator/host.rs
@@ -0,0 +1,118 @@
+use super::*;
+
+/// A member with its disk, clock and timers.
+pub struct Host {
+    pub state: State,
+    pub role: Role,
+    pub up: bool,
+    /// Number of the present start.
+    pub boot: u64,
+    pub frozen_until: Time,
+    pub applied: Index,
+    pub timers: BTreeMap<Timer, u64>,
+    /// Records and messages that wait for the disk, in order.
+    pub queue: VecDeque<Effect>,
+    started: Time,
+    /// Rate of the clock in thousandths.
+    rate: u32,
+    records: Vec<Record>,
+}
+
+impl Host {
+    pub fn new(name: &Name, members: BTreeMap<Name, Role>, rate: u32) -> Self {
+        let role = members[name];
+        Self {
+            state: State::new(name.clone(), members, Restored::default(), 0),
+            role,
+            up: false,
+            boot: 0,
+            frozen_until: Time::ZERO,
+            applied: 0,
+            timers: BTreeMap::new(),
+            queue: VecDeque::new(),
+            started: Time::ZERO,
+            rate,
+            records: Vec::new(),
+        }
+    }
+
+    /// The member's own clock.
+    pub fn clock(&self, now: Time) -> Time {
+        (now - self.started) * self.rate / 1000
+    }
+
+    /// How long `own` lasts by the true clock.
+    pub fn lasts(&self, own: Duration) -> Duration {
+        own * 1000 / self.rate
+    }
+
+    pub fn has_view(&self, now: Time) -> bool {
+        self.up && self.state.has_view(self.clock(now))
+    }
+
+    pub fn start(&mut self, now: Time, members: BTreeMap<Name, Role>, seed: u64) {
+        let restored = self.restore();
+        self.state = State::new(self.state.id().clone(), members, restored, seed);
+        self.up = true;
+        self.boot += 1;
+        self.started = now;
+        self.applied = 0;
+    }
+
+    /// Loses what is not durable but for the first `written` records.
+    pub fn crash(&mut self, written: usize) {
+        let queue = std::mem::take(&mut self.queue);
+        let records = queue.into_iter().filter_map(|effect| match effect {
+            Effect::Persist(record) => Some(record),
+            _ => None,
+        });
+        let written: Vec<_> = records.take(written).collect();
+        self.records.extend(written);
+        self.up = false;
+        self.timers.clear();
+    }
+
+    /// Makes everything in the queue durable; returns the messages, and the event of the sync.
+    pub fn sync(&mut self) -> (Vec<(Name, Message)>, Option<Event>) {
+        let mut sends = Vec::new();
+        let mut event = None;
+        for effect in std::mem::take(&mut self.queue) {
+            match effect {
+                Effect::Persist(record) => {
+                    event = synced(&record).or(event);
+                    self.records.push(record);
+                }
+                Effect::Send { to, message } => sends.push((to, message)),
+                _ => {}
+            }
+        }
+        (sends, event)
+    }
+
+    pub fn waits_for_disk(&self) -> bool {
+        self.queue.iter().any(|effect| matches!(effect, Effect::Persist(_)))
+    }
+
+    fn restore(&self) -> Restored {
+        let mut restored = Restored::default();
+        if self.role == Role::Observer {
+            return restored;
+        }
+        for record in self.records.clone() {
+            match record {
+                Record::Vote { term, vote } => (restored.term, restored.vote) = (term, vote),
+                Record::Entries { first, entries } => {
+                    restored.entries.truncate(first as usize - 1);
+                    restored.entries.extend(entries);
+                }
+            }
+        }
+        restored
+    }
+}
+
+fn synced(record: &Record) -> Option<Event> {
+    let Record::Entries { first, entries } = record else { return None };
+    let term = entries.last()?.term;
+    Some(Event::Synced { term, index: first + entries.len() as Index - 1 })
+}
--- /dev/null
+++ b/crates/quorum/tests/simulator/mod.rs
@@ -0,0 +1,19 @@
+//! Members on a simulated network with simulated disks and clocks, driven by one seed.
+
+mod fault;
+mod host;
+mod oracle;
+mod world;
+
+pub use {host::Host, oracle::Oracle, world::World};
+
+use {
+    model::{Index, Name, Time},
+    quorum::{Effect, Entry, Event, Message, Record, Restored, Role, State, Timer},
+    rand::{Rng, seq::IndexedRandom},
+    rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        time::Duration,
+    },
+};
--- /dev/null
+++ b/crates/quorum/tests/simulator/oracle.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+/// What must hold of all members together.
+#[derive(Default)]
+pub struct Oracle {
+    leaders: BTreeMap<u64, Name>,
+    /// Accepted entries, and when the first member applied each.
+    accepted: Vec<(Entry, Time)>,
+}
+
+impl Oracle {
+    /// How long a member may act on what an accepted change has replaced.
+    const IN_FORCE: Duration = Duration::from_secs(5);
+
+    pub fn accepted(&self) -> Index {
+        self.accepted.len() as Index
+    }
+
+    pub fn apply(&mut self, now: Time, host: &mut Host, index: Index, entry: Entry) {
+        let id = host.state.id();
+        assert_eq!(index, host.applied + 1, "`{id}` applies with a gap");
+        host.applied = index;
+        if index > self.accepted() {
+            self.accepted.push((entry, now));
+        } else {
+            assert_eq!(entry, self.accepted[index as usize - 1].0, "`{id}` differs at {index}");
+        }
+    }
+
+    pub fn check(&mut self, now: Time, hosts: &BTreeMap<Name, Host>) {
+        for (name, host) in hosts.iter().filter(|(_, host)| host.up && host.state.leads()) {
+            let leader = self.leaders.entry(host.state.term()).or_insert_with(|| name.clone());
+            assert_eq!(leader, name, "two leaders in term {}", host.state.term());
+        }
+        let up = || hosts.iter().filter(|(_, host)| host.up);
+        let forced = up().map(|(_, host)| host.state.forced()).max().unwrap_or(0);
+        assert!(forced <= self.accepted(), "in force before it is accepted");
+        for (name, host) in up().filter(|(_, host)| host.has_view(now)) {
+            assert!(host.applied >= forced, "`{name}` acts on {}, {forced} in force", host.applied);
+            if let Some((_, at)) = self.accepted.get(host.applied as usize) {
+                assert!(*at + Self::IN_FORCE >= now, "`{name}` acts on what is too old");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/simulator/world.rs
@@ -0,0 +1,230 @@
+use super::*;
+
+/// What may happen in the world.
+#[derive(Debug)]
+pub(super) enum Happening {
+    Start(Name),
+    Event { host: Name, boot: u64, event: Event },
+    Timer { host: Name, timer: Timer, token: u64 },
+    Sync { host: Name, boot: u64 },
+    Fault,
+    Propose,
+}
+
+/// Members with all that is between them.
+pub struct World {
+    pub now: Time,
+    pub hosts: BTreeMap<Name, Host>,
+    pub oracle: Oracle,
+    pub(super) cut: BTreeSet<(Name, Name)>,
+    pub(super) rng: ChaCha8Rng,
+    members: BTreeMap<Name, Role>,
+    agenda: BTreeMap<(Time, u64), Happening>,
+    count: u64,
+    faulty: bool,
+}
+
+impl World {
+    /// Rates of clocks in thousandths; they stay within the drift that the leases allow.
+    const RATES: std::ops::RangeInclusive<u32> = 976..=1024;
+
+    pub fn new(seed: u64, voters: usize, observers: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let role = |i| if i < voters { Role::Voter } else { Role::Observer };
+        let members: BTreeMap<_, _> =
+            (0..voters + observers).map(|i| (Name::from(format!("d{i}")), role(i))).collect();
+        let host = |name: &Name| Host::new(name, members.clone(), rng.random_range(Self::RATES));
+        let hosts = members.keys().cloned().zip(members.keys().map(host)).collect();
+        let mut world = Self {
+            now: Time::ZERO,
+            hosts,
+            oracle: Oracle::default(),
+            cut: BTreeSet::new(),
+            rng,
+            members,
+            agenda: BTreeMap::new(),
+            count: 0,
+            faulty: true,
+        };
+        for name in world.members.keys().cloned().collect::<Vec<_>>() {
+            world.schedule(Duration::ZERO, Happening::Start(name));
+        }
+        world.schedule(Duration::ZERO, Happening::Fault);
+        world.schedule(Duration::ZERO, Happening::Propose);
+        world
+    }
+
+    /// Lets `duration` pass.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while let Some(first) = self.agenda.first_entry().filter(|first| first.key().0 <= end) {
+            let ((at, _), happening) = first.remove_entry();
+            self.now = at;
+            self.happen(happening);
+            self.oracle.check(self.now, &self.hosts);
+        }
+        self.now = end;
+    }
+
+    /// Ends all faults; members that are down start again by themselves.
+    pub fn calm(&mut self) {
+        self.faulty = false;
+        self.cut.clear();
+    }
+
+    /// The one that leads, if just one does.
+    pub fn leader(&self) -> Option<&Host> {
+        let mut leaders = self.hosts.values().filter(|host| host.up && host.state.leads());
+        leaders.next().filter(|_| leaders.next().is_none())
+    }
+
+    pub(super) fn host(&mut self, name: &Name) -> &mut Host {
+        self.hosts.get_mut(name).expect("the host exists")
+    }
+
+    pub(super) fn up_to(&mut self, millis: u64) -> Duration {
+        Duration::from_micros(self.rng.random_range(0..millis * 1000))
+    }
+
+    pub(super) fn schedule(&mut self, after: Duration, happening: Happening) {
+        self.count += 1;
+        self.agenda.insert((self.now + after, self.count), happening);
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Start(name) => self.start(&name),
+            Happening::Event { host, boot, event } => self.deliver(host, boot, event),
+            Happening::Timer { host, timer, token } => self.expire(host, timer, token),
+            Happening::Sync { host, boot } => self.sync(&host, boot),
+            Happening::Fault => self.fault(),
+            Happening::Propose => self.propose(),
+        }
+    }
+
+    fn start(&mut self, name: &Name) {
+        let (now, members, seed) = (self.now, self.members.clone(), self.rng.random());
+        self.host(name).start(now, members, seed);
+        self.step(name, Event::Start);
+    }
+
+    fn deliver(&mut self, name: Name, boot: u64, event: Event) {
+        let host = &self.hosts[&name];
+        if !host.up || matches!(event, Event::Synced { .. }) && host.boot != boot {
+            return;
+        }
+        if let Some(wait) = self.frozen(&name) {
+            return self.schedule(wait, Happening::Event { host: name, boot, event });
+        }
+        self.step(&name, event);
+    }
+
+    fn expire(&mut self, name: Name, timer: Timer, token: u64) {
+        if self.hosts[&name].timers.get(&timer) != Some(&token) {
+            return;
+        }
+        if let Some(wait) = self.frozen(&name) {
+            return self.schedule(wait, Happening::Timer { host: name, timer, token });
+        }
+        self.host(&name).timers.remove(&timer);
+        self.step(&name, Event::Timer(timer));
+    }
+
+    fn frozen(&self, name: &Name) -> Option<Duration> {
+        self.hosts[name].frozen_until.checked_sub(self.now).filter(|wait| !wait.is_zero())
+    }
+
+    fn sync(&mut self, name: &Name, boot: u64) {
+        let host = self.host(name);
+        if !host.up || host.boot != boot {
+            return;
+        }
+        let (sends, event) = host.sync();
+        for (to, message) in sends {
+            self.send(name, to, message);
+        }
+        if let Some(event) = event {
+            self.deliver(name.clone(), boot, event);
+        }
+    }
+
+    fn fault(&mut self) {
+        if self.faulty {
+            let fault = fault::Fault::any(&mut self.rng);
+            self.bring_about(fault);
+            let after = self.up_to(1500);
+            self.schedule(after, Happening::Fault);
+        }
+    }
+
+    fn propose(&mut self) {
+        let leads = |host: &Host| host.up && host.state.leads();
+        let leaders = self.hosts.iter().filter(|(_, host)| leads(host));
+        for name in leaders.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
+            if self.frozen(&name).is_none() {
+                let command = self.rng.random::<[u8; 8]>().to_vec();
+                self.step(&name, Event::Propose(command));
+            }
+        }
+        let after = self.up_to(300);
+        self.schedule(after, Happening::Propose);
+    }
+
+    fn step(&mut self, name: &Name, event: Event) {
+        let now = self.now;
+        let host = self.hosts.get_mut(name).expect("the host exists");
+        for effect in host.state.reduce(host.clock(now), event) {
+            self.carry_out(name, effect);
+        }
+    }
+
+    fn carry_out(&mut self, name: &Name, effect: Effect) {
+        match effect {
+            Effect::Persist(_) => self.persist(name, effect),
+            Effect::Send { to, message } => {
+                if self.hosts[name].waits_for_disk() {
+                    self.host(name).queue.push_back(Effect::Send { to, message });
+                } else {
+                    self.send(name, to, message);
+                }
+            }
+            Effect::Apply { index, entry } => {
+                let host = self.hosts.get_mut(name).expect("the host exists");
+                self.oracle.apply(self.now, host, index, entry);
+            }
+            Effect::Subscribe { timer, after } => self.subscribe(name, timer, after),
+            Effect::Leader(_) => {}
+        }
+    }
+
+    fn persist(&mut self, name: &Name, effect: Effect) {
+        let boot = self.hosts[name].boot;
+        if !self.hosts[name].waits_for_disk() {
+            let slow = self.rng.random_bool(0.02);
+            let after = self.up_to(if slow { 500 } else { 8 });
+            self.schedule(after, Happening::Sync { host: name.clone(), boot });
+        }
+        self.host(name).queue.push_back(effect);
+    }
+
+    fn subscribe(&mut self, name: &Name, timer: Timer, after: Duration) {
+        let after = self.hosts[name].lasts(after);
+        self.schedule(after, Happening::Timer { host: name.clone(), timer, token: self.count + 1 });
+        let token = self.count;
+        self.host(name).timers.insert(timer, token);
+    }
+
+    fn send(&mut self, from: &Name, to: Name, message: Message) {
+        let lost = self.faulty && self.rng.random_bool(0.05);
+        if lost || self.cut.contains(&(from.clone(), to.clone())) {
+            return;
+        }
+        let copies = if self.faulty && self.rng.random_bool(0.05) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = self.faulty && self.rng.random_bool(0.05);
+            let after = self.up_to(if late { 4000 } else { 5 });
+            let event = Event::Message { from: from.clone(), message: message.clone() };
+            self.schedule(after, Happening::Event { host: to.clone(), boot: 0, event });
+        }
+    }
+}
