Agreement: a refusal for a former term no longer counts as an answer to the present one

Cause: a member that got a delayed heartbeat of term 3 answered in its own term 4 and repeated the heartbeat's send time. The leader of term 4 was the leader of term 3 before it restarted, with another clock, and took that time (2 s ahead) for an answer of the present term: it led for 2 s without a majority and acted on entry 88 while 94 were in force. Change: refusals are a message of their own that carries only the higher term. Regression test: leases::an_answer_to_a_former_term_renews_no_leadership.

--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -42,6 +42,11 @@
         /// Member's clock as it last reported, present while the leader may grant leases.
         echo: Option<Stamp>,
     },
+    /// Answers a message of a leader whose term is over.
+    Refused {
+        /// Term of the member.
+        term: Term,
+    },
     /// Answers `Append`.
     Appended {
         /// Term of the member.
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -291,8 +291,11 @@
                 self.on_vote(now, from, term, pre, granted, effects);
             }
             Message::Append { term, .. } if term < self.term => {
-                self.refuse_append(now, from, message, effects);
+                let message = Message::Refused { term: self.term };
+                effects.push(Effect::Send { to: from, message });
             }
+            Message::Refused { term } if term > self.term => self.enter(term, None, effects),
+            Message::Refused { .. } => {}
             Message::Append { .. } => self.on_append(now, from, message, effects),
             Message::Appended { .. } => self.on_appended(now, from, message, effects),
         }
@@ -357,17 +360,6 @@
         self.count_votes(now, effects);
     }
 
-    fn refuse_append(
-        &mut self,
-        now: Time,
-        from: Name,
-        message: Message,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Message::Append { sent, .. } = message else { return };
-        self.answer_append(now, from, false, self.log.last_index(), sent, effects);
-    }
-
     fn answer_append(
         &self,
         now: Time,
--- a/crates/quorum/tests/leases.rs
+++ b/crates/quorum/tests/leases.rs
@@ -7,9 +7,13 @@
 };
 
 fn observer(boot: u64) -> State {
-    let roles = [("leader", Role::Voter), ("observer", Role::Observer)];
+    member("observer", boot)
+}
+
+fn member(id: &str, boot: u64) -> State {
+    let roles = [("leader", Role::Voter), ("voter", Role::Voter), ("observer", Role::Observer)];
     let members = roles.map(|(name, role)| (Name::from(name), role)).into();
-    let mut state = State::new("observer".into(), members, Restored::default(), boot);
+    let mut state = State::new(id.into(), members, Restored::default(), boot);
     state.reduce(Time::ZERO, Event::Start);
     state
 }
@@ -53,3 +57,15 @@
     assert!(state.has_view(2 * second));
     assert!(!state.has_view(3 * second));
 }
+
+#[test]
+fn an_answer_to_a_former_term_renews_no_leadership() {
+    let mut voter = member("voter", 1);
+    let newer = Message::Ask { term: 2, pre: false, last_index: 9, last_term: 1 };
+    let second = Duration::from_secs(1);
+    voter.reduce(second, Event::Message { from: "leader".into(), message: newer });
+    let effects = voter.reduce(2 * second, append(None));
+    assert_eq!(stamp(&effects), None);
+    let refused = Effect::Send { to: "leader".into(), message: Message::Refused { term: 2 } };
+    assert_eq!(effects, [refused]);
+}
