--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -14,7 +14,7 @@
     /// When the leader sent the last message that was answered.
     pub answered: Option<Time>,
     /// Member's clock in its last answer.
-    pub stamp: Option<Time>,
+    pub stamp: Option<Stamp>,
     /// When every view lease that the member may hold has surely run out: a lease counts from a
     /// clock that the member read before the leader heard of it.
     pub granted_until: Time,
