Run non-idempotent requests at most once: claims in the replicated log

Cause: a payout that was resent through another daemon, or after a lost answer, ran again, for nothing outlived the daemon that took it.

Ruled out: claims kept by each daemon (a resend through another daemon does not find them); a claim per tenant and key (a caller that resends under a wrong tenant would run a second time, so a key belongs to one tenant and another tenant's use of it is named as a mistake); a claim for requests without a key (no resend can be told from a new request, so it would protect nothing: such a request gets one attempt that may have run).

Change: `route::Claims` is replicated. A keyed non-idempotent request is queued only once its claim is committed, so that the commit precedes the first byte. A resend finds the claim, asks its holder and gets the first answer, `unknown` where the holder restarted or stays silent, or `not-run` where the claim was given back. Claims are kept for 15 minutes of log time, moved on by the leader with compare-and-set commands; 262,144 at once, further ones are refused. A daemon keeps 16,384 first answers of at most 32 MiB together. A daemon that cannot ask the log answers a keyed request with `unknown`, since `not-run` would speak for the first send as well.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -14,6 +14,7 @@
     healthy: Arc<AtomicBool>,
     next: Arc<AtomicU64>,
     held: Arc<Mutex<Map<route::RequestId, Held>>>,
+    kept: Arc<Mutex<Kept>>,
     answering: Arc<AtomicU64>,
 }
 
@@ -38,6 +39,7 @@
             healthy: Arc::default(),
             next: Arc::default(),
             held: Arc::default(),
+            kept: Arc::default(),
             answering: Arc::default(),
         };
         let handler = edge.clone();
@@ -60,12 +62,30 @@
         let Some(held) = lock(&self.edge.held).remove(&request) else { return };
         let answering = self.edge.answering.clone();
         answering.fetch_add(1, Ordering::AcqRel);
+        let kept = self.edge.kept.clone();
         self.pool.run(move || {
-            answer(held, &outcome);
+            answer(held, outcome, &kept);
             answering.fetch_sub(1, Ordering::AcqRel);
         });
     }
 
+    /// Keeps the answer of `attempt` for resends of `request`.
+    pub(crate) fn keep(&self, request: route::RequestId, attempt: route::AttemptId) {
+        let held = lock(&self.edge.held);
+        let answer = held.get(&request).and_then(|held| held.answers.get(&attempt));
+        let answer = answer.map(Answer::to_route);
+        drop(held);
+        if let Some(answer) = answer {
+            lock(&self.edge.kept).insert(request, answer);
+        }
+    }
+
+    /// What a daemon that asks for the answer of `request` is told.
+    pub(crate) fn fate(&self, request: route::RequestId) -> route::Fate {
+        let unknown = route::Fate::Unknown(route::Reason::AnswerNotKept);
+        lock(&self.edge.kept).get(request).map_or(unknown, route::Fate::Run)
+    }
+
     /// Waits until the last answers have gone out.
     pub(crate) fn finish(&self) {
         while self.edge.answering.load(Ordering::Acquire) > 0 {
@@ -104,13 +124,14 @@
             content_type: header::get(&request, "Content-Type").map(str::to_owned),
             body,
         };
+        let fingerprint = route::Fingerprint::new(&call.method, &service, &call.path, &call.body);
         let arrival = route::Request {
             id: self.next.fetch_add(1, Ordering::Relaxed),
             service,
             kind: call.kind.as_str().into(),
             tenant: call.tenant.as_str().into(),
             key: header::get(&request, header::KEY).map(Into::into),
-            fingerprint: 0,
+            fingerprint,
             patience,
         };
         let held = Held { request, call: Arc::new(call), answers: BTreeMap::new() };
@@ -154,28 +175,55 @@
     respond(request, status, header::NOT_RUN, None, &http::failure(error));
 }
 
-fn answer(mut held: Held, outcome: &route::Outcome) {
+fn answer(mut held: Held, outcome: route::Outcome, kept: &Mutex<Kept>) {
     match outcome {
         route::Outcome::Run(attempt) => {
-            let Some(answer) = held.answers.remove(attempt) else { return };
-            let content_type = answer.content_type.as_deref().unwrap_or("application/octet-stream");
-            let response = tiny_http::Response::from_data(answer.body)
-                .with_status_code(answer.status)
-                .with_header(header::make("Content-Type", content_type))
-                .with_header(header::make(header::OUTCOME, "run"));
-            held.request.respond(response).ok();
+            let Some(answer) = held.answers.remove(&attempt) else { return };
+            whole(held.request, answer.to_route());
         }
+        route::Outcome::Kept(first) => {
+            let answer = lock(kept).get(first);
+            match answer {
+                Some(answer) => whole(held.request, answer),
+                None => unknown(held.request, route::Reason::AnswerNotKept),
+            }
+        }
+        route::Outcome::Passed(answer) => whole(held.request, answer),
         route::Outcome::NotRun { reason, retry_after } => {
             let failure = http::failure(reason.to_string());
-            respond(held.request, 503, header::NOT_RUN, Some(*retry_after), &failure);
+            let after = (!is_mistake(reason)).then_some(retry_after);
+            respond(held.request, refusal_status(reason), header::NOT_RUN, after, &failure);
         }
         route::Outcome::Unknown(reason) => {
-            let status = if *reason == route::Reason::Late { 504 } else { 502 };
-            respond(held.request, status, "unknown", None, &http::failure(reason.to_string()));
+            unknown(held.request, reason);
         }
     }
 }
 
+fn whole(request: tiny_http::Request, answer: route::Answer) {
+    let content_type = answer.content_type.as_deref().unwrap_or("application/octet-stream");
+    let response = tiny_http::Response::from_data(answer.body)
+        .with_status_code(answer.status)
+        .with_header(header::make("Content-Type", content_type))
+        .with_header(header::make(header::OUTCOME, "run"));
+    request.respond(response).ok();
+}
+
+fn unknown(request: tiny_http::Request, reason: route::Reason) {
+    let status = if reason == route::Reason::Late { 504 } else { 502 };
+    respond(request, status, "unknown", None, &http::failure(reason.to_string()));
+}
+
+/// Whether the caller must change its request before another try.
+fn is_mistake(reason: route::Reason) -> bool {
+    use route::Reason;
+    matches!(reason, Reason::KeyOfOtherBody | Reason::KeyOfOtherPath | Reason::KeyOfOtherTenant)
+}
+
+fn refusal_status(reason: route::Reason) -> u16 {
+    if is_mistake(reason) { 422 } else { 503 }
+}
+
 fn respond(
     request: tiny_http::Request,
     status: u16,
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -49,6 +49,12 @@
                 Effect::Upstream { ticket, reply } => self.upstreams.resolve(ticket, reply),
                 Effect::Attempt(attempt) => self.callers.attempt(attempt),
                 Effect::Answer { request, outcome } => self.callers.answer(request, outcome),
+                Effect::Keep { request, attempt } => self.callers.keep(request, attempt),
+                Effect::Share { to, question } => {
+                    let fate = self.callers.fate(question.first);
+                    let message = route::Message::Tell { question, fate };
+                    self.send(to, &node::Message::Route(message));
+                }
                 Effect::Health(healthy) => self.callers.set_health(healthy),
                 Effect::Leader(leader) => {
                     log::info!(leader = leader.as_deref().unwrap_or("none"); "leader changed");
--- /dev/null
+++ b/crates/daemon/src/kept.rs
@@ -0,0 +1,39 @@
+use super::*;
+
+/// First answers of claimed requests, kept for resends; the oldest go first.
+#[derive(Debug, Default)]
+pub(crate) struct Kept {
+    answers: Map<route::RequestId, route::Answer>,
+    order: VecDeque<route::RequestId>,
+    bytes: usize,
+}
+
+impl Kept {
+    /// Answers kept.
+    const MAX_ANSWERS: usize = 16_384;
+    /// Bytes of all bodies kept.
+    const MAX_BYTES: usize = 32 * 1024 * 1024;
+    /// Bytes of the largest body kept.
+    const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+    pub(crate) fn insert(&mut self, request: route::RequestId, answer: route::Answer) {
+        if answer.body.len() > Self::MAX_ANSWER_BYTES {
+            return;
+        }
+        self.bytes += answer.body.len();
+        self.answers.insert(request, answer);
+        self.order.push_back(request);
+        while self.order.len() > Self::MAX_ANSWERS || self.bytes > Self::MAX_BYTES {
+            self.forget_oldest();
+        }
+    }
+
+    pub(crate) fn get(&self, request: route::RequestId) -> Option<route::Answer> {
+        self.answers.get(&request).cloned()
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.order.pop_front().and_then(|request| self.answers.remove(&request));
+        self.bytes -= oldest.map_or(0, |answer| answer.body.len());
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,7 +9,7 @@
     node::{Effect, Event, Ticket},
     serde::{Serialize, de::DeserializeOwned},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         fs,
         io::Read,
         net::SocketAddr,
@@ -33,6 +33,7 @@
 mod header;
 mod held;
 mod http;
+mod kept;
 mod logging;
 mod operators;
 mod outbound;
@@ -45,7 +46,7 @@
 pub use run::run;
 use {
     answer::Answer, arguments::Arguments, call::Call, callers::Callers, clock::Clock, disk::Disk,
-    engine::Engine, held::Held, pool::Pool, tickets::Tickets,
+    engine::Engine, held::Held, kept::Kept, pool::Pool, tickets::Tickets,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -5,4 +5,6 @@
 pub enum Command {
     /// Concerns the fleet.
     Fleet(fleet::Command),
+    /// Concerns claims.
+    Route(route::Command),
 }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -42,6 +42,20 @@
         /// What its caller learns.
         outcome: route::Outcome,
     },
+    /// Keep the answer of an attempt for resends of its request.
+    Keep {
+        /// The request.
+        request: route::RequestId,
+        /// The attempt.
+        attempt: route::AttemptId,
+    },
+    /// Send the kept answer of a request to a daemon that asked for it.
+    Share {
+        /// The daemon.
+        to: Name,
+        /// What it asked.
+        question: route::Question,
+    },
     /// Whether the balancer should send callers here.
     Health(bool),
     /// Who leads, as far as this daemon knows, has changed.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -5,6 +5,8 @@
 pub enum Message {
     /// Agreement.
     Quorum(quorum::Message),
+    /// Requests.
+    Route(route::Message),
     /// A proposal for whoever leads.
     Propose(Proposal),
     /// Upstreams that were heard by the sender, for whoever leads.
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -7,6 +7,8 @@
     pub applied: Index,
     /// The fleet.
     pub fleet: fleet::State,
+    /// Claims of non-idempotent requests.
+    pub claims: route::Claims,
 }
 
 impl Replica {
@@ -15,10 +17,11 @@
         self.applied = index;
         match command {
             Command::Fleet(command) => into_outcomes(self.fleet.apply(command)),
+            Command::Route(command) => into_outcomes(self.claims.apply(command)),
         }
     }
 }
 
-fn into_outcomes<T: Into<Outcome>>(effects: Vec<T>) -> Vec<Outcome> {
+fn into_outcomes<T: Into<Outcome>>(effects: impl IntoIterator<Item = T>) -> Vec<Outcome> {
     effects.into_iter().map(Into::into).collect()
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,6 +3,9 @@
 /// Between two looks at leases and proposals.
 const BEAT: Duration = Duration::from_millis(200);
 
+/// Step of log time.
+const TICK: Duration = Duration::from_secs(10);
+
 /// State of a daemon.
 #[derive(Debug)]
 pub struct State {
@@ -14,6 +17,8 @@
     /// Upstreams heard here since the last beat.
     heard: BTreeSet<Name>,
     leases: Leases,
+    /// When log time last moved, or this daemon began to lead.
+    ticked: Time,
     view: bool,
     stopping: bool,
 }
@@ -21,14 +26,16 @@
 impl State {
     /// A daemon that has just started; `boot` differs between any two starts.
     pub fn new(quorum: quorum::State, boot: u64) -> Self {
+        let id = quorum.id().clone();
         Self {
-            id: quorum.id().clone(),
-            proposals: Proposals::new(quorum.id().clone(), boot),
+            proposals: Proposals::new(id.clone(), boot),
             quorum,
             replica: Replica::default(),
-            route: route::State::default(),
+            route: route::State::new(id.clone(), boot),
+            id,
             heard: BTreeSet::new(),
             leases: Leases::default(),
+            ticked: Duration::ZERO,
             view: false,
             stopping: false,
         }
@@ -91,6 +98,9 @@
             Message::Quorum(message) => {
                 self.agree(now, quorum::Event::Message { from, message }, effects);
             }
+            Message::Route(message) => {
+                self.route(now, route::Event::Message { from, message }, effects);
+            }
             Message::Propose(proposal) => self.append(now, &proposal, effects),
             Message::Heard(instances) => self.renew(now, instances),
         }
@@ -207,6 +217,7 @@
 
     fn on_leader(&mut self, now: Time, leader: Option<Name>, effects: &mut Vec<Effect>) {
         self.leases.clear();
+        self.ticked = now;
         if self.quorum.leads() {
             let instances = self.replica.fleet.upstreams().keys().cloned().collect();
             self.renew(now, instances);
@@ -223,11 +234,18 @@
         let proposal = postcard::from_bytes::<Proposal>(&entry.command);
         let proposal = proposal.expect("committed entries decode: the leader encoded them");
         let caller = self.proposals.finish(&proposal);
+        let clock = self.replica.claims.clock();
         let outcomes = self.replica.apply(index, proposal.command);
+        if self.replica.claims.clock() != clock {
+            self.ticked = now;
+        }
         self.reply(index, caller, &outcomes, effects);
         for outcome in outcomes {
             match outcome {
                 Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
+                Outcome::Route(verdict) => {
+                    self.route(now, route::Event::Decided(verdict), effects);
+                }
             }
         }
     }
@@ -278,6 +296,15 @@
     fn route(&mut self, now: Time, event: route::Event, effects: &mut Vec<Effect>) {
         for effect in self.route.reduce(now, event) {
             effects.push(match effect {
+                route::Effect::Propose(command) => {
+                    self.propose(now, command.into(), None, effects);
+                    continue;
+                }
+                route::Effect::Send { to, message } => {
+                    Effect::Send { to, message: Message::Route(message) }
+                }
+                route::Effect::Keep { request, attempt } => Effect::Keep { request, attempt },
+                route::Effect::Share { to, question } => Effect::Share { to, question },
                 route::Effect::Attempt(attempt) => Effect::Attempt(attempt),
                 route::Effect::Answer { request, outcome } => Effect::Answer { request, outcome },
                 route::Effect::Subscribe { timer, after } => {
@@ -291,6 +318,7 @@
         effects.push(Effect::Subscribe { timer: Timer::Beat, after: BEAT });
         self.pass_on_heard(now, effects);
         self.lapse(now, effects);
+        self.tick(now, effects);
         self.give_up(now, effects);
         self.repeat(now, Proposals::REPEAT, effects);
     }
@@ -326,6 +354,17 @@
         }
     }
 
+    /// Moves log time on, where there are claims that grow old.
+    fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let passed = now - self.ticked;
+        if !self.quorum.leads() || self.replica.claims.is_empty() || passed < TICK {
+            return;
+        }
+        let from = self.replica.claims.clock();
+        let command = route::Command::Tick { from, to: from + passed };
+        self.propose(now, command.into(), None, effects);
+    }
+
     fn give_up(&mut self, now: Time, effects: &mut Vec<Effect>) {
         for caller in self.proposals.give_up(now) {
             effects.push(match caller {
--- /dev/null
+++ b/crates/route/src/claiming.rs
@@ -0,0 +1,172 @@
+//! Non-idempotent requests with a key: claimed before they run, and found again by resends.
+
+use super::*;
+
+/// Between two questions of a resend.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Silence of the holder after which a resend gives up on the first answer.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl State {
+    /// Has the log decide whether `request` runs for the first time.
+    pub(crate) fn claim(&mut self, request: &Request, key: &Name, effects: &mut Vec<Effect>) {
+        let claim = Claim {
+            key: key.clone(),
+            tenant: request.tenant.clone(),
+            fingerprint: request.fingerprint,
+            holder: self.id.clone(),
+            boot: self.boot,
+            request: request.id,
+        };
+        effects.push(Effect::Propose(Command::Claim(claim)));
+    }
+
+    /// Goes on with a request whose claim is decided.
+    pub(crate) fn decided(&mut self, now: Time, verdict: Verdict, effects: &mut Vec<Effect>) {
+        let Verdict { claim, ruling } = verdict;
+        if claim.holder != self.id || claim.boot != self.boot {
+            return;
+        }
+        let id = claim.request;
+        let pending = self.pending.get_mut(&id).filter(|it| it.phase == Phase::Claiming);
+        let Some(pending) = pending else {
+            if ruling == Ruling::Granted {
+                effects.push(Effect::Propose(Command::Release(claim)));
+            }
+            return;
+        };
+        match ruling {
+            Ruling::Granted => {
+                pending.claim = Some(claim);
+                self.enqueue(now, id, effects);
+            }
+            Ruling::Taken(first) => self.ask_first(now, id, &first, effects),
+            Ruling::Mismatch(reason) => self.refuse(now, id, reason, effects),
+            Ruling::Full => self.refuse(now, id, Reason::TooManyClaims, effects),
+        }
+    }
+
+    /// Takes a message of another daemon.
+    pub(crate) fn message(
+        &mut self,
+        now: Time,
+        from: Name,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Ask(question) => self.tell(now, from, question, effects),
+            Message::Tell { question, fate } => self.told(now, &from, question, fate, effects),
+        }
+    }
+
+    /// Asks again, or gives up on a holder that stays silent.
+    pub(crate) fn ask_again(&mut self, now: Time, resend: RequestId, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(&resend) else { return };
+        let Phase::Asking { holder, question, heard } = pending.phase.clone() else { return };
+        if now >= heard + ASK_TIMEOUT {
+            return self.finish(now, resend, Outcome::Unknown(Reason::OutcomeLost), effects);
+        }
+        self.ask(now, holder, question, effects);
+    }
+
+    /// Tells everyone who asked for it what became of a claimed request.
+    pub(crate) fn tell_askers(
+        &mut self,
+        now: Time,
+        askers: Vec<(Name, Question)>,
+        effects: &mut Vec<Effect>,
+    ) {
+        for (daemon, question) in askers {
+            self.tell(now, daemon, question, effects);
+        }
+    }
+
+    fn ask_first(&mut self, now: Time, resend: RequestId, first: &Claim, out: &mut Vec<Effect>) {
+        let question = Question {
+            resend,
+            asker_boot: self.boot,
+            first: first.request,
+            holder_boot: first.boot,
+        };
+        let holder = first.holder.clone();
+        let Some(pending) = self.pending.get_mut(&resend) else { return };
+        pending.phase = Phase::Asking { holder: holder.clone(), question, heard: now };
+        self.ask(now, holder, question, out);
+    }
+
+    fn ask(&mut self, now: Time, holder: Name, question: Question, effects: &mut Vec<Effect>) {
+        let timer = Timer::Ask(question.resend);
+        effects.push(Effect::Subscribe { timer, after: ASK_INTERVAL });
+        if holder == self.id {
+            return self.tell(now, holder, question, effects);
+        }
+        effects.push(Effect::Send { to: holder, message: Message::Ask(question) });
+    }
+
+    fn tell(&mut self, now: Time, to: Name, question: Question, effects: &mut Vec<Effect>) {
+        let ran = self.outcome_of(question).is_some_and(|it| matches!(it, Outcome::Run(_)));
+        if ran && to == self.id {
+            let outcome = Outcome::Kept(question.first);
+            return self.finish(now, question.resend, outcome, effects);
+        }
+        if ran {
+            return effects.push(Effect::Share { to, question });
+        }
+        let fate = self.fate(&to, question, effects);
+        if to == self.id {
+            return self.told(now, &to, question, fate, effects);
+        }
+        effects.push(Effect::Send { to, message: Message::Tell { question, fate } });
+    }
+
+    fn outcome_of(&self, question: Question) -> Option<&Outcome> {
+        let own = question.holder_boot == self.boot;
+        own.then(|| self.settled.get(question.first)).flatten().map(|(_, outcome)| outcome)
+    }
+
+    /// Fate of a request that has no answer to share.
+    fn fate(&mut self, asker: &Name, question: Question, effects: &mut Vec<Effect>) -> Fate {
+        if question.holder_boot != self.boot {
+            return Fate::Unknown(Reason::OutcomeLost);
+        }
+        if let Some(pending) = self.pending.get_mut(&question.first) {
+            pending.add_asker(asker.clone(), question);
+            return Fate::Pending;
+        }
+        match self.settled.get(question.first) {
+            Some((claim, Outcome::NotRun { reason, retry_after })) => {
+                effects.push(Effect::Propose(Command::Release(claim.clone())));
+                Fate::NotRun { reason: *reason, retry_after: *retry_after }
+            }
+            Some((_, Outcome::Unknown(reason))) => Fate::Unknown(*reason),
+            _ => Fate::Unknown(Reason::OutcomeLost),
+        }
+    }
+
+    fn told(
+        &mut self,
+        now: Time,
+        from: &Name,
+        question: Question,
+        fate: Fate,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&question.resend) else { return };
+        let Phase::Asking { holder, question: asked, heard } = &mut pending.phase else { return };
+        if holder != from || *asked != question {
+            return;
+        }
+        let outcome = match fate {
+            Fate::Pending => {
+                *heard = now;
+                return;
+            }
+            Fate::Run(answer) => Outcome::Passed(answer),
+            Fate::NotRun { reason, retry_after } => Outcome::NotRun { reason, retry_after },
+            Fate::Unknown(reason) => Outcome::Unknown(reason),
+        };
+        self.finish(now, question.resend, outcome, effects);
+    }
+}
--- /dev/null
+++ b/crates/route/src/claims.rs
@@ -0,0 +1,109 @@
+use super::*;
+
+/// Claims by key; replicated, and changed by the log alone.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claims {
+    /// Log time: never ahead of the time that has passed, and the same on every daemon.
+    clock: Duration,
+    sequence: u64,
+    held: BTreeMap<Name, Entry>,
+    /// Keys in the order of their claims.
+    order: BTreeMap<u64, Name>,
+}
+
+/// A claim with its age.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    claim: Claim,
+    sequence: u64,
+    at: Duration,
+}
+
+impl Claims {
+    /// How long a claim is kept, in log time.
+    pub const RETENTION: Duration = Duration::from_secs(15 * 60);
+
+    /// Claims kept at once; further ones are refused.
+    pub const MAX_CLAIMS: usize = 262_144;
+
+    /// Applies a command from the log.
+    pub fn apply(&mut self, command: Command) -> Option<Verdict> {
+        match command {
+            Command::Claim(claim) => self.claim(claim),
+            Command::Release(claim) => {
+                self.release(&claim);
+                None
+            }
+            Command::Tick { from, to } => {
+                self.tick(from, to);
+                None
+            }
+        }
+    }
+
+    /// Log time.
+    pub fn clock(&self) -> Duration {
+        self.clock
+    }
+
+    /// Number of claims.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether there are no claims.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// The claim on `key`.
+    pub fn get(&self, key: &Name) -> Option<&Claim> {
+        self.held.get(key).map(|entry| &entry.claim)
+    }
+
+    fn claim(&mut self, claim: Claim) -> Option<Verdict> {
+        let ruling = match self.held.get(&claim.key) {
+            Some(entry) if entry.claim.same_holder(&claim) => return None,
+            Some(entry) => entry
+                .claim
+                .mismatch(&claim)
+                .map_or_else(|| Ruling::Taken(entry.claim.clone()), Ruling::Mismatch),
+            None if self.held.len() >= Self::MAX_CLAIMS => Ruling::Full,
+            None => {
+                self.hold(claim.clone());
+                Ruling::Granted
+            }
+        };
+        Some(Verdict { claim, ruling })
+    }
+
+    fn hold(&mut self, claim: Claim) {
+        self.sequence += 1;
+        let (key, sequence, at) = (claim.key.clone(), self.sequence, self.clock);
+        self.order.insert(sequence, key.clone());
+        self.held.insert(key, Entry { claim, sequence, at });
+    }
+
+    fn release(&mut self, claim: &Claim) {
+        let Some(entry) = self.held.get(&claim.key) else { return };
+        if !entry.claim.same_holder(claim) {
+            return;
+        }
+        self.order.remove(&entry.sequence);
+        self.held.remove(&claim.key);
+    }
+
+    fn tick(&mut self, from: Duration, to: Duration) {
+        if from != self.clock || to < from {
+            return;
+        }
+        self.clock = to;
+        while let Some(oldest) = self.order.first_entry() {
+            let expires = self.held.get(oldest.get()).map(|entry| entry.at + Self::RETENTION);
+            if expires.is_some_and(|at| at > self.clock) {
+                return;
+            }
+            self.held.remove(&oldest.remove());
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/command.rs
@@ -0,0 +1,17 @@
+use super::*;
+
+/// Commands that change the claims, each idempotent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// A daemon wants to run a non-idempotent request.
+    Claim(Claim),
+    /// The request of a claim certainly did not run, and will not under this claim.
+    Release(Claim),
+    /// Log time moves on; ignored unless it stands at `from`.
+    Tick {
+        /// Log time that the leader saw.
+        from: Duration,
+        /// The same plus what has passed since on the leader's clock.
+        to: Duration,
+    },
+}
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -12,6 +12,15 @@
         /// How it ended.
         report: Report,
     },
+    /// The log decided on a claim.
+    Decided(Verdict),
+    /// Another daemon sent a message.
+    Message {
+        /// The daemon.
+        from: Name,
+        /// What it sent.
+        message: Message,
+    },
     /// A timer fell due.
     Timer(Timer),
     /// The configuration is another.
--- /dev/null
+++ b/crates/route/src/fate.rs
@@ -0,0 +1,19 @@
+use super::*;
+
+/// What became of a request, as its daemon tells another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// It has no final answer yet.
+    Pending,
+    /// It ran.
+    Run(Answer),
+    /// It certainly did not run.
+    NotRun {
+        /// Why.
+        reason: Reason,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It may have run, or its answer is no longer kept.
+    Unknown(Reason),
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,23 +13,38 @@
     },
 };
 
+mod answer;
 mod attempt;
+mod claim;
+mod claiming;
+mod claims;
+mod command;
 mod effect;
 mod event;
+mod fate;
+mod fingerprint;
+mod message;
 mod outcome;
 mod pending;
+mod phase;
+mod question;
 mod reason;
 mod report;
 mod request;
+mod ruling;
+mod settled;
 mod state;
 mod timer;
 mod upstream;
+mod verdict;
 
 pub use {
-    attempt::Attempt, effect::Effect, event::Event, outcome::Outcome, reason::Reason,
-    report::Report, request::Request, state::State, timer::Timer,
+    answer::Answer, attempt::Attempt, claim::Claim, claims::Claims, command::Command,
+    effect::Effect, event::Event, fate::Fate, fingerprint::Fingerprint, message::Message,
+    outcome::Outcome, question::Question, reason::Reason, report::Report, request::Request,
+    ruling::Ruling, state::State, timer::Timer, verdict::Verdict,
 };
-use {pending::Pending, upstream::Upstream};
+use {pending::Pending, phase::Phase, settled::Settled, upstream::Upstream};
 
 /// Number of a request at its daemon.
 pub type RequestId = u64;
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -5,6 +5,10 @@
 pub enum Outcome {
     /// It ran; the answer is that of the attempt.
     Run(AttemptId),
+    /// It resends a request of this daemon; the answer is that of the first.
+    Kept(RequestId),
+    /// It resends a request of another daemon, which passed the first answer on.
+    Passed(Answer),
     /// It certainly did not run.
     NotRun {
         /// Why.
--- a/crates/route/src/reason.rs
+++ b/crates/route/src/reason.rs
@@ -28,6 +28,27 @@
     /// An upstream may have run it, and gave no answer in time.
     #[display("upstream gave no answer in time")]
     Late,
+    /// The key was used with another body.
+    #[display("`Idempotency-Key` was used before with another body")]
+    KeyOfOtherBody,
+    /// The key was used with another method, service or path.
+    #[display("`Idempotency-Key` was used before with another method or path")]
+    KeyOfOtherPath,
+    /// The key was used by another tenant.
+    #[display("`Idempotency-Key` was used before by another tenant")]
+    KeyOfOtherTenant,
+    /// There are too many claims.
+    #[display("too many non-idempotent requests are remembered")]
+    TooManyClaims,
+    /// The claim was not decided in time; an earlier send may have run.
+    #[display("no majority decided in time whether it ran before")]
+    Undecided,
+    /// The daemon that ran the first send cannot say what became of it.
+    #[display("it was sent before, and its outcome is lost")]
+    OutcomeLost,
+    /// The first answer is no longer kept.
+    #[display("it ran before, and its answer is no longer kept")]
+    AnswerNotKept,
     /// The daemon stops.
     #[display("this instance is shutting down")]
     Stopping,
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -13,8 +13,8 @@
     pub tenant: Name,
     /// Key under which the caller may resend the request.
     pub key: Option<Name>,
-    /// Hash of method, path and body, to tell a resend from another request under the same key.
-    pub fingerprint: u64,
+    /// Hashes by which a resend is told from another request under the same key.
+    pub fingerprint: Fingerprint,
     /// Time within which the caller wants the answer; that of the kind where it is absent.
     pub patience: Option<Duration>,
 }
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -7,26 +7,49 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Requests of one daemon and what it knows of the upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct State {
+    pub(crate) id: Name,
+    pub(crate) boot: u64,
     config: Arc<Config>,
     view: bool,
     stopping: bool,
     next_attempt: AttemptId,
     upstreams: BTreeMap<Name, Upstream>,
-    pending: Map<RequestId, Pending>,
+    pub(crate) pending: Map<RequestId, Pending>,
+    pub(crate) settled: Settled,
     attempts: Map<AttemptId, Attempt>,
     queues: BTreeMap<Name, VecDeque<RequestId>>,
 }
 
 impl State {
+    /// The dispatcher of the daemon `id`; `boot` differs between any two starts.
+    pub fn new(id: Name, boot: u64) -> Self {
+        Self {
+            id,
+            boot,
+            config: Arc::default(),
+            view: false,
+            stopping: false,
+            next_attempt: 0,
+            upstreams: BTreeMap::new(),
+            pending: Map::default(),
+            settled: Settled::default(),
+            attempts: Map::default(),
+            queues: BTreeMap::new(),
+        }
+    }
+
     /// Takes one event, and says what is to be done.
     pub fn reduce(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
             Event::Arrive(request) => self.arrive(now, request, &mut effects),
             Event::Done { attempt, report } => self.done(now, attempt, report, &mut effects),
-            Event::Timer(Timer::Deadline(request)) => self.expire(request, &mut effects),
+            Event::Decided(verdict) => self.decided(now, verdict, &mut effects),
+            Event::Message { from, message } => self.message(now, from, message, &mut effects),
+            Event::Timer(Timer::Deadline(request)) => self.expire(now, request, &mut effects),
+            Event::Timer(Timer::Ask(resend)) => self.ask_again(now, resend, &mut effects),
             Event::Configured(config) => self.config = config,
             Event::Serving(announcement) => self.serve(announcement, &mut effects),
             Event::Gone(instance) => self.gone(&instance),
@@ -42,41 +65,92 @@
     }
 
     fn arrive(&mut self, now: Time, request: Request, effects: &mut Vec<Effect>) {
-        let admitted = self.admit(now, &request);
-        let pending = match admitted {
+        let pending = match self.accept(now, &request) {
             Ok(pending) => pending,
-            Err(reason) => return refuse(request.id, reason, effects),
+            Err(outcome) => return effects.push(Effect::Answer { request: request.id, outcome }),
         };
-        let (id, service) = (request.id, request.service);
-        let timer = Timer::Deadline(id);
+        let (id, timer) = (request.id, Timer::Deadline(request.id));
         effects.push(Effect::Subscribe { timer, after: pending.deadline - now });
+        let claims = pending.phase == Phase::Claiming;
         self.pending.insert(id, pending);
-        self.queues.entry(service.clone()).or_default().push_back(id);
-        self.dispatch(&service, effects);
+        match &request.key {
+            Some(key) if claims => self.claim(&request, key, effects),
+            _ => self.enqueue(now, id, effects),
+        }
     }
 
-    fn admit(&self, now: Time, request: &Request) -> Result<Pending, Reason> {
-        if self.stopping {
-            return Err(Reason::Stopping);
+    /// A request on its way, or what its caller learns at once.
+    fn accept(&self, now: Time, request: &Request) -> Result<Pending, Outcome> {
+        let kind = self.config.kinds.get(&request.kind);
+        let claims = request.key.is_some() && !kind.is_some_and(|kind| kind.idempotent);
+        if self.stopping || !self.view {
+            let reason = if self.stopping { Reason::Stopping } else { Reason::NoView };
+            return Err(if claims { Outcome::Unknown(reason) } else { not_run(reason) });
         }
-        if !self.view {
-            return Err(Reason::NoView);
-        }
-        let service = self.config.services.get(&request.service).ok_or(Reason::UnknownService)?;
-        let kind = self.config.kinds.get(&request.kind).ok_or(Reason::UnknownKind)?;
-        let waiting = self.queues.get(&request.service).map_or(0, VecDeque::len);
-        if waiting >= service.queue as usize {
-            return Err(Reason::QueueFull);
+        if !self.config.services.contains_key(&request.service) {
+            return Err(not_run(Reason::UnknownService));
         }
+        let kind = kind.ok_or(not_run(Reason::UnknownKind))?;
         Ok(Pending {
             request: request.clone(),
             idempotent: kind.idempotent,
             deadline: now + request.patience.unwrap_or(kind.deadline).min(kind.deadline),
             attempts: 0,
-            running: None,
+            phase: if claims { Phase::Claiming } else { Phase::Waiting },
+            claim: None,
+            askers: Vec::new(),
         })
     }
 
+    /// Queues a request, or refuses it at once.
+    pub(crate) fn enqueue(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        pending.phase = Phase::Waiting;
+        let service = pending.request.service.clone();
+        let most = self.config.services.get(&service).map_or(0, |service| service.queue as usize);
+        let queue = self.queues.entry(service.clone()).or_default();
+        if queue.len() >= most {
+            return self.refuse(now, id, Reason::QueueFull, effects);
+        }
+        queue.push_back(id);
+        self.dispatch(&service, effects);
+    }
+
+    /// Answers a request; nothing further happens to it.
+    pub(crate) fn finish(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.pending.remove(&request) else { return };
+        if let Some(claim) = pending.claim {
+            match &outcome {
+                Outcome::Run(attempt) => {
+                    effects.push(Effect::Keep { request, attempt: *attempt });
+                }
+                Outcome::NotRun { .. } => {
+                    effects.push(Effect::Propose(Command::Release(claim.clone())));
+                }
+                _ => {}
+            }
+            self.settled.insert(request, claim, outcome.clone());
+        }
+        effects.push(Effect::Answer { request, outcome });
+        self.tell_askers(now, pending.askers, effects);
+    }
+
+    pub(crate) fn refuse(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        reason: Reason,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.finish(now, request, not_run(reason), effects);
+    }
+
     fn dispatch(&mut self, service: &Name, effects: &mut Vec<Effect>) {
         if !self.view {
             return;
@@ -110,7 +184,7 @@
         self.next_attempt += 1;
         upstream.in_flight += 1;
         pending.attempts += 1;
-        pending.running = Some(self.next_attempt);
+        pending.phase = Phase::Running(self.next_attempt);
         let attempt = Attempt {
             id: self.next_attempt,
             request,
@@ -142,24 +216,25 @@
             Report::Broken => Outcome::Unknown(Reason::Broken),
             Report::Late => Outcome::Unknown(Reason::Late),
         };
-        self.pending.remove(&tried.request);
-        effects.push(Effect::Answer { request: tried.request, outcome });
+        self.finish(now, tried.request, outcome, effects);
     }
 
     fn requeue(&mut self, request: RequestId) {
         let Some(pending) = self.pending.get_mut(&request) else { return };
-        pending.running = None;
+        pending.phase = Phase::Waiting;
         let service = pending.request.service.clone();
         self.queues.entry(service).or_default().push_front(request);
     }
 
-    /// Answers a request whose deadline has come; an attempt that runs is answered by its edge.
-    fn expire(&mut self, request: RequestId, effects: &mut Vec<Effect>) {
-        let waits = self.pending.get(&request).is_some_and(|pending| pending.running.is_none());
-        if waits {
-            self.pending.remove(&request);
-            refuse(request, Reason::NoSlot, effects);
-        }
+    /// Answers a request whose deadline has come; an attempt that runs keeps its slot.
+    fn expire(&mut self, now: Time, request: RequestId, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(&request) else { return };
+        let outcome = match pending.phase {
+            Phase::Claiming => Outcome::Unknown(Reason::Undecided),
+            Phase::Asking { .. } | Phase::Running(_) => Outcome::Unknown(Reason::Late),
+            Phase::Waiting => not_run(Reason::NoSlot),
+        };
+        self.finish(now, request, outcome, effects);
     }
 
     fn serve(&mut self, announcement: Announcement, effects: &mut Vec<Effect>) {
@@ -180,7 +255,3 @@
 fn not_run(reason: Reason) -> Outcome {
     Outcome::NotRun { reason, retry_after: RETRY_AFTER }
 }
-
-fn refuse(request: RequestId, reason: Reason, effects: &mut Vec<Effect>) {
-    effects.push(Effect::Answer { request, outcome: not_run(reason) });
-}
--- a/crates/route/src/timer.rs
+++ b/crates/route/src/timer.rs
@@ -5,4 +5,6 @@
 pub enum Timer {
     /// The deadline of a request that may still wait.
     Deadline(RequestId),
+    /// A resend asks again for the first answer.
+    Ask(RequestId),
 }
--- /dev/null
+++ b/crates/route/tests/world/mod.rs
@@ -0,0 +1,243 @@
+//! Dispatchers of several daemons over one log and a network, with an oracle that records what
+//! reached an upstream. Every step is the test's: nothing happens by itself.
+
+#![allow(dead_code)]
+
+mod daemon;
+mod entry;
+mod flight;
+
+pub use {daemon::Daemon, entry::Entry, flight::Flight};
+use {
+    model::{Announcement, Config, Kind, Labels, Location, Name, Service, Time},
+    route::{Answer, Command, Effect, Event, Fate, Fingerprint, Message, Outcome, Report, Request},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// A send of a request to a daemon: number of the daemon, its start, number of the request there.
+pub type Send = (usize, u64, u64);
+
+/// Daemons with what is between them.
+pub struct World {
+    pub now: Time,
+    pub daemons: Vec<Daemon>,
+    pub log: Vec<Entry>,
+    pub proposals: VecDeque<Entry>,
+    pub messages: VecDeque<(usize, usize, Message)>,
+    pub flights: Vec<Flight>,
+    /// Body of each send.
+    pub sent: BTreeMap<Send, String>,
+    /// Final answers.
+    pub answers: BTreeMap<Send, Outcome>,
+    /// Bodies that callers got.
+    pub bodies: BTreeMap<Send, String>,
+    /// How often each body ran.
+    pub runs: BTreeMap<String, u32>,
+    next_request: u64,
+}
+
+impl World {
+    pub fn new(daemons: usize) -> Self {
+        let mut world = Self {
+            now: Duration::from_secs(1),
+            daemons: (0..daemons).map(Daemon::new).collect(),
+            log: Vec::new(),
+            proposals: VecDeque::new(),
+            messages: VecDeque::new(),
+            flights: Vec::new(),
+            sent: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            bodies: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            next_request: 0,
+        };
+        world.log.push(Entry::Config(Arc::new(config())));
+        world
+    }
+
+    /// Sends a payout with `key` and `body` to a daemon.
+    pub fn pay(&mut self, daemon: usize, key: &str, body: &str) -> Send {
+        self.send(daemon, "shop", "payout", Some(key), "/", body)
+    }
+
+    pub fn send(
+        &mut self,
+        daemon: usize,
+        tenant: &str,
+        kind: &str,
+        key: Option<&str>,
+        path: &str,
+        body: &str,
+    ) -> Send {
+        self.next_request += 1;
+        let request = Request {
+            id: self.next_request,
+            service: "bank".into(),
+            kind: kind.into(),
+            tenant: tenant.into(),
+            key: key.map(Into::into),
+            fingerprint: Fingerprint::new("POST", "bank", path, body.as_bytes()),
+            patience: None,
+        };
+        let send = (daemon, self.daemons[daemon].boot, request.id);
+        self.sent.insert(send, body.to_owned());
+        self.reduce(daemon, Event::Arrive(request));
+        send
+    }
+
+    pub fn reduce(&mut self, daemon: usize, event: Event) {
+        let now = self.now;
+        for effect in self.daemons[daemon].state.reduce(now, event) {
+            self.carry_out(daemon, effect);
+        }
+    }
+
+    fn carry_out(&mut self, daemon: usize, effect: Effect) {
+        let boot = self.daemons[daemon].boot;
+        match effect {
+            Effect::Propose(command) => self.proposals.push_back(Entry::Route(command)),
+            Effect::Send { to, message } => {
+                let to = self.number(&to);
+                self.messages.push_back((daemon, to, message));
+            }
+            Effect::Subscribe { timer, after } => {
+                self.daemons[daemon].timers.insert(timer, self.now + after);
+            }
+            Effect::Attempt(attempt) => self.flights.push(Flight::new(daemon, boot, attempt)),
+            Effect::Keep { request, attempt } => self.daemons[daemon].keep(request, attempt),
+            Effect::Share { to, question } => {
+                let to = self.number(&to);
+                let fate = Fate::Run(self.daemons[daemon].kept[&question.first].clone());
+                self.messages.push_back((daemon, to, Message::Tell { question, fate }));
+            }
+            Effect::Answer { request, outcome } => self.answer((daemon, boot, request), outcome),
+        }
+    }
+
+    fn number(&self, name: &Name) -> usize {
+        self.daemons.iter().position(|it| it.name == *name).expect("every daemon is known")
+    }
+
+    fn answer(&mut self, send: Send, outcome: Outcome) {
+        let daemon = &self.daemons[send.0];
+        let body = match &outcome {
+            Outcome::Run(attempt) => Some(&daemon.answers[attempt]),
+            Outcome::Kept(first) => Some(&daemon.kept[first]),
+            Outcome::Passed(answer) => Some(answer),
+            _ => None,
+        };
+        if let Some(body) = body {
+            self.bodies.insert(send, String::from_utf8_lossy(&body.body).into_owned());
+        }
+        let former = self.answers.insert(send, outcome);
+        assert_eq!(former, None, "a request got two final answers");
+    }
+
+    /// Commits the oldest proposal.
+    pub fn commit(&mut self) -> bool {
+        let Some(entry) = self.proposals.pop_front() else { return false };
+        self.log.push(entry);
+        true
+    }
+
+    /// Has a daemon apply its next entry.
+    pub fn apply(&mut self, daemon: usize) -> bool {
+        let it = &mut self.daemons[daemon];
+        let Some(entry) = self.log.get(it.applied).cloned() else { return false };
+        it.applied += 1;
+        for event in it.apply(entry) {
+            self.reduce(daemon, event);
+        }
+        true
+    }
+
+    /// Delivers the message at `index`.
+    pub fn deliver(&mut self, index: usize) -> bool {
+        let Some((from, to, message)) = self.messages.remove(index) else { return false };
+        let from = self.daemons[from].name.clone();
+        self.reduce(to, Event::Message { from, message });
+        true
+    }
+
+    /// Commits, applies and delivers until nothing is left to.
+    pub fn settle(&mut self) {
+        loop {
+            let mut moved = self.commit();
+            for daemon in 0..self.daemons.len() {
+                while self.apply(daemon) {
+                    moved = true;
+                }
+            }
+            if !self.deliver(0) && !moved {
+                return;
+            }
+        }
+    }
+
+    /// Has time pass, and fires what falls due.
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        loop {
+            let due = self.daemons.iter().enumerate().filter_map(|(i, daemon)| {
+                daemon.timers.iter().map(|(timer, at)| (*at, i, *timer)).min()
+            });
+            let Some((at, daemon, timer)) = due.min().filter(|(at, ..)| *at <= until) else {
+                break;
+            };
+            self.now = self.now.max(at);
+            self.daemons[daemon].timers.remove(&timer);
+            self.reduce(daemon, Event::Timer(timer));
+        }
+        self.now = until;
+    }
+
+    /// Lets the oldest attempt reach its upstream, and end as `report` says.
+    pub fn end(&mut self, report: Report) {
+        let flight = self.flights.remove(0);
+        let send = (flight.daemon, flight.boot, flight.attempt.request);
+        let body = self.sent[&send].clone();
+        if !matches!(report, Report::NotSent | Report::Refused) {
+            *self.runs.entry(body.clone()).or_default() += 1;
+        }
+        let daemon = &mut self.daemons[flight.daemon];
+        if daemon.boot != flight.boot {
+            return;
+        }
+        if report == Report::Answered {
+            let answer = Answer { status: 200, content_type: None, body: body.into_bytes() };
+            daemon.answers.insert(flight.attempt.id, answer);
+        }
+        self.reduce(flight.daemon, Event::Done { attempt: flight.attempt.id, report });
+    }
+
+    /// Ends a daemon without warning, and starts it anew.
+    pub fn crash(&mut self, daemon: usize) {
+        self.daemons[daemon].crash();
+    }
+}
+
+pub fn announcement(instance: &str, rack: &str, slots: u32) -> Announcement {
+    Announcement {
+        instance: instance.into(),
+        service: "bank".into(),
+        address: "127.0.0.1:1".into(),
+        slots,
+        connections: 64,
+        incarnation: 1,
+        location: Location { region: "r".into(), data_center: "d".into(), rack: rack.into() },
+        labels: Labels::default(),
+    }
+}
+
+fn config() -> Config {
+    let kind = |idempotent, weight| Kind { idempotent, weight, deadline: Duration::from_secs(2) };
+    Config {
+        services: [(Name::from("bank"), Service { queue: 64 })].into(),
+        kinds: [("quote".into(), kind(true, 1)), ("payout".into(), kind(false, 5))].into(),
+        ..Config::default()
+    }
+}
