--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -27,6 +27,8 @@
         #[arg(long, default_value_t = 100)]
         kills: u32,
     },
+    /// Many changes under faults: when each is in force, whether any is reverted or lost
+    Changes(changes::Changes),
     /// What daemons spend on control while nobody calls
     Idle {
         /// Number of daemons
--- /dev/null
+++ b/crates/bench/src/changes.rs
@@ -0,0 +1,232 @@
+//! Many changes, with daemons killed, paused and cut off meanwhile: when each is in force
+//! everywhere, and whether any daemon ever acts on an older one.
+
+use {
+    super::*,
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+};
+
+/// What the experiment measures.
+#[derive(Debug, Serialize)]
+struct Figures {
+    experiment: &'static str,
+    daemons: usize,
+    voters: usize,
+    seed: u64,
+    faults: u32,
+    changes: u64,
+    accepted_ms: Quantiles,
+    in_force_ms: Quantiles,
+    /// Changes that were not in force within the bound.
+    late: u64,
+    /// Times at which a daemon showed an older configuration than before.
+    reverted: u64,
+    /// Accepted changes that were missing after all daemons had restarted at once.
+    lost: u64,
+}
+
+/// How the experiment runs.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct Changes {
+    /// Number of changes
+    #[arg(long, default_value_t = 2900)]
+    changes: u64,
+    /// One fault after about so many changes; none for 0
+    #[arg(long, default_value_t = 20)]
+    fault_every: u64,
+    /// Seed of the faults
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// Daemons of the fleet.
+const DAEMONS: usize = 10;
+
+/// Daemons that vote.
+const VOTERS: usize = 5;
+
+/// Time within which a change must be in force everywhere.
+const BOUND: Duration = Duration::from_secs(5);
+
+/// Between two looks at the daemons.
+const POLL: Duration = Duration::from_millis(5);
+
+/// How long a fault lasts at most, in milliseconds.
+const MAX_FAULT_MS: u64 = 4000;
+
+/// Time within which a daemon must show its status.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A fault that is to end.
+#[derive(Debug)]
+enum Fault {
+    Killed(usize),
+    Paused(usize),
+    Cut,
+}
+
+/// The running experiment.
+struct Run {
+    fleet: Fleet,
+    rng: ChaCha8Rng,
+    fault: Option<(Fault, Instant)>,
+    faults: u32,
+    seen: Vec<u64>,
+    reverted: u64,
+}
+
+pub(crate) fn run(settings: &Changes) -> eyre::Result<()> {
+    let mut fleet = Fleet::new(DAEMONS, VOTERS)?;
+    fleet.start()?;
+    let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+    let seen = vec![0; DAEMONS];
+    let mut run = Run { fleet, rng, fault: None, faults: 0, seen, reverted: 0 };
+    let mut accepted = hdrhistogram::Histogram::<u64>::new(3)?;
+    let mut forced = hdrhistogram::Histogram::<u64>::new(3)?;
+    let mut late = 0;
+    for revision in 1..=settings.changes {
+        run.inject(settings.fault_every)?;
+        let started = Instant::now();
+        run.change(revision)?;
+        let acceptance = Instant::now();
+        accepted.record((acceptance - started).as_millis() as u64)?;
+        run.await_force(revision)?;
+        let force = acceptance.elapsed();
+        forced.record(force.as_millis() as u64)?;
+        late += u64::from(force > BOUND);
+    }
+    let lost = run.restart_all(settings.changes)?;
+    let figures = Figures {
+        experiment: "changes",
+        daemons: DAEMONS,
+        voters: VOTERS,
+        seed: settings.seed,
+        faults: run.faults,
+        changes: settings.changes,
+        accepted_ms: Quantiles::of(&accepted),
+        in_force_ms: Quantiles::of(&forced),
+        late,
+        reverted: run.reverted,
+        lost,
+    };
+    println!("{}", serde_json::to_string(&figures)?);
+    ensure!(late + run.reverted + lost == 0, "a promise was broken, see the figures");
+    Ok(())
+}
+
+impl Run {
+    /// Ends a fault whose time has come, or starts one.
+    fn inject(&mut self, every: u64) -> eyre::Result<()> {
+        match &self.fault {
+            Some((_, until)) if Instant::now() >= *until => self.end_fault(),
+            None if every > 0 && self.rng.random_ratio(1, every as u32) => self.start_fault(),
+            _ => Ok(()),
+        }
+    }
+
+    fn start_fault(&mut self) -> eyre::Result<()> {
+        let leader = self.fleet.leader().filter(|_| self.rng.random_bool(0.5));
+        let victim = leader.unwrap_or_else(|| self.rng.random_range(0..DAEMONS));
+        let fault = match self.rng.random_range(0..3) {
+            0 => {
+                self.fleet.daemons[victim].kill();
+                self.seen[victim] = 0;
+                Fault::Killed(victim)
+            }
+            1 => {
+                self.signal(victim, "STOP")?;
+                Fault::Paused(victim)
+            }
+            _ => {
+                self.fleet.network.partition(&[victim]);
+                Fault::Cut
+            }
+        };
+        let lasts = Duration::from_millis(self.rng.random_range(0..MAX_FAULT_MS));
+        self.fault = Some((fault, Instant::now() + lasts));
+        self.faults += 1;
+        Ok(())
+    }
+
+    fn end_fault(&mut self) -> eyre::Result<()> {
+        match self.fault.take() {
+            Some((Fault::Killed(victim), _)) => self.fleet.daemons[victim].start(),
+            Some((Fault::Paused(victim), _)) => self.signal(victim, "CONT"),
+            Some((Fault::Cut, _)) => {
+                self.fleet.network.heal();
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn signal(&mut self, victim: usize, name: &str) -> eyre::Result<()> {
+        match self.fleet.daemons[victim].program() {
+            Some(program) => program.signal(name),
+            None => Ok(()),
+        }
+    }
+
+    /// Has the change to `revision` accepted, repeated through other daemons until one answers.
+    fn change(&mut self, revision: u64) -> eyre::Result<()> {
+        let first = self.rng.random_range(0..DAEMONS);
+        let mut turn = 0;
+        wait_until("a change is accepted", || {
+            turn += 1;
+            let daemon = &self.fleet.daemons[(first + turn) % DAEMONS];
+            post(daemon, revision).is_some_and(|reply| reply["revision"] == revision)
+        })
+    }
+
+    /// Waits until each daemon has `revision`, or may not act on what it has.
+    fn await_force(&mut self, revision: u64) -> eyre::Result<()> {
+        let mut waiting: Vec<_> = (0..DAEMONS).collect();
+        let started = Instant::now();
+        while !waiting.is_empty() {
+            ensure!(started.elapsed() < BOUND * 6, "revision {revision} never came in force");
+            waiting.retain(|daemon| !self.holds(*daemon, revision));
+            thread::sleep(POLL);
+        }
+        Ok(())
+    }
+
+    fn holds(&mut self, daemon: usize, revision: u64) -> bool {
+        let Some((view, shown)) = shown(&self.fleet.daemons[daemon]) else {
+            return self.fault.is_some();
+        };
+        if shown < self.seen[daemon] {
+            self.reverted += 1;
+        }
+        self.seen[daemon] = shown;
+        !view || shown >= revision
+    }
+
+    /// Restarts every daemon at once, and counts the changes that are missing then.
+    fn restart_all(&mut self, revision: u64) -> eyre::Result<u64> {
+        self.end_fault()?;
+        self.fleet.daemons.iter_mut().for_each(Daemon::kill);
+        self.fleet.start()?;
+        let shown = self.fleet.daemons.iter().filter_map(Daemon::revision).min();
+        Ok(revision.saturating_sub(shown.unwrap_or(0)))
+    }
+}
+
+/// Whether a daemon may act on its configuration, and the number of that configuration.
+fn shown(daemon: &Daemon) -> Option<(bool, u64)> {
+    let url = format!("http://{}/v1/status", daemon.operators);
+    let text = attohttpc::get(url).timeout(STATUS_TIMEOUT).send().ok()?.text().ok()?;
+    let status: serde_json::Value = serde_json::from_str(&text).ok()?;
+    Some((status["view"].as_bool()?, status["revision"].as_u64()?))
+}
+
+fn post(daemon: &Daemon, revision: u64) -> Option<serde_json::Value> {
+    let url = format!("http://{}/v1/changes", daemon.operators);
+    let request = attohttpc::post(url)
+        .header("Request-Id", format!("change-{revision}"))
+        .header("Author", "bench")
+        .header("Base-Revision", revision - 1)
+        .timeout(BOUND / 2)
+        .text(format!("[tenant t-{revision}]\n"));
+    serde_json::from_str(&request.send().ok()?.text().ok()?).ok()
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,7 +2,7 @@
 //! start them with.
 
 use {
-    clap::{Parser, Subcommand},
+    clap::{Args, Parser, Subcommand},
     eyre::{WrapErr, bail, ensure},
     serde::Serialize,
     std::{
@@ -21,6 +21,7 @@
 };
 
 mod arguments;
+mod changes;
 mod daemon;
 mod first_fleet;
 mod fleet;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -24,6 +24,7 @@
         match self {
             Self::FirstFleet => first_fleet::run(),
             Self::LeaderKills { kills } => leader_kills::run(*kills),
+            Self::Changes(settings) => changes::run(settings),
             Self::Idle { daemons, upstreams, seconds } => idle::run(*daemons, *upstreams, *seconds),
         }
     }
