Keys that are renewed without a restart, and operators who must show a token

Cause: certificates ran until the year 4096 and could only be replaced by a restart; anybody who reached the operators' port could change the fleet; errors named their source twice.

Change: certificates last 90 days; keys renew and keys show; a daemon takes new key files into use within 2 s, for new connections; operators' tokens by file, needed wherever the operators' port is not on loopback; an operator's name comes from the token. TLS for the operators' port is still open: the HTTP library's own TLS is of an unmaintained version.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -17,6 +17,12 @@
 impl Fleet {
     /// Prepares `count` daemons, the first `voters` of which vote; none is started.
     pub fn new(count: usize, voters: usize) -> eyre::Result<Self> {
+        Self::with_settings(count, voters, "")
+    }
+
+    /// Prepares daemons as [`Fleet::new`] does, each with `settings` added to its own; `FOLDER`
+    /// there stands for the folder of the fleet.
+    pub fn with_settings(count: usize, voters: usize, settings: &str) -> eyre::Result<Self> {
         let folder = tempfile::Builder::new().prefix("sardinevalve-").tempdir()?;
         let network = Network::default();
         let mut fleet = Self { folder, daemons: Vec::new(), network, fakes: Vec::new() };
@@ -25,7 +31,8 @@
         fleet.network = Network::start(&peers)?;
         fleet.make_keys()?;
         for i in 0..count {
-            fs::write(&fleet.daemons[i].settings, fleet.settings(i, voters))?;
+            let added = settings.replace("FOLDER", &fleet.folder().display().to_string());
+            fs::write(&fleet.daemons[i].settings, fleet.settings(i, voters) + &added)?;
         }
         Ok(fleet)
     }
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -12,6 +12,9 @@
         default_value = "127.0.0.1:7300"
     )]
     pub(crate) daemon: String,
+    /// File with the operator's token
+    #[arg(long, env = "SARDINEVALVE_TOKEN_FILE", hide_env_values = true)]
+    pub(crate) token_file: Option<PathBuf>,
     /// Print replies as JSON
     #[arg(long, global = true)]
     pub(crate) json: bool,
@@ -61,4 +64,16 @@
         /// Name of the daemon
         name: String,
     },
+    /// Issue a new certificate and key in place of a daemon's present ones
+    Renew {
+        /// Folder of the authority
+        folder: PathBuf,
+        /// Name of the daemon
+        name: String,
+    },
+    /// Show what a certificate says
+    Show {
+        /// Certificate file
+        certificate: PathBuf,
+    },
 }
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -4,14 +4,20 @@
 #[derive(Debug)]
 pub(crate) struct Client {
     address: String,
+    token: Option<String>,
 }
 
 /// Time within which a daemon must reply.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
 impl Client {
-    pub(crate) fn new(address: &str) -> Self {
-        Self { address: address.into() }
+    pub(crate) fn new(address: &str, token_file: Option<&Path>) -> eyre::Result<Self> {
+        let token = token_file.map(|path| {
+            fs::read_to_string(path)
+                .wrap_err_with(|| format!("cannot read the token `{}`", path.display()))
+        });
+        let token = token.transpose()?.map(|token| token.trim().to_owned());
+        Ok(Self { address: address.into(), token })
     }
 
     pub(crate) fn config(&self) -> eyre::Result<Reply> {
@@ -42,8 +48,11 @@
 
     fn call<B: attohttpc::body::Body>(
         &self,
-        request: attohttpc::RequestBuilder<B>,
+        mut request: attohttpc::RequestBuilder<B>,
     ) -> eyre::Result<Reply> {
+        if let Some(token) = &self.token {
+            request = request.header("Authorization", format!("Bearer {token}"));
+        }
         let response = request
             .follow_redirects(false)
             .proxy_settings(attohttpc::ProxySettings::builder().build())
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -13,7 +13,7 @@
 }
 
 fn dispatch(arguments: &Arguments) -> eyre::Result<ExitCode> {
-    let client = Client::new(&arguments.daemon);
+    let client = Client::new(&arguments.daemon, arguments.token_file.as_deref())?;
     match &arguments.command {
         Command::Apply { file, wait, base, request, author } => {
             let change = apply::Change { file, base: *base, request: request.as_deref(), author };
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -23,7 +23,8 @@
         let (orders, inbox) = unbounded();
         thread::spawn(move || {
             if let Err(error) = work(store, transport, events, inbox) {
-                log::error!("data folder failed, the daemon ends: {error}");
+                let error = eyre::Report::from(error);
+                log::error!("data folder failed, the daemon ends: {error:#}");
                 std::process::exit(EXIT_DISK);
             }
         });
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -38,15 +38,17 @@
 mod operators;
 mod outbound;
 mod pool;
+mod renewal;
 mod run;
 mod signals;
 mod tickets;
+mod tokens;
 mod upstreams;
 
 pub use run::run;
 use {
     answer::Answer, arguments::Arguments, call::Call, callers::Callers, clock::Clock, disk::Disk,
-    engine::Engine, held::Held, kept::Kept, pool::Pool, tickets::Tickets,
+    engine::Engine, held::Held, kept::Kept, pool::Pool, tickets::Tickets, tokens::Tokens,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -7,10 +7,11 @@
 
 pub(crate) fn start(
     address: SocketAddr,
+    tokens: Tokens,
     events: Sender<Event>,
 ) -> eyre::Result<Tickets<node::operator::Reply>> {
     let tickets = Tickets::default();
-    let edge = Edge { tickets: tickets.clone(), events };
+    let edge = Edge { tickets: tickets.clone(), tokens, events };
     http::serve(address, move |request| edge.handle(request))?;
     Ok(tickets)
 }
@@ -18,6 +19,7 @@
 #[derive(Clone)]
 struct Edge {
     tickets: Tickets<node::operator::Reply>,
+    tokens: Tokens,
     events: Sender<Event>,
 }
 
@@ -31,6 +33,10 @@
 impl Edge {
     fn handle(&self, request: tiny_http::Request) {
         let path = request.url().to_owned();
+        let operator = self.tokens.operator(&request);
+        if self.tokens.required() && operator.is_none() {
+            return http::respond(request, 401, &http::failure("a valid token is needed"));
+        }
         match (request.method(), path.as_str()) {
             (tiny_http::Method::Get, "/v1/config") => {
                 self.ask(request, node::operator::Call::Config);
@@ -38,12 +44,12 @@
             (tiny_http::Method::Get, "/v1/status") => {
                 self.ask(request, node::operator::Call::Status);
             }
-            (tiny_http::Method::Post, "/v1/changes") => self.apply(request),
+            (tiny_http::Method::Post, "/v1/changes") => self.apply(request, operator),
             _ => http::respond(request, 404, &http::failure(format!("no such call `{path}`"))),
         }
     }
 
-    fn apply(&self, mut request: tiny_http::Request) {
+    fn apply(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let body = match http::body(&mut request, MAX_BODY_BYTES) {
             Ok(body) => body,
             Err(failure) => return http::respond(request, 400, &failure),
@@ -54,7 +60,7 @@
             let failure = http::failure("`Request-Id`, `Author` and `Base-Revision` are needed");
             return http::respond(request, 400, &failure);
         };
-        let (id, author) = (Name::from(id), Name::from(author));
+        let (id, author) = (Name::from(id), operator.unwrap_or_else(|| author.into()));
         match settings::config("configuration", &String::from_utf8_lossy(&body)) {
             Ok(config) => {
                 let change = fleet::Change { request: id, author, base, config };
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -35,11 +35,7 @@
 fn serve(settings: settings::Daemon) -> eyre::Result<()> {
     logging::start()?;
     let (store, restored) = open_store(&settings)?;
-    let identity = wire::Identity::load(
-        &settings.keys.authority,
-        &settings.keys.certificate,
-        &settings.keys.key,
-    )?;
+    let identity = renewal::load(&settings.keys)?;
     let clock = Clock::start();
     let boot = boot_number();
     let (events, inbox) = unbounded();
@@ -48,8 +44,10 @@
     let quorum = quorum::State::new(settings.id.clone(), members(&settings), restored, boot);
     let state = node::State::new(quorum, boot);
     let callers = Callers::start(settings.listen.callers, clock, events.clone())?;
-    let operators = operators::start(settings.listen.operators, events.clone())?;
+    let operators =
+        operators::start(settings.listen.operators, tokens(&settings)?, events.clone())?;
     let upstreams = upstreams::start(settings.listen.upstreams, events.clone())?;
+    renewal::start(settings.keys.clone(), transport.clone());
     signals::start(events.clone())?;
     log::info!(daemon = &*settings.id; "started");
     Engine { state, clock, inbox, transport, disk, callers, operators, upstreams }.run();
@@ -98,6 +96,11 @@
     }
 }
 
+fn tokens(settings: &settings::Daemon) -> eyre::Result<Tokens> {
+    let file = settings.operators.as_ref().map(|operators| Tokens::load(&operators.tokens));
+    Ok(file.transpose()?.unwrap_or_default())
+}
+
 fn members(settings: &settings::Daemon) -> BTreeMap<Name, quorum::Role> {
     let role = |peer: &settings::Peer| match peer.role {
         settings::Role::Voter => quorum::Role::Voter,
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -13,6 +13,8 @@
     pub listen: Listen,
     /// Key files.
     pub keys: Keys,
+    /// Who may use the operators' interface; anybody on this machine where it is absent.
+    pub operators: Option<Operators>,
     /// Every daemon of the fleet, by name.
     pub peers: BTreeMap<Name, Peer>,
 }
@@ -48,6 +50,7 @@
     data: Option<PathBuf>,
     listen: Option<Listen>,
     keys: Option<Keys>,
+    operators: Option<Operators>,
     peers: BTreeMap<Name, Peer>,
 }
 
@@ -59,6 +62,7 @@
             "daemon" => self.read_daemon(&mut reader),
             "listen" => self.read_listen(&mut reader),
             "keys" => self.read_keys(&mut reader),
+            "operators" => self.read_operators(&mut reader),
             "peer" => self.read_peer(&mut reader),
             _ => return reader.unknown(),
         }
@@ -99,6 +103,10 @@
         }
     }
 
+    fn read_operators(&mut self, reader: &mut Reader) {
+        self.operators = reader.required("tokens").map(|tokens| Operators { tokens });
+    }
+
     fn read_peer(&mut self, reader: &mut Reader) {
         let name = reader.name();
         let address = reader.required("address");
@@ -123,6 +131,12 @@
                 report(section, None, Problem::MissingSection);
             }
         }
+        let open = self.operators.is_none()
+            && self.listen.as_ref().is_some_and(|listen| !listen.operators.ip().is_loopback());
+        if open {
+            let reason = "operators need tokens beyond this machine: add `[operators] tokens`";
+            report("listen", Some("operators"), Problem::Value(reason.into()));
+        }
         let Some(id) = &self.id else { return };
         let Some(peer) = self.peers.get(id) else {
             return report(&format!("peer {id}"), None, Problem::MissingSection);
@@ -139,6 +153,7 @@
             data: self.data,
             listen: self.listen?,
             keys: self.keys?,
+            operators: self.operators,
             peers: self.peers,
         })
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -26,6 +26,7 @@
 mod fleet;
 mod keys;
 mod listen;
+mod operators;
 mod peer;
 mod problem;
 mod reader;
@@ -35,7 +36,8 @@
 use reader::Reader;
 pub use {
     daemon::Daemon, document::Document, entry::Entry, finding::Finding, findings::Findings,
-    keys::Keys, listen::Listen, peer::Peer, problem::Problem, role::Role, section::Section,
+    keys::Keys, listen::Listen, operators::Operators, peer::Peer, problem::Problem, role::Role,
+    section::Section,
 };
 
 /// Result of reading a document.
--- /dev/null
+++ b/crates/settings/src/operators.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+/// Who may use the operators' interface.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Operators {
+    /// File with a line `NAME TOKEN` for each operator.
+    pub tokens: PathBuf,
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -5,10 +5,10 @@
 #[derive(Debug, Display, Error)]
 pub enum Error {
     /// File or folder that cannot be used.
-    #[display("cannot access `{}`: {source}", path.display())]
+    #[display("cannot access `{}`", path.display())]
     File { path: PathBuf, source: io::Error },
     /// Record that cannot be encoded.
-    #[display("cannot encode a record for `{}`: {source}", path.display())]
+    #[display("cannot encode a record for `{}`", path.display())]
     Encode { path: PathBuf, source: postcard::Error },
     /// Folder that another daemon wrote.
     #[display("data folder `{}` belongs to daemon `{found}`, not to `{expected}`", path.display())]
--- a/crates/wire/src/authority.rs
+++ b/crates/wire/src/authority.rs
@@ -10,6 +10,10 @@
     /// File name of the authority's certificate.
     pub const CERTIFICATE: &str = "authority.pem";
     const KEY: &str = "authority.key";
+    /// How long a daemon's certificate is valid.
+    const VALIDITY: Duration = Duration::from_hours(90 * 24);
+    /// How far clocks of two instances may be apart.
+    const CLOCK_SKEW: Duration = Duration::from_hours(1);
 
     /// Makes a new authority in `folder`; an existing one is never replaced.
     pub fn create(folder: &Path) -> Result<Self> {
@@ -27,21 +31,38 @@
         Self { folder: folder.into() }
     }
 
-    /// Issues a certificate and key for the daemon `name`, as `NAME.pem` and `NAME.key`.
+    /// Issues a certificate and key for the daemon `name`, as `NAME.pem` and `NAME.key`; existing
+    /// ones are never replaced.
     pub fn issue(&self, name: &str) -> Result {
+        let (key, certificate) = self.make(name)?;
+        write_new(&self.folder.join(format!("{name}.key")), &key)?;
+        write_new(&self.folder.join(format!("{name}.pem")), &certificate)
+    }
+
+    /// Issues a certificate and key for the daemon `name` in place of its present ones.
+    pub fn renew(&self, name: &str) -> Result {
+        let (key, certificate) = self.make(name)?;
+        replace(&self.folder.join(format!("{name}.key")), &key)?;
+        replace(&self.folder.join(format!("{name}.pem")), &certificate)
+    }
+
+    /// Key and certificate for `name`, in PEM.
+    fn make(&self, name: &str) -> Result<(String, String)> {
         let path = self.folder.join(Self::KEY);
+        Identity::check_permissions(&path)?;
         let pem = fs::read_to_string(&path).map_err(|source| file_error(&path, source))?;
         let issuer = rcgen::Issuer::new(Self::params()?, rcgen::KeyPair::from_pem(&pem)?);
         let key = rcgen::KeyPair::generate()?;
         let mut params = rcgen::CertificateParams::new(vec![name.into()])?;
         params.distinguished_name.push(rcgen::DnType::CommonName, name);
+        params.not_before = time::OffsetDateTime::now_utc() - Self::CLOCK_SKEW;
+        params.not_after = time::OffsetDateTime::now_utc() + Self::VALIDITY;
         params.extended_key_usages = vec![
             rcgen::ExtendedKeyUsagePurpose::ServerAuth,
             rcgen::ExtendedKeyUsagePurpose::ClientAuth,
         ];
         let certificate = params.signed_by(&key, &issuer)?;
-        write_new(&self.folder.join(format!("{name}.key")), &key.serialize_pem())?;
-        write_new(&self.folder.join(format!("{name}.pem")), &certificate.pem())
+        Ok((key.serialize_pem(), certificate.pem()))
     }
 
     fn params() -> Result<rcgen::CertificateParams> {
@@ -61,6 +82,14 @@
     file.sync_all().map_err(|source| file_error(path, source))
 }
 
+/// Replaces `path` by a new file, so that a reader finds the old one or the new one, whole.
+fn replace(path: &Path, text: &str) -> Result {
+    let fresh = path.with_added_extension("new");
+    fs::remove_file(&fresh).ok();
+    write_new(&fresh, text)?;
+    fs::rename(&fresh, path).map_err(|source| file_error(path, source))
+}
+
 pub(crate) fn file_error(path: &Path, source: io::Error) -> Error {
     Error::File { path: path.into(), source }
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -5,13 +5,17 @@
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
     /// File that cannot be read or written.
-    #[display("cannot access `{}`: {source}", path.display())]
+    #[display("cannot access `{}`", path.display())]
     #[from(skip)]
     File { path: PathBuf, source: io::Error },
     /// File that does not hold what it should.
-    #[display("cannot read a certificate or key from `{}`: {source}", path.display())]
+    #[display("cannot read a certificate or key from `{}`", path.display())]
     #[from(skip)]
     Pem { path: PathBuf, source: rustls::pki_types::pem::Error },
+    /// Certificate whose contents cannot be read.
+    #[display("`{}` holds no valid certificate", path.display())]
+    #[from(skip)]
+    Encoding { path: PathBuf },
     /// Key file that others may read.
     #[display("key file `{}` is open to others: allow only its owner to read it", path.display())]
     #[from(skip)]
@@ -29,7 +33,7 @@
     #[display("cannot use the keys for QUIC: {_0}")]
     Suite(quinn::crypto::rustls::NoInitialCipherSuite),
     /// Address that cannot be used.
-    #[display("cannot listen for peers on `{address}`: {source}")]
+    #[display("cannot listen for peers on `{address}`")]
     #[from(skip)]
     Listen { address: SocketAddr, source: io::Error },
     /// Name that no certificate can carry.
--- a/crates/wire/src/identity.rs
+++ b/crates/wire/src/identity.rs
@@ -11,7 +11,7 @@
 impl Identity {
     /// Reads the keys from their files.
     pub fn load(authority: &Path, certificate: &Path, key: &Path) -> Result<Self> {
-        check_permissions(key)?;
+        Self::check_permissions(key)?;
         Ok(Self {
             authority: read_pem(authority)?,
             certificate: read_pem(certificate)?,
@@ -19,6 +19,16 @@
         })
     }
 
+    /// Refuses a file that others than its owner may use.
+    pub fn check_permissions(path: &Path) -> Result {
+        use std::os::unix::fs::PermissionsExt;
+        let metadata = fs::metadata(path).map_err(|source| authority::file_error(path, source))?;
+        if metadata.permissions().mode() & OTHERS != 0 {
+            return Err(Error::Permissions { path: path.into() });
+        }
+        Ok(())
+    }
+
     pub(crate) fn server(&self) -> Result<quinn::ServerConfig> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let verifier = rustls::server::WebPkiClientVerifier::builder_with_provider(
@@ -54,18 +64,9 @@
     }
 }
 
-fn read_pem<T: PemObject>(path: &Path) -> Result<T> {
+pub(crate) fn read_pem<T: PemObject>(path: &Path) -> Result<T> {
     T::from_pem_file(path).map_err(|source| Error::Pem { path: path.into(), source })
 }
 
 /// Permission bits of a file that its owner alone may use.
 const OTHERS: u32 = 0o077;
-
-fn check_permissions(path: &Path) -> Result {
-    use std::os::unix::fs::PermissionsExt;
-    let metadata = fs::metadata(path).map_err(|source| authority::file_error(path, source))?;
-    if metadata.permissions().mode() & OTHERS != 0 {
-        return Err(Error::Permissions { path: path.into() });
-    }
-    Ok(())
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,6 +21,7 @@
 };
 
 mod authority;
+mod certificate;
 mod codec;
 mod error;
 mod frame;
@@ -31,8 +32,8 @@
 
 use hello::Hello;
 pub use {
-    authority::Authority, codec::Codec, error::Error, frame::Frame, identity::Identity,
-    transport::Transport,
+    authority::Authority, certificate::Certificate, codec::Codec, error::Error, frame::Frame,
+    identity::Identity, transport::Transport,
 };
 
 /// Result of this crate's fallible functions.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -19,6 +19,7 @@
 /// The sending side of one peer.
 pub(crate) struct Dialler {
     pub(crate) endpoint: quinn::Endpoint,
+    pub(crate) client: watch::Receiver<quinn::ClientConfig>,
     pub(crate) own: Hello,
     pub(crate) peer: Name,
     pub(crate) address: SocketAddr,
@@ -45,7 +46,10 @@
 
     async fn connect(&mut self) -> io::Result<quinn::SendStream> {
         self.boot.mark_unchanged();
-        let connecting = self.endpoint.connect(self.address, &self.peer);
+        let connecting = {
+            let client = self.client.borrow().clone();
+            self.endpoint.connect_with(client, self.address, &self.peer)
+        };
         let connecting = connecting.map_err(io::Error::other)?;
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
         let mut stream = connection.open_uni().await?;
--- a/crates/wire/src/transport.rs
+++ b/crates/wire/src/transport.rs
@@ -7,6 +7,8 @@
 #[derive(Debug)]
 pub struct Transport {
     outboxes: BTreeMap<Name, mpsc::Sender<Vec<u8>>>,
+    endpoint: quinn::Endpoint,
+    client: watch::Sender<quinn::ClientConfig>,
 }
 
 impl Transport {
@@ -25,8 +27,8 @@
         let runtime = runtime.map_err(|source| Error::Listen { address, source })?;
         let entered = runtime.enter();
         let endpoint = quinn::Endpoint::server(server, address);
-        let mut endpoint = endpoint.map_err(|source| Error::Listen { address, source })?;
-        endpoint.set_default_client_config(client);
+        let endpoint = endpoint.map_err(|source| Error::Listen { address, source })?;
+        let (client, client_receiver) = watch::channel(client);
         drop(entered);
         let hello = Hello { version: Frame::VERSION, name: own, boot };
         let mut outboxes = BTreeMap::new();
@@ -36,12 +38,22 @@
             let (sender, outbox) = mpsc::channel(OUTBOX_FRAMES);
             let (boot_sender, boot) = watch::channel(None);
             let (endpoint, own) = (endpoint.clone(), hello.clone());
+            let client = client_receiver.clone();
             outboxes.insert(peer.clone(), sender);
             boots.insert(peer.clone(), boot_sender);
-            diallers.push(link::Dialler { endpoint, own, peer, address, outbox, boot });
+            diallers.push(link::Dialler { endpoint, client, own, peer, address, outbox, boot });
         }
-        thread::spawn(move || runtime.block_on(work(endpoint, diallers, Arc::new(boots), inbox)));
-        Ok(Self { outboxes })
+        let accepting = endpoint.clone();
+        thread::spawn(move || runtime.block_on(work(accepting, diallers, Arc::new(boots), inbox)));
+        Ok(Self { outboxes, endpoint, client })
+    }
+
+    /// Uses `identity` for every connection from now on; those that stand go on.
+    pub fn renew(&self, identity: &Identity) -> Result {
+        let (server, client) = (identity.server()?, identity.client()?);
+        self.endpoint.set_server_config(Some(server));
+        self.client.send_replace(client);
+        Ok(())
     }
 
     /// Sends `body` to `to`; drops it where the peer is unknown or cannot keep up.
