--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -60,7 +60,7 @@
                     last = synced(&record).or(last);
                     dirty = true;
                     if let Some(store) = &mut store {
-                        store.append(&record)?;
+                        store.append(record);
                     }
                 }
             }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -62,7 +62,7 @@
 ) -> eyre::Result<(Option<store::Store>, quorum::Restored)> {
     match (&settings.data, settings.role()) {
         (Some(folder), settings::Role::Voter) => {
-            let (store, restored) = store::Store::open(folder, &settings.id)?;
+            let (store, restored) = store::Store::open(folder, &settings.id, boot_number())?;
             Ok((Some(store), restored))
         }
         _ => Ok((None, quorum::Restored::default())),
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -17,6 +17,13 @@
             Command::Fleet(command) => into_outcomes(self.fleet.apply(command)),
         }
     }
+
+    /// Everything that follows from the state as a whole, for a daemon that starts from it.
+    pub fn outcomes(&self) -> Vec<Outcome> {
+        let configured = fleet::Effect::Configured(self.fleet.config().clone());
+        let upstreams = self.fleet.upstreams().values().cloned().map(fleet::Effect::Upstream);
+        into_outcomes(std::iter::once(configured).chain(upstreams).collect())
+    }
 }
 
 fn into_outcomes<T: Into<Outcome>>(effects: Vec<T>) -> Vec<Outcome> {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -200,6 +200,8 @@
                     effects.push(Effect::Subscribe { timer: timer.into(), after });
                 }
                 quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
+                quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
+                quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
                 quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
             }
         }
@@ -226,9 +228,26 @@
         let outcomes = self.replica.apply(index, proposal.command);
         self.reply(index, caller, &outcomes, effects);
         for outcome in outcomes {
-            match outcome {
-                Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
-            }
+            self.on_outcome(now, outcome, effects);
+        }
+    }
+
+    fn snapshot(&mut self, now: Time, index: Index, effects: &mut Vec<Effect>) {
+        let Ok(state) = postcard::to_stdvec(&self.replica) else { return };
+        self.agree(now, quorum::Event::Snapshot { index, state }, effects);
+    }
+
+    fn install(&mut self, now: Time, snapshot: &quorum::Snapshot, effects: &mut Vec<Effect>) {
+        let replica = postcard::from_bytes::<Replica>(&snapshot.state);
+        self.replica = replica.expect("snapshots decode: a daemon encoded them");
+        for outcome in self.replica.outcomes() {
+            self.on_outcome(now, outcome, effects);
+        }
+    }
+
+    fn on_outcome(&mut self, now: Time, outcome: Outcome, effects: &mut Vec<Effect>) {
+        match outcome {
+            Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
         }
     }
 
--- a/crates/quorum/src/effect.rs
+++ b/crates/quorum/src/effect.rs
@@ -20,6 +20,14 @@
         /// The entry.
         entry: Entry,
     },
+    /// Encode the state as it is after all entries applied so far, and return it as
+    /// [`Event::Snapshot`].
+    Snapshot {
+        /// Index of the last entry applied.
+        index: Index,
+    },
+    /// Replace the state by that of a snapshot.
+    Install(Snapshot),
     /// Call back after a time.
     Subscribe {
         /// Key of the timer.
--- /dev/null
+++ b/crates/quorum/src/election.rs
@@ -0,0 +1,110 @@
+//! How a voter is elected: first it asks whether it would be, then to be.
+
+use super::*;
+
+impl State {
+    pub(crate) fn on_election(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.leads() {
+            return;
+        }
+        self.leader = None;
+        self.standing = Standing::Asking { votes: BTreeSet::from([self.id.clone()]) };
+        self.ask(true, self.term + 1, effects);
+        self.await_leader(effects);
+        self.count_votes(now, effects);
+    }
+
+    pub(crate) fn ask(&self, pre: bool, term: Term, effects: &mut Vec<Effect>) {
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        for to in self.voters_besides() {
+            let message = Message::Ask { term, pre, last_index, last_term };
+            effects.push(Effect::Send { to, message });
+        }
+    }
+
+    pub(crate) fn count_votes(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let majority = self.majority();
+        match &self.standing {
+            Standing::Asking { votes } if votes.len() >= majority => {
+                self.become_candidate(now, effects);
+            }
+            Standing::Candidate { votes } if votes.len() >= majority => {
+                self.become_leader(now, effects);
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn become_candidate(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.term += 1;
+        self.vote = Some(self.id.clone());
+        self.standing = Standing::Candidate { votes: BTreeSet::from([self.id.clone()]) };
+        self.persist_vote(effects);
+        self.ask(false, self.term, effects);
+        self.await_leader(effects);
+        self.count_votes(now, effects);
+    }
+
+    pub(crate) fn become_leader(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let next = self.log.last_index() + 1;
+        let granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
+        let progress = self.others().into_iter();
+        let progress = progress.map(|name| (name, Progress::new(next, granted_until))).collect();
+        self.standing = Standing::Leader { opened: next, progress };
+        self.leader = Some(self.id.clone());
+        self.heard = now;
+        self.append(now, Vec::new(), effects);
+        effects.push(Effect::Subscribe { timer: Timer::Heartbeat, after: Timing::HEARTBEAT });
+    }
+
+    pub(crate) fn on_ask(
+        &mut self,
+        now: Time,
+        from: Name,
+        term: Term,
+        pre: bool,
+        last: (Term, Index),
+        effects: &mut Vec<Effect>,
+    ) {
+        let led = self.leads() || now < self.heard + Timing::ELECTION_MIN;
+        let behind = last < (self.log.last_term(), self.log.last_index());
+        if led || !self.is_voter(&from) {
+            return;
+        }
+        if !pre && term > self.term {
+            self.enter(term, None, effects);
+        }
+        let free = self.vote.is_none() || self.vote.as_ref() == Some(&from);
+        let granted = !behind && if pre { term > self.term } else { term == self.term && free };
+        if granted && !pre {
+            self.vote = Some(from.clone());
+            self.persist_vote(effects);
+            self.await_leader(effects);
+        }
+        let term = if granted { term } else { self.term };
+        effects.push(Effect::Send { to: from, message: Message::Vote { term, pre, granted } });
+    }
+
+    pub(crate) fn on_vote(
+        &mut self,
+        now: Time,
+        from: Name,
+        term: Term,
+        pre: bool,
+        granted: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !granted {
+            if term > self.term {
+                self.enter(term, None, effects);
+            }
+            return;
+        }
+        match &mut self.standing {
+            Standing::Asking { votes } if pre && term == self.term + 1 => votes.insert(from),
+            Standing::Candidate { votes } if !pre && term == self.term => votes.insert(from),
+            _ => return,
+        };
+        self.count_votes(now, effects);
+    }
+}
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -23,4 +23,12 @@
         /// Index of the entry.
         index: Index,
     },
+    /// The state after the entries up to `index`.
+    Snapshot {
+        /// Index of the last entry applied.
+        index: Index,
+        /// Encoded state.
+        #[serde(with = "serde_bytes")]
+        state: Vec<u8>,
+    },
 }
--- /dev/null
+++ b/crates/quorum/src/following.rs
@@ -0,0 +1,103 @@
+//! How a member follows a leader.
+
+use super::*;
+
+impl State {
+    pub(crate) fn on_append(
+        &mut self,
+        now: Time,
+        from: Name,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Message::Append { term, prev_index, prev_term, entries, commit, forced, sent, echo } =
+            message
+        else {
+            return;
+        };
+        self.follow(now, from.clone(), term, effects);
+        if let Some(hint) = self.mismatch(prev_index, prev_term) {
+            return self.answer_append(now, from, false, hint, sent, effects);
+        }
+        let index = prev_index + entries.len() as Index;
+        self.merge(prev_index + 1, entries, effects);
+        self.advance_commit(commit.min(index), effects);
+        self.forced = self.forced.max(forced.min(self.applied));
+        if let Some(echo) = echo.filter(|echo| echo.boot == self.boot && self.applied >= commit) {
+            self.view_until = self.view_until.max(echo.at + Timing::VIEW_LEASE);
+        }
+        self.answer_append(now, from, true, index, sent, effects);
+    }
+
+    pub(crate) fn follow(&mut self, now: Time, from: Name, term: Term, effects: &mut Vec<Effect>) {
+        self.heard = now;
+        if term > self.term {
+            return self.enter(term, Some(from), effects);
+        }
+        self.step_down(Some(from), effects);
+    }
+
+    /// Where the leader should try next, if the entry at `prev_index` is another than the
+    /// leader's: before the whole term of that entry, but never before what is committed.
+    fn mismatch(&self, prev_index: Index, prev_term: Term) -> Option<Index> {
+        if prev_index < self.log.offset() || self.log.term(prev_index) == Some(prev_term) {
+            return None;
+        }
+        let last = self.log.last_index();
+        let hint = if prev_index > last { last } else { self.log.before_term(prev_index) };
+        Some(hint.max(self.commit))
+    }
+
+    fn merge(&mut self, first: Index, entries: Vec<Entry>, effects: &mut Vec<Effect>) {
+        let known = |(i, entry): (usize, &Entry)| {
+            let index = first + i as Index;
+            index <= self.log.offset() || self.log.term(index) == Some(entry.term)
+        };
+        let skip = entries.iter().enumerate().take_while(|pair| known(*pair)).count();
+        let first = first + skip as Index;
+        let entries: Vec<_> = entries.into_iter().skip(skip).collect();
+        if entries.is_empty() {
+            return;
+        }
+        self.log.truncate(first);
+        self.synced = self.synced.min(first - 1);
+        for entry in &entries {
+            self.log.push(entry.clone());
+        }
+        effects.push(Effect::Persist(Record::Entries { first, entries }));
+    }
+
+    pub(crate) fn advance_commit(&mut self, commit: Index, effects: &mut Vec<Effect>) {
+        self.commit = self.commit.max(commit);
+        while self.applied < self.commit {
+            let Some(entry) = self.log.get(self.applied + 1).cloned() else { break };
+            self.applied += 1;
+            self.applied_bytes += entry.command.len() + Log::ENTRY_BYTES;
+            effects.push(Effect::Apply { index: self.applied, entry });
+        }
+        if self.applied_bytes >= self.limits.log_bytes {
+            self.applied_bytes = 0;
+            effects.push(Effect::Snapshot { index: self.applied });
+        }
+    }
+
+    pub(crate) fn answer_append(
+        &self,
+        now: Time,
+        to: Name,
+        matched: bool,
+        index: Index,
+        sent: Time,
+        effects: &mut Vec<Effect>,
+    ) {
+        let message = Message::Appended {
+            term: self.term,
+            matched,
+            index,
+            applied: self.applied,
+            sent,
+            stamp: self.stamp(now),
+        };
+        effects.push(Effect::Send { to, message });
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/leading.rs
@@ -0,0 +1,152 @@
+//! What a leader does: it appends, replicates, commits, and grants view leases.
+
+use super::*;
+
+impl State {
+    pub(crate) fn on_propose(&mut self, now: Time, command: Vec<u8>, effects: &mut Vec<Effect>) {
+        if self.leads() {
+            self.append(now, command, effects);
+        }
+    }
+
+    pub(crate) fn append(&mut self, now: Time, command: Vec<u8>, effects: &mut Vec<Effect>) {
+        let entry = Entry { term: self.term, command };
+        self.log.push(entry.clone());
+        let first = self.log.last_index();
+        effects.push(Effect::Persist(Record::Entries { first, entries: vec![entry] }));
+        self.replicate(now, effects);
+    }
+
+    pub(crate) fn replicate(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        for to in self.others() {
+            self.replicate_to(now, &to, effects);
+        }
+    }
+
+    pub(crate) fn replicate_to(&mut self, now: Time, to: &Name, effects: &mut Vec<Effect>) {
+        let grants = self.may_grant(now);
+        let Standing::Leader { progress, .. } = &mut self.standing else { return };
+        let Some(progress) = progress.get_mut(to) else { return };
+        let prev_index = progress.next - 1;
+        let Some(prev_term) = self.log.term(prev_index) else {
+            return self.send_chunk(now, to, effects);
+        };
+        let entries = self.log.slice(progress.next, self.limits.message_bytes);
+        progress.next += entries.len() as Index;
+        let echo = progress.stamp.filter(|_| grants);
+        if echo.is_some() {
+            progress.granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
+        }
+        let message = Message::Append {
+            term: self.term,
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+            forced: self.forced,
+            sent: now,
+            echo,
+        };
+        effects.push(Effect::Send { to: to.clone(), message });
+    }
+
+    /// Latest time at which a majority is known to have followed this leader.
+    pub(crate) fn led_at(&self, now: Time) -> Option<Time> {
+        let Standing::Leader { progress, .. } = &self.standing else { return None };
+        let voters = progress.iter().filter(|(name, _)| self.is_voter(name));
+        let mut answered: Vec<_> = voters.filter_map(|(_, progress)| progress.answered).collect();
+        answered.push(now);
+        answered.sort_unstable_by(|a, b| b.cmp(a));
+        answered.get(self.majority() - 1).copied()
+    }
+
+    pub(crate) fn may_grant(&self, now: Time) -> bool {
+        let Standing::Leader { opened, .. } = self.standing else { return false };
+        let Some(led_at) = self.led_at(now) else { return false };
+        self.commit >= opened && now < led_at + Timing::LEADER_LEASE
+    }
+
+    pub(crate) fn on_heartbeat(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if !self.leads() {
+            return;
+        }
+        let led_at = self.led_at(now).unwrap_or(self.heard).max(self.heard);
+        if now >= led_at + Timing::LEADER_LEASE {
+            return self.step_down(None, effects);
+        }
+        self.advance_forced(now);
+        self.replicate(now, effects);
+        effects.push(Effect::Subscribe { timer: Timer::Heartbeat, after: Timing::HEARTBEAT });
+    }
+
+    pub(crate) fn on_appended(
+        &mut self,
+        now: Time,
+        from: Name,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Message::Appended { term, matched, index, applied, sent, stamp } = message else {
+            return;
+        };
+        if term > self.term {
+            return self.enter(term, None, effects);
+        }
+        let last = self.log.last_index();
+        let Standing::Leader { progress, .. } = &mut self.standing else { return };
+        let Some(peer) = progress.get_mut(&from).filter(|_| term == self.term) else { return };
+        peer.answered = peer.answered.max(Some(sent));
+        peer.stamp = Some(stamp);
+        peer.applied = applied;
+        peer.transfer = peer.transfer.filter(|transfer| !matched || transfer.index > index);
+        if matched {
+            peer.matched = peer.matched.max(index.min(last));
+            peer.next = peer.next.max(peer.matched + 1);
+        } else {
+            peer.matched = peer.matched.min(index);
+            peer.next = index.min(last) + 1;
+        }
+        let behind = peer.next <= last;
+        self.commit_majority(now, effects);
+        self.advance_forced(now);
+        if behind {
+            self.replicate_to(now, &from, effects);
+        }
+    }
+
+    pub(crate) fn on_synced(
+        &mut self,
+        now: Time,
+        term: Term,
+        index: Index,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.log.term(index) == Some(term) {
+            self.synced = self.synced.max(index);
+            self.commit_majority(now, effects);
+        }
+    }
+
+    pub(crate) fn commit_majority(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Standing::Leader { progress, .. } = &self.standing else { return };
+        let voters = progress.iter().filter(|(name, _)| self.is_voter(name));
+        let mut matched: Vec<_> = voters.map(|(_, progress)| progress.matched).collect();
+        matched.push(self.synced);
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(commit) = matched.get(self.majority() - 1).copied() else { return };
+        if commit > self.commit && self.log.term(commit) == Some(self.term) {
+            self.advance_commit(commit, effects);
+            self.replicate(now, effects);
+        }
+    }
+
+    pub(crate) fn advance_forced(&mut self, now: Time) {
+        if let Some(led_at) = self.led_at(now).filter(|_| self.may_grant(now)) {
+            self.view_until = self.view_until.max(led_at + Timing::VIEW_LEASE);
+        }
+        let Standing::Leader { progress, .. } = &self.standing else { return };
+        let holders = progress.values().filter(|progress| now < progress.granted_until);
+        let slowest = holders.map(|progress| progress.applied).min().unwrap_or(self.applied);
+        self.forced = self.forced.max(slowest.min(self.applied));
+    }
+}
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -20,24 +20,32 @@
 };
 
 mod effect;
+mod election;
 mod entry;
 mod event;
+mod following;
+mod leading;
+mod limits;
 mod log;
 mod message;
 mod progress;
 mod record;
 mod restored;
 mod role;
+mod snapshot;
+mod snapshots;
 mod stamp;
 mod standing;
 mod state;
 mod timer;
 mod timing;
+mod transfer;
 
 pub use {
-    effect::Effect, entry::Entry, event::Event, log::Log, message::Message, progress::Progress,
-    record::Record, restored::Restored, role::Role, stamp::Stamp, standing::Standing, state::State,
-    timer::Timer, timing::Timing,
+    effect::Effect, entry::Entry, event::Event, limits::Limits, log::Log, message::Message,
+    progress::Progress, record::Record, restored::Restored, role::Role, snapshot::Snapshot,
+    stamp::Stamp, standing::Standing, state::State, timer::Timer, timing::Timing,
+    transfer::Transfer,
 };
 
 /// Number of an election.
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -1,30 +1,56 @@
 use super::*;
 
-/// Entries in memory, from index 1 on.
+/// Entries in memory; those up to an offset are gone, and a snapshot stands for them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Log {
+    offset: Index,
+    /// Term of the entry at `offset`.
+    offset_term: Term,
     entries: VecDeque<Entry>,
 }
 
 impl Log {
+    /// Bytes that an entry takes besides its command, at most.
+    pub const ENTRY_BYTES: usize = 16;
+
+    /// A log that goes on after the entry at `offset`.
+    pub fn new(offset: Index, offset_term: Term, entries: Vec<Entry>) -> Self {
+        Self { offset, offset_term, entries: entries.into() }
+    }
+
+    /// Index of the last entry that is gone.
+    pub fn offset(&self) -> Index {
+        self.offset
+    }
+
     /// Index of the last entry, 0 where there is none.
     pub fn last_index(&self) -> Index {
-        self.entries.len() as Index
+        self.offset + self.entries.len() as Index
     }
 
     /// Term of the last entry, 0 where there is none.
     pub fn last_term(&self) -> Term {
-        self.entries.back().map_or(0, |entry| entry.term)
+        self.entries.back().map_or(self.offset_term, |entry| entry.term)
     }
 
     /// The entry at `index`.
     pub fn get(&self, index: Index) -> Option<&Entry> {
-        self.entries.get(index.checked_sub(1)? as usize)
+        self.entries.get(index.checked_sub(self.offset + 1)? as usize)
     }
 
     /// Term of the entry at `index`; 0 for index 0.
     pub fn term(&self, index: Index) -> Option<Term> {
-        if index == 0 { Some(0) } else { self.get(index).map(|entry| entry.term) }
+        if index == self.offset {
+            return Some(self.offset_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// Index before the first entry of the term that the entry at `index` is of.
+    pub fn before_term(&self, index: Index) -> Index {
+        let term = self.term(index);
+        let before = (self.offset..index).rev().find(|before| self.term(*before) != term);
+        before.unwrap_or(self.offset)
     }
 
     /// Adds an entry at the end.
@@ -34,15 +60,27 @@
 
     /// Drops the entry at `index` and everything after it.
     pub fn truncate(&mut self, index: Index) {
-        self.entries.truncate(index.saturating_sub(1) as usize);
+        self.entries.truncate(index.saturating_sub(self.offset + 1) as usize);
     }
 
-    /// Entries from `first` on, up to `max_bytes` of commands and at least one.
+    /// Drops the entries up to `index`.
+    pub fn compact(&mut self, index: Index) {
+        let Some(term) = self.term(index) else { return };
+        self.entries.drain(..(index - self.offset) as usize);
+        (self.offset, self.offset_term) = (index, term);
+    }
+
+    /// Entries from `first` on.
+    pub fn from(&self, first: Index) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().skip(first.saturating_sub(self.offset + 1) as usize)
+    }
+
+    /// Entries from `first` on, up to `max_bytes` and at least one.
     pub fn slice(&self, first: Index, max_bytes: usize) -> Vec<Entry> {
         let mut bytes = 0;
         let mut entries = Vec::new();
-        for entry in self.entries.iter().skip(first.saturating_sub(1) as usize) {
-            bytes += entry.command.len();
+        for entry in self.from(first) {
+            bytes += entry.command.len() + Self::ENTRY_BYTES;
             if bytes > max_bytes && !entries.is_empty() {
                 break;
             }
@@ -51,9 +89,3 @@
         entries
     }
 }
-
-impl From<Vec<Entry>> for Log {
-    fn from(entries: Vec<Entry>) -> Self {
-        Self { entries: entries.into() }
-    }
-}
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -62,4 +62,35 @@
         /// Member's clock.
         stamp: Stamp,
     },
+    /// Part of a snapshot, for a member that lags behind the log; serves as heartbeat.
+    Chunk {
+        /// Term of the leader.
+        term: Term,
+        /// Index of the snapshot.
+        index: Index,
+        /// Term of the entry at `index`.
+        last_term: Term,
+        /// Bytes of the whole snapshot.
+        size: usize,
+        /// Bytes before `data`.
+        offset: usize,
+        /// Bytes of the snapshot; may be empty.
+        #[serde(with = "serde_bytes")]
+        data: Vec<u8>,
+        /// Leader's clock when it sent this.
+        sent: Time,
+    },
+    /// Answers `Chunk` while the snapshot is not whole.
+    Received {
+        /// Term of the member.
+        term: Term,
+        /// Index of the snapshot.
+        index: Index,
+        /// Bytes that the member has.
+        offset: usize,
+        /// `sent` of the message answered.
+        sent: Time,
+        /// Member's clock.
+        stamp: Stamp,
+    },
 }
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -15,10 +15,20 @@
     pub stamp: Option<Stamp>,
     /// When the last view lease granted to the member has surely run out.
     pub granted_until: Time,
+    /// Snapshot on its way to the member.
+    pub transfer: Option<Transfer>,
 }
 
 impl Progress {
     pub(crate) fn new(next: Index, granted_until: Time) -> Self {
-        Self { matched: 0, next, applied: 0, answered: None, stamp: None, granted_until }
+        Self {
+            matched: 0,
+            next,
+            applied: 0,
+            answered: None,
+            stamp: None,
+            granted_until,
+            transfer: None,
+        }
     }
 }
--- a/crates/quorum/src/record.rs
+++ b/crates/quorum/src/record.rs
@@ -17,4 +17,11 @@
         /// Entries in order.
         entries: Vec<Entry>,
     },
+    /// A snapshot with all entries after it; they replace all entries before.
+    Snapshot {
+        /// The snapshot.
+        snapshot: Snapshot,
+        /// Entries after it, in order.
+        entries: Vec<Entry>,
+    },
 }
--- a/crates/quorum/src/restored.rs
+++ b/crates/quorum/src/restored.rs
@@ -7,6 +7,29 @@
     pub term: Term,
     /// Member voted for in that term.
     pub vote: Option<Name>,
-    /// Entries from index 1 on.
+    /// Last snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Entries after the snapshot, or from index 1 on.
     pub entries: Vec<Entry>,
 }
+
+impl Restored {
+    /// Takes a record that was written later than all before.
+    pub fn take(&mut self, record: Record) {
+        match record {
+            Record::Vote { term, vote } => (self.term, self.vote) = (term, vote),
+            Record::Entries { first, entries } => {
+                self.entries.truncate((first - self.offset() - 1) as usize);
+                self.entries.extend(entries);
+            }
+            Record::Snapshot { snapshot, entries } => {
+                self.snapshot = Some(snapshot);
+                self.entries = entries;
+            }
+        }
+    }
+
+    fn offset(&self) -> Index {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
+    }
+}
--- a/crates/quorum/src/timing.rs
+++ b/crates/quorum/src/timing.rs
@@ -18,6 +18,6 @@
     pub const VIEW_LEASE: Duration = Duration::from_millis(2000);
     /// Added by the leader to leases that others count, for the drift between two clocks.
     pub const DRIFT: Duration = Duration::from_millis(100);
-    /// Most bytes of commands in one message.
-    pub const MAX_APPEND_BYTES: usize = 256 * 1024;
+    /// How long the leader waits for the answer to a part of a snapshot before it sends it again.
+    pub const RESEND: Duration = Duration::from_millis(1000);
 }
--- a/crates/quorum/tests/simulator/oracle.rs
+++ b/crates/quorum/tests/simulator/oracle.rs
@@ -6,6 +6,8 @@
     leaders: BTreeMap<u64, Name>,
     /// Accepted entries, and when the first member applied each.
     accepted: Vec<(Entry, Time)>,
+    /// State after each accepted entry.
+    digests: Vec<u64>,
 }
 
 impl Oracle {
@@ -20,13 +22,23 @@
         let id = host.state.id();
         assert_eq!(index, host.applied + 1, "`{id}` applies with a gap");
         host.applied = index;
+        host.digest = digest(host.digest, &entry);
         if index > self.accepted() {
             self.accepted.push((entry, now));
+            self.digests.push(host.digest);
         } else {
             assert_eq!(entry, self.accepted[index as usize - 1].0, "`{id}` differs at {index}");
         }
     }
 
+    pub fn install(&self, host: &mut Host, snapshot: Snapshot) {
+        let id = host.state.id();
+        assert!(snapshot.index >= host.applied, "`{id}` goes back to a snapshot");
+        host.applied = snapshot.index;
+        host.digest = self.digests[snapshot.index as usize - 1];
+        assert_eq!(snapshot.state, host.encode(), "another state at {}", snapshot.index);
+    }
+
     pub fn check(&mut self, now: Time, hosts: &BTreeMap<Name, Host>) {
         for (name, host) in hosts.iter().filter(|(_, host)| host.up && host.state.leads()) {
             let leader = self.leaders.entry(host.state.term()).or_insert_with(|| name.clone());
@@ -43,3 +55,8 @@
         }
     }
 }
+
+fn digest(former: u64, entry: &Entry) -> u64 {
+    let bytes = entry.command.iter().map(|byte| u64::from(*byte));
+    bytes.fold(former ^ entry.term, |sum, byte| sum.wrapping_mul(0x0100_0000_01b3) ^ byte)
+}
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -1,31 +1,65 @@
-/// A record as it stands in a file: length, checksum, body.
+/// A batch of records as it stands in a file: a prefix, then the body. The prefix has a checksum of
+/// its own, so that a damaged length is told from a frame that is cut short.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Frame<'a> {
     pub(crate) body: &'a [u8],
     pub(crate) rest: &'a [u8],
 }
 
-impl<'a> Frame<'a> {
-    /// Bytes before the body.
-    const PREFIX: usize = 8;
+/// What stands before a body: mark, length, checksum of the body, checksum of these three.
+struct Prefix {
+    length: usize,
+    checksum: u32,
+}
+
+impl Prefix {
+    const MARK: [u8; 4] = *b"svlv";
+    const BYTES: usize = 16;
 
+    fn read(bytes: &[u8], salt: u32) -> Option<Self> {
+        let prefix = bytes.first_chunk::<{ Self::BYTES }>()?;
+        let own = checksum(&prefix[..12], salt).to_le_bytes();
+        if prefix[..4] != Self::MARK || prefix[12..] != own {
+            return None;
+        }
+        let number = |at: usize| {
+            let bytes = prefix[at..].first_chunk::<4>().expect("the prefix holds it");
+            u32::from_le_bytes(*bytes)
+        };
+        Some(Self { length: number(4) as usize, checksum: number(8) })
+    }
+
+    fn write(&self, buffer: &mut Vec<u8>, salt: u32) {
+        let mut prefix = Self::MARK.to_vec();
+        prefix.extend_from_slice(&(self.length as u32).to_le_bytes());
+        prefix.extend_from_slice(&self.checksum.to_le_bytes());
+        buffer.extend_from_slice(&prefix);
+        buffer.extend_from_slice(&checksum(&prefix, salt).to_le_bytes());
+    }
+}
+
+impl<'a> Frame<'a> {
     /// Reads the first frame of `bytes`, `None` where it is cut short or damaged.
-    pub(crate) fn split(bytes: &'a [u8]) -> Option<Self> {
-        let (length, after) = bytes.split_first_chunk::<4>()?;
-        let (checksum, after) = after.split_first_chunk::<4>()?;
-        let (body, rest) = after.split_at_checked(u32::from_le_bytes(*length) as usize)?;
-        let whole = crc32fast::hash(body) == u32::from_le_bytes(*checksum) && !body.is_empty();
-        whole.then_some(Self { body, rest })
+    pub(crate) fn split(bytes: &'a [u8], salt: u32) -> Option<Self> {
+        let prefix = Prefix::read(bytes, salt)?;
+        let (body, rest) = bytes[Prefix::BYTES..].split_at_checked(prefix.length)?;
+        (checksum(body, salt) == prefix.checksum).then_some(Self { body, rest })
     }
 
-    /// Whether a whole frame stands anywhere in `bytes` after its first byte.
-    pub(crate) fn follows(bytes: &[u8]) -> bool {
-        (1..bytes.len().saturating_sub(Self::PREFIX)).any(|i| Frame::split(&bytes[i..]).is_some())
+    /// Whether another frame begins in `bytes` after its first byte.
+    pub(crate) fn follows(bytes: &[u8], salt: u32) -> bool {
+        (1..bytes.len()).any(|at| Prefix::read(&bytes[at..], salt).is_some())
     }
 
-    pub(crate) fn write(buffer: &mut Vec<u8>, body: &[u8]) {
-        buffer.extend_from_slice(&(body.len() as u32).to_le_bytes());
-        buffer.extend_from_slice(&crc32fast::hash(body).to_le_bytes());
+    pub(crate) fn write(buffer: &mut Vec<u8>, body: &[u8], salt: u32) {
+        let prefix = Prefix { length: body.len(), checksum: checksum(body, salt) };
+        prefix.write(buffer, salt);
         buffer.extend_from_slice(body);
     }
 }
+
+fn checksum(bytes: &[u8], salt: u32) -> u32 {
+    let mut hasher = crc32fast::Hasher::new_with_initial(salt);
+    hasher.update(bytes);
+    hasher.finalize()
+}
--- a/crates/store/src/header.rs
+++ b/crates/store/src/header.rs
@@ -1,27 +1,36 @@
 use super::*;
 
-/// First record of a log.
-#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// First frame of a file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Header {
     pub(crate) version: u32,
     pub(crate) daemon: Name,
+    pub(crate) disk: u64,
 }
 
 impl Header {
-    pub(crate) const VERSION: u32 = 1;
+    pub(crate) const VERSION: u32 = 2;
+    /// Salt of the checksums of a header; that of what follows is its own.
+    pub(crate) const SALT: u32 = 0;
 
-    pub(crate) fn check(&self, path: &Path, daemon: &Name) -> Result {
-        let path = path.to_path_buf();
-        if self.version != Self::VERSION {
-            return Err(Error::Version { path, found: self.version, expected: Self::VERSION });
+    /// Reads the header of the file at `path`, and checks that it is for `daemon`.
+    pub(crate) fn read(path: &Path, body: &[u8], daemon: &Name) -> Result<Self> {
+        let damaged = |_| Error::Damaged { path: path.to_path_buf(), offset: 0 };
+        let (found, _) = postcard::take_from_bytes::<u32>(body).map_err(damaged)?;
+        if found != Self::VERSION {
+            let path = path.to_path_buf();
+            return Err(Error::Version { path, found, expected: Self::VERSION });
         }
-        if self.daemon != *daemon {
-            return Err(Error::Foreign {
-                path,
-                found: self.daemon.clone(),
-                expected: daemon.clone(),
-            });
+        let header: Self = postcard::from_bytes(body).map_err(damaged)?;
+        if header.daemon != *daemon {
+            let (path, expected) = (path.to_path_buf(), daemon.clone());
+            return Err(Error::Foreign { path, found: header.daemon, expected });
         }
-        Ok(())
+        Ok(header)
+    }
+
+    /// Salt of the checksums in file `number`, so that no bytes of another file pass for its own.
+    pub(crate) fn salt(&self, number: u64) -> u32 {
+        (self.disk ^ self.disk >> 32 ^ number) as u32
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,6 +1,10 @@
-//! The durable state of a voter: one data folder with an append-only log of checksummed records.
-//! Nothing counts as kept before [`Store::sync`] has returned. A torn tail, as a crash leaves it,
-//! is cut; damage before the tail is reported and the store refuses to open.
+//! The durable state of a voter: one data folder with an append-only log of checksummed frames, each
+//! a batch of records. Nothing counts as kept before [`Store::sync`] has returned. A snapshot starts
+//! a new log, written whole beside the present one and renamed, which then replaces it.
+//!
+//! A crash leaves at most one frame cut short at the end, since each is on disk before the next is
+//! written; it is cut off. A bad frame with another after it is damage, and the store refuses to
+//! open.
 
 use {
     derive_more::{Display, Error},
@@ -15,12 +19,13 @@
 };
 
 mod error;
+mod folder;
 mod frame;
 mod header;
 mod store;
 
 pub use {error::Error, store::Store};
-use {frame::Frame, header::Header};
+use {folder::Folder, frame::Frame, header::Header};
 
 /// Result of this crate's fallible functions.
 pub type Result<T = (), E = Error> = std::result::Result<T, E>;
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -3,99 +3,133 @@
 /// An open data folder.
 #[derive(Debug)]
 pub struct Store {
-    path: PathBuf,
+    folder: Folder,
+    header: Header,
+    /// Number of the log in use.
+    number: u64,
     file: File,
-    buffer: Vec<u8>,
+    /// Records that were not written yet.
+    batch: Vec<Record>,
+    /// Last vote, which the next log begins with.
+    vote: Option<Record>,
+    failed: bool,
 }
 
 impl Store {
-    const LOG: &str = "log";
-
-    /// Opens `folder` for `daemon`, creating it where it is missing, and reads what it holds.
-    pub fn open(folder: &Path, daemon: &Name) -> Result<(Self, Restored)> {
-        fs::create_dir_all(folder).map_err(Error::file(folder))?;
-        let path = folder.join(Self::LOG);
-        let fresh = !path.exists();
-        let file = OpenOptions::new().create(true).append(true).read(true).open(&path);
-        let file = file.map_err(Error::file(&path))?;
-        let mut store = Self { path, file, buffer: Vec::new() };
-        let restored = store.read(daemon)?;
-        if fresh {
-            let folder_file = File::open(folder).map_err(Error::file(folder))?;
-            folder_file.sync_all().map_err(Error::file(folder))?;
+    /// Opens `folder` for `daemon`, and reads what it holds. An empty folder becomes that of a new
+    /// disk, which `disk` identifies.
+    pub fn open(folder: &Path, daemon: &Name, disk: u64) -> Result<(Self, Restored)> {
+        let folder = Folder::open(folder)?;
+        match folder.logs()?.last() {
+            Some(number) => Self::reopen(folder, daemon, *number),
+            None => Self::create(folder, daemon, disk),
         }
-        Ok((store, restored))
     }
 
-    /// Writes `record`; it is kept once [`Store::sync`] has returned.
-    pub fn append(&mut self, record: &Record) -> Result {
-        self.write(record)
+    /// Identity of the disk.
+    pub fn disk(&self) -> u64 {
+        self.header.disk
     }
 
-    /// Waits until everything written is on disk. A failure is final for the process.
+    /// Takes `record`; it is kept once [`Store::sync`] has returned.
+    pub fn append(&mut self, record: Record) {
+        self.batch.push(record);
+    }
+
+    /// Waits until everything taken is on disk. A failure is final for the process.
     pub fn sync(&mut self) -> Result {
-        self.file.write_all(&self.buffer).map_err(Error::file(&self.path))?;
-        self.buffer.clear();
-        self.file.sync_data().map_err(Error::file(&self.path))
+        if self.failed {
+            return Err(Error::Ended { path: self.folder.log(self.number) });
+        }
+        let batch = std::mem::take(&mut self.batch);
+        let result = self.write(batch);
+        self.failed = result.is_err();
+        result
     }
 
-    fn write<T: Serialize>(&mut self, value: &T) -> Result {
-        let encoded = postcard::to_stdvec(value);
-        let body = encoded.map_err(|source| Error::Encode { path: self.path.clone(), source })?;
-        Frame::write(&mut self.buffer, &body);
-        Ok(())
+    fn create(folder: Folder, daemon: &Name, disk: u64) -> Result<(Self, Restored)> {
+        let header = Header { version: Header::VERSION, daemon: daemon.clone(), disk };
+        let number = 1;
+        let bytes = encode(&folder.log(number), &header, number, &[])?;
+        let file = folder.create(number, &bytes)?;
+        let store =
+            Self { folder, header, number, file, batch: Vec::new(), vote: None, failed: false };
+        Ok((store, Restored::default()))
     }
 
-    fn read(&mut self, daemon: &Name) -> Result<Restored> {
-        let bytes = fs::read(&self.path).map_err(Error::file(&self.path))?;
+    fn reopen(folder: Folder, daemon: &Name, number: u64) -> Result<(Self, Restored)> {
+        let path = folder.log(number);
+        let bytes = fs::read(&path).map_err(Error::file(&path))?;
+        let damaged = |offset| Error::Damaged { path: path.clone(), offset };
+        let first = Frame::split(&bytes, Header::SALT).ok_or_else(|| damaged(0))?;
+        let header = Header::read(&path, first.body, daemon)?;
+        let salt = header.salt(number);
         let mut restored = Restored::default();
-        let mut rest = bytes.as_slice();
-        let mut first = true;
-        while let Some(frame) = Frame::split(rest) {
+        let mut rest = first.rest;
+        while let Some(frame) = Frame::split(rest, salt) {
             let offset = (bytes.len() - rest.len()) as u64;
-            if first {
-                self.decode::<Header>(frame.body, offset)?.check(&self.path, daemon)?;
-            } else {
-                restore(&mut restored, self.decode(frame.body, offset)?);
-            }
-            first = false;
+            let batch = postcard::from_bytes::<Vec<Record>>(frame.body);
+            batch
+                .map_err(|_| damaged(offset))?
+                .into_iter()
+                .for_each(|record| restored.take(record));
             rest = frame.rest;
         }
-        self.cut(bytes.len() - rest.len(), rest)?;
-        if first {
-            self.write(&Header { version: Header::VERSION, daemon: daemon.clone() })?;
-            self.sync()?;
+        let length = (bytes.len() - rest.len()) as u64;
+        if Frame::follows(rest, salt) {
+            return Err(damaged(length));
         }
-        Ok(restored)
+        let file = OpenOptions::new().append(true).open(&path).map_err(Error::file(&path))?;
+        if !rest.is_empty() {
+            file.set_len(length).map_err(Error::file(&path))?;
+            file.sync_all().map_err(Error::file(&path))?;
+        }
+        folder.tidy(number)?;
+        let vote = Some(Record::Vote { term: restored.term, vote: restored.vote.clone() });
+        let store = Self { folder, header, number, file, batch: Vec::new(), vote, failed: false };
+        Ok((store, restored))
     }
 
-    fn decode<T: for<'a> Deserialize<'a>>(&self, body: &[u8], offset: u64) -> Result<T> {
-        let path = self.path.clone();
-        postcard::from_bytes(body).map_err(|_| Error::Damaged { path, offset })
+    fn write(&mut self, batch: Vec<Record>) -> Result {
+        let last_vote = batch.iter().rfind(|record| matches!(record, Record::Vote { .. }));
+        self.vote = last_vote.cloned().or(self.vote.take());
+        let snapshot = batch.iter().rposition(|record| matches!(record, Record::Snapshot { .. }));
+        match snapshot {
+            Some(first) => self.start_log(&batch[first..]),
+            None => self.extend_log(&batch),
+        }
     }
 
-    /// Cuts a torn tail; a tail with a whole record in it is damage.
-    fn cut(&mut self, length: usize, tail: &[u8]) -> Result {
-        if tail.is_empty() {
-            return Ok(());
-        }
-        if Frame::follows(tail) {
-            return Err(Error::Damaged { path: self.path.clone(), offset: length as u64 });
-        }
-        self.file.set_len(length as u64).map_err(Error::file(&self.path))?;
-        self.file.sync_all().map_err(Error::file(&self.path))
+    fn extend_log(&mut self, batch: &[Record]) -> Result {
+        let path = self.folder.log(self.number);
+        let mut bytes = Vec::new();
+        write(&path, &mut bytes, &batch, self.header.salt(self.number))?;
+        self.file.write_all(&bytes).map_err(Error::file(&path))?;
+        self.file.sync_data().map_err(Error::file(&path))
     }
-}
 
-fn restore(restored: &mut Restored, record: Record) {
-    match record {
-        Record::Vote { term, vote } => {
-            restored.term = term;
-            restored.vote = vote;
-        }
-        Record::Entries { first, entries } => {
-            restored.entries.truncate(first as usize - 1);
-            restored.entries.extend(entries);
-        }
+    /// Starts a new log with a snapshot, which replaces the present log.
+    fn start_log(&mut self, batch: &[Record]) -> Result {
+        let number = self.number + 1;
+        let records: Vec<_> = batch.iter().chain(&self.vote).collect();
+        let bytes = encode(&self.folder.log(number), &self.header, number, &records)?;
+        self.file = self.folder.create(number, &bytes)?;
+        self.number = number;
+        self.folder.tidy(number)
     }
 }
+
+/// A whole log: header, and `records` in one frame.
+fn encode(path: &Path, header: &Header, number: u64, records: &[&Record]) -> Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    write(path, &mut bytes, header, Header::SALT)?;
+    write(path, &mut bytes, &records, header.salt(number))?;
+    Ok(bytes)
+}
+
+fn write<T: Serialize>(path: &Path, bytes: &mut Vec<u8>, value: &T, salt: u32) -> Result {
+    let encoded = postcard::to_stdvec(value);
+    let body = encoded.map_err(|source| Error::Encode { path: path.to_path_buf(), source })?;
+    Frame::write(bytes, &body, salt);
+    Ok(())
+}
--- /dev/null
+++ b/crates/store/tests/store.rs
@@ -0,0 +1,215 @@
+//! What a data folder keeps, and what it says when it cannot.
+
+use {
+    quorum::{Entry, Record, Restored, Snapshot},
+    std::{
+        fs,
+        os::unix::fs::symlink,
+        path::{Path, PathBuf},
+    },
+    store::{Error, Store},
+    tempfile::TempDir,
+};
+
+fn folder() -> TempDir {
+    tempfile::tempdir().expect("a folder can be made")
+}
+
+fn open(folder: &TempDir) -> store::Result<(Store, Restored)> {
+    Store::open(folder.path(), &"a".into(), 7)
+}
+
+fn entry(term: u64, text: &str) -> Entry {
+    Entry { term, command: text.into() }
+}
+
+fn entries(first: u64, texts: &[&str]) -> Record {
+    let entries = texts.iter().map(|text| entry(1, text)).collect();
+    Record::Entries { first, entries }
+}
+
+fn vote(term: u64) -> Record {
+    Record::Vote { term, vote: Some("b".into()) }
+}
+
+fn snapshot(index: u64, entries: Vec<Entry>) -> Record {
+    Record::Snapshot { snapshot: Snapshot { index, term: 1, state: b"state".into() }, entries }
+}
+
+/// Writes each record with a sync of its own.
+fn write(folder: &TempDir, records: impl IntoIterator<Item = Record>) {
+    let (mut store, _) = open(folder).expect("the folder opens");
+    for record in records {
+        store.append(record);
+        store.sync().expect("the record is kept");
+    }
+}
+
+fn commands(restored: &Restored) -> Vec<&str> {
+    let commands = restored.entries.iter().map(|entry| std::str::from_utf8(&entry.command));
+    commands.map(|command| command.expect("commands are text")).collect()
+}
+
+fn log(folder: &TempDir) -> PathBuf {
+    let files = fs::read_dir(folder.path()).expect("the folder can be read");
+    let files: Vec<_> = files.map(|file| file.expect("the file can be seen").path()).collect();
+    assert_eq!(files.len(), 1, "{files:?}");
+    files[0].clone()
+}
+
+fn flip(path: &Path, at: usize) {
+    let mut bytes = fs::read(path).expect("the log can be read");
+    bytes[at] ^= 1;
+    fs::write(path, bytes).expect("the log can be written");
+}
+
+#[test]
+fn what_was_synced_is_there_again() {
+    let folder = folder();
+    write(&folder, [vote(3), entries(1, &["x", "y", "z"]), entries(2, &["w"])]);
+    let (store, restored) = open(&folder).expect("the folder opens");
+    assert_eq!((restored.term, restored.vote.as_deref()), (3, Some("b")));
+    assert_eq!(commands(&restored), ["x", "w"]);
+    assert_eq!(store.disk(), 7);
+}
+
+#[test]
+fn a_snapshot_replaces_the_log() {
+    let folder = folder();
+    let after = vec![entry(1, "z")];
+    write(&folder, [vote(3), entries(1, &["x", "y", "z"]), snapshot(2, after), entries(4, &["w"])]);
+    assert!(log(&folder).ends_with("log-0000000002"));
+    let (_, restored) = open(&folder).expect("the folder opens");
+    assert_eq!(restored.term, 3);
+    assert_eq!(restored.snapshot.as_ref().map(|snapshot| snapshot.index), Some(2));
+    assert_eq!(commands(&restored), ["z", "w"]);
+}
+
+#[test]
+fn a_snapshot_in_a_batch_keeps_the_vote_before_and_the_entries_after() {
+    let folder = folder();
+    let (mut store, _) = open(&folder).expect("the folder opens");
+    for record in [vote(5), entries(1, &["x"]), snapshot(1, Vec::new()), entries(2, &["y"])] {
+        store.append(record);
+    }
+    store.sync().expect("the batch is kept");
+    drop(store);
+    let (_, restored) = open(&folder).expect("the folder opens");
+    assert_eq!((restored.term, commands(&restored)), (5, vec!["y"]));
+}
+
+#[test]
+fn what_a_crash_left_beside_the_log_is_removed() {
+    let folder = folder();
+    write(&folder, [entries(1, &["x"]), snapshot(1, Vec::new())]);
+    let stale = folder.path().join("log-0000000001");
+    let unfinished = folder.path().join("log-0000000003.tmp");
+    fs::write(&stale, "former").expect("the file can be made");
+    fs::write(&unfinished, "half").expect("the file can be made");
+    let (_, restored) = open(&folder).expect("the folder opens");
+    assert_eq!(restored.snapshot.map(|snapshot| snapshot.index), Some(1));
+    assert!(!stale.exists() && !unfinished.exists());
+}
+
+#[test]
+fn a_torn_tail_is_cut_at_every_length() {
+    let folder = folder();
+    write(&folder, [entries(1, &["x"])]);
+    let kept = fs::read(log(&folder)).expect("the log can be read").len();
+    write(&folder, [entries(2, &["y"])]);
+    let bytes = fs::read(log(&folder)).expect("the log can be read");
+    for length in kept..bytes.len() {
+        fs::write(log(&folder), &bytes[..length]).expect("the log can be written");
+        let (mut store, restored) = open(&folder).expect("the folder opens");
+        assert_eq!(commands(&restored), ["x"], "cut to {length} bytes");
+        store.append(entries(2, &["z"]));
+        store.sync().expect("the record is kept");
+        drop(store);
+        let (_, restored) = open(&folder).expect("the folder opens");
+        assert_eq!(commands(&restored), ["x", "z"], "cut to {length} bytes");
+    }
+}
+
+#[test]
+fn damage_before_the_last_record_is_refused_at_every_byte() {
+    let folder = folder();
+    write(&folder, [entries(1, &["x"])]);
+    let checked = fs::read(log(&folder)).expect("the log can be read").len();
+    write(&folder, [entries(2, &["y"])]);
+    for at in 0..checked {
+        flip(&log(&folder), at);
+        let error = open(&folder).expect_err("damage is refused");
+        assert!(matches!(error, Error::Damaged { .. }), "byte {at}: {error}");
+        assert!(error.to_string().contains("replace this voter"), "{error}");
+        flip(&log(&folder), at);
+    }
+    assert_eq!(commands(&open(&folder).expect("the folder opens").1), ["x", "y"]);
+}
+
+#[test]
+fn a_command_that_looks_like_a_frame_is_no_damage() {
+    let forged = folder();
+    write(&forged, [entries(1, &["x"]), entries(2, &["y"])]);
+    let forgery = fs::read(log(&forged)).expect("the log can be read");
+    let folder = folder();
+    let (mut store, _) = Store::open(folder.path(), &"a".into(), 8).expect("the folder opens");
+    let entries = vec![Entry { term: 1, command: forgery }];
+    store.append(Record::Entries { first: 1, entries });
+    store.sync().expect("the record is kept");
+    drop(store);
+    let bytes = fs::read(log(&folder)).expect("the log can be read");
+    fs::write(log(&folder), &bytes[..bytes.len() - 1]).expect("the log can be written");
+    let (_, restored) = open(&folder).expect("the folder opens");
+    assert!(restored.entries.is_empty());
+}
+
+#[test]
+fn a_large_torn_tail_is_cut() {
+    let folder = folder();
+    write(&folder, [entries(1, &["x"])]);
+    let mut bytes = fs::read(log(&folder)).expect("the log can be read");
+    bytes.extend(b"svlv".repeat(1024 * 1024));
+    fs::write(log(&folder), &bytes).expect("the log can be written");
+    let (_, restored) = open(&folder).expect("the folder opens");
+    assert_eq!(commands(&restored), ["x"]);
+}
+
+#[test]
+fn a_folder_of_another_daemon_is_refused() {
+    let folder = folder();
+    write(&folder, []);
+    let error = Store::open(folder.path(), &"b".into(), 7).expect_err("it is refused");
+    assert!(matches!(error, Error::Foreign { .. }), "{error}");
+    assert!(error.to_string().ends_with("belongs to daemon `a`, not to `b`"), "{error}");
+}
+
+#[test]
+fn a_folder_of_another_version_is_refused() {
+    let folder = folder();
+    fs::write(folder.path().join("log"), "version 1").expect("the file can be made");
+    let error = open(&folder).expect_err("it is refused");
+    assert!(matches!(error, Error::Version { found: 1, expected: 2, .. }), "{error}");
+}
+
+#[test]
+fn a_folder_in_use_is_refused() {
+    let folder = folder();
+    let _store = open(&folder).expect("the folder opens");
+    let error = open(&folder).expect_err("it is refused");
+    assert!(matches!(error, Error::Locked { .. }), "{error}");
+}
+
+#[test]
+fn a_full_disk_is_reported_and_final() {
+    let folder = folder();
+    let (mut store, _) = open(&folder).expect("the folder opens");
+    let next = folder.path().join("log-0000000002.tmp");
+    symlink("/dev/full", &next).expect("the link can be made");
+    store.append(snapshot(1, Vec::new()));
+    let error = store.sync().expect_err("the disk is full");
+    assert!(matches!(error, Error::Full { .. }), "{error}");
+    fs::remove_file(&next).expect("the link can be removed");
+    store.append(vote(4));
+    let error = store.sync().expect_err("the failure is final");
+    assert!(matches!(error, Error::Ended { .. }), "{error}");
+}
