--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,13 +2,19 @@
 //! start them with.
 
 use {
-    clap::{Parser, Subcommand, ValueEnum},
+    clap::{Parser, Subcommand},
     eyre::{WrapErr, bail, ensure},
+    serde::Serialize,
     std::{
-        env, fs,
-        net::{TcpListener, UdpSocket},
+        collections::BTreeMap,
+        env, fs, io,
+        net::{SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
         process::{Child, Command, ExitCode, Output, Stdio},
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
@@ -18,9 +24,19 @@
 mod daemon;
 mod first_fleet;
 mod fleet;
+mod idle;
+mod leader_kills;
+mod link;
+mod network;
+mod port;
 mod program;
+mod quantiles;
 mod run;
+mod usage;
 mod wait;
 
 use arguments::{Arguments, Experiment};
-pub use {daemon::Daemon, fleet::Fleet, program::Program, run::run, wait::wait_until};
+pub use {
+    daemon::Daemon, fleet::Fleet, network::Network, program::Program, run::run, wait::wait_until,
+};
+use {link::Link, port::Port, quantiles::Quantiles, usage::Usage};
--- a/crates/quorum/src/leading.rs
+++ b/crates/quorum/src/leading.rs
@@ -33,10 +33,8 @@
         };
         let entries = self.log.slice(progress.next, self.limits.message_bytes);
         progress.next += entries.len() as Index;
+        progress.sent = now;
         let echo = progress.stamp.filter(|_| grants);
-        if echo.is_some() {
-            progress.granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
-        }
         let message = Message::Append {
             term: self.term,
             prev_index,
@@ -75,10 +73,21 @@
             return self.step_down(None, effects);
         }
         self.advance_forced(now);
-        self.replicate(now, effects);
+        for to in self.beat_due(now) {
+            self.replicate_to(now, &to, effects);
+        }
         effects.push(Effect::Subscribe { timer: Timer::Heartbeat, after: Timing::HEARTBEAT });
     }
 
+    /// Members that should hear from the leader again.
+    fn beat_due(&self, now: Time) -> Vec<Name> {
+        let Standing::Leader { progress, .. } = &self.standing else { return Vec::new() };
+        let due = progress.iter().filter(|(name, progress)| {
+            self.is_voter(name) || progress.sent + Timing::OBSERVER_HEARTBEAT <= now
+        });
+        due.map(|(name, _)| name.clone()).collect()
+    }
+
     pub(crate) fn on_appended(
         &mut self,
         now: Time,
@@ -97,6 +106,7 @@
         let Some(peer) = progress.get_mut(&from).filter(|_| term == self.term) else { return };
         peer.answered = peer.answered.max(Some(sent));
         peer.stamp = Some(stamp);
+        peer.granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
         peer.applied = applied;
         peer.transfer = peer.transfer.filter(|transfer| !matched || transfer.index > index);
         if matched {
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -9,11 +9,14 @@
     pub next: Index,
     /// Highest index that the member has applied.
     pub applied: Index,
+    /// When the leader last sent a message.
+    pub sent: Time,
     /// When the leader sent the last message that was answered.
     pub answered: Option<Time>,
     /// Member's clock in its last answer.
     pub stamp: Option<Stamp>,
-    /// When the last view lease granted to the member has surely run out.
+    /// When every view lease that the member may hold has surely run out: a lease counts from a
+    /// clock that the member read before the leader heard of it.
     pub granted_until: Time,
     /// Snapshot on its way to the member.
     pub transfer: Option<Transfer>,
@@ -25,6 +28,7 @@
             matched: 0,
             next,
             applied: 0,
+            sent: Time::ZERO,
             answered: None,
             stamp: None,
             granted_until,
--- a/crates/quorum/src/snapshots.rs
+++ b/crates/quorum/src/snapshots.rs
@@ -30,6 +30,7 @@
         let waits = current.is_some_and(|transfer| now < transfer.sent + Timing::RESEND);
         let offset = current.map_or(0, |transfer| transfer.offset);
         let rest = snapshot.state.get(offset..).unwrap_or_default();
+        peer.sent = now;
         let length = if waits { 0 } else { rest.len().min(self.limits.message_bytes) };
         if !waits {
             peer.transfer = Some(Transfer { index, offset, sent: now });
@@ -106,6 +107,7 @@
         peer.answered = peer.answered.max(Some(sent));
         let restarted = peer.stamp.is_some_and(|last| last.boot != stamp.boot);
         peer.stamp = Some(stamp);
+        peer.granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
         let Some(transfer) = peer.transfer.filter(|transfer| transfer.index == index) else {
             return;
         };
