Queue by deadline and weight, and grant slots through a broker per service

Cause: a daemon queued first in, first out up to a fixed length, knew only what it had in flight itself, retried without bound on load and sent to an upstream that failed everything; ten daemons together could send more than an upstream declared.

Ruled out: a broker that renews slots with a lease shorter than the request (an attempt would have to be cut when its daemon is parted from the broker, though requests in flight must complete); slots that a lost broker granted counted as free (granted twice).

Change: `route::Pool` holds the slots of a service and `route::Queue` who waits: tenants by weighted virtual time, then worth for each microsecond of run time, then deadline. A request is refused at once where the backlog ahead and the 75th percentile of run times exceed its deadline, a waiting one when its last chance has passed or a worthier one displaces it; Retry-After is the backlog. Retries are a tenth of the requests at most, elsewhere than the rack that failed. Five failures in a row eject an upstream, 30% of a pool at most, one request on probation. An attempt that outlives its deadline is answered `unknown` at once and keeps its slot. `route::Policy` is the closed set of four. The roster in the log names a broker for each service and term; a new one asks every daemon what it holds and sets aside half of each upstream for a daemon that may not know, until nothing of a former term can be in use. A daemon without a view refuses what waits and starts nothing.

--- a/crates/daemon/src/outbound.rs
+++ b/crates/daemon/src/outbound.rs
@@ -14,8 +14,8 @@
     call: &Call,
     clock: Clock,
 ) -> (route::Report, Option<Answer>) {
-    let Some(left) = attempt.deadline.checked_sub(clock.now()).filter(|left| !left.is_zero())
-    else {
+    let now = clock.now();
+    let Some(left) = attempt.deadline.checked_sub(now).filter(|_| now < attempt.lease) else {
         return (route::Report::NotSent, None);
     };
     match exchange(attempt, call, left) {
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -5,6 +5,6 @@
 pub enum Command {
     /// Concerns the fleet.
     Fleet(fleet::Command),
-    /// Concerns claims.
+    /// Concerns dispatch.
     Route(route::Command),
 }
--- a/crates/node/src/outcome.rs
+++ b/crates/node/src/outcome.rs
@@ -5,6 +5,6 @@
 pub enum Outcome {
     /// Concerns the fleet.
     Fleet(fleet::Effect),
-    /// Concerns claims.
-    Route(route::Verdict),
+    /// Concerns dispatch.
+    Route(route::Decision),
 }
--- a/crates/node/src/proposals.rs
+++ b/crates/node/src/proposals.rs
@@ -19,6 +19,10 @@
         Self { origin, boot, sequence: 0, pending: BTreeMap::new() }
     }
 
+    pub(crate) fn boot(&self) -> u64 {
+        self.boot
+    }
+
     /// Makes a proposal of `command`, and keeps it until it is applied.
     pub(crate) fn make(&mut self, now: Time, command: Command, caller: Option<Caller>) -> Proposal {
         self.sequence += 1;
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -7,8 +7,8 @@
     pub applied: Index,
     /// The fleet.
     pub fleet: fleet::State,
-    /// Claims of non-idempotent requests.
-    pub claims: route::Claims,
+    /// Dispatch.
+    pub route: route::Ledger,
 }
 
 impl Replica {
@@ -17,7 +17,7 @@
         self.applied = index;
         match command {
             Command::Fleet(command) => into_outcomes(self.fleet.apply(command)),
-            Command::Route(command) => into_outcomes(self.claims.apply(command)),
+            Command::Route(command) => into_outcomes(self.route.apply(command)),
         }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -31,7 +31,7 @@
             proposals: Proposals::new(id.clone(), boot),
             quorum,
             replica: Replica::default(),
-            route: route::State::new(id.clone(), boot),
+            route: route::State::new(id.clone(), boot, route::Policy::default()),
             id,
             heard: BTreeSet::new(),
             leases: Leases::default(),
@@ -234,17 +234,17 @@
         let proposal = postcard::from_bytes::<Proposal>(&entry.command);
         let proposal = proposal.expect("committed entries decode: the leader encoded them");
         let caller = self.proposals.finish(&proposal);
-        let clock = self.replica.claims.clock();
+        let clock = self.replica.route.claims.clock();
         let outcomes = self.replica.apply(index, proposal.command);
-        if self.replica.claims.clock() != clock {
+        if self.replica.route.claims.clock() != clock {
             self.ticked = now;
         }
         self.reply(index, caller, &outcomes, effects);
         for outcome in outcomes {
             match outcome {
                 Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
-                Outcome::Route(verdict) => {
-                    self.route(now, route::Event::Decided(verdict), effects);
+                Outcome::Route(decision) => {
+                    self.route(now, route::Event::Decided(decision), effects);
                 }
             }
         }
@@ -319,6 +319,7 @@
         self.pass_on_heard(now, effects);
         self.lapse(now, effects);
         self.tick(now, effects);
+        self.enrol(now, effects);
         self.give_up(now, effects);
         self.repeat(now, Proposals::REPEAT, effects);
     }
@@ -357,14 +358,30 @@
     /// Moves log time on, where there are claims that grow old.
     fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let passed = now - self.ticked;
-        if !self.quorum.leads() || self.replica.claims.is_empty() || passed < TICK {
+        let claims = &self.replica.route.claims;
+        if !self.quorum.leads() || claims.is_empty() || passed < TICK {
             return;
         }
-        let from = self.replica.claims.clock();
+        let from = claims.clock();
         let command = route::Command::Tick { from, to: from + passed };
         self.propose(now, command.into(), None, effects);
     }
 
+    /// Keeps the roster: this daemon joins, and as the leader it parts those without a view.
+    fn enrol(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let roster = self.replica.route.roster.clone();
+        let (daemon, boot) = (self.id.clone(), self.proposals.boot());
+        if self.view && !roster.contains(&daemon, boot) {
+            let command = route::Command::Join { daemon, boot };
+            self.propose(now, command.into(), None, effects);
+        }
+        for daemon in self.quorum.without_view(now) {
+            let Some(boot) = roster.daemons().get(&daemon).copied() else { continue };
+            let command = route::Command::Part { daemon, boot };
+            self.propose(now, command.into(), None, effects);
+        }
+    }
+
     fn give_up(&mut self, now: Time, effects: &mut Vec<Effect>) {
         for caller in self.proposals.give_up(now) {
             effects.push(match caller {
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -80,6 +80,13 @@
         self.leader.as_ref()
     }
 
+    /// Members whose view lease has surely run out, as far as a leader knows.
+    pub fn without_view(&self, now: Time) -> Vec<Name> {
+        let Standing::Leader { progress, .. } = &self.standing else { return Vec::new() };
+        let lapsed = progress.iter().filter(|(_, progress)| progress.granted_until <= now);
+        lapsed.map(|(member, _)| member.clone()).collect()
+    }
+
     /// Whether this member leads.
     pub fn leads(&self) -> bool {
         matches!(self.standing, Standing::Leader { .. })
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -13,4 +13,6 @@
     pub address: Name,
     /// Time at which the caller no longer needs the answer.
     pub deadline: Time,
+    /// Time at which it may no longer connect.
+    pub lease: Time,
 }
--- a/crates/route/src/claiming.rs
+++ b/crates/route/src/claiming.rs
@@ -10,7 +10,8 @@
 
 impl State {
     /// Has the log decide whether `request` runs for the first time.
-    pub(crate) fn claim(&mut self, request: &Request, key: &Name, effects: &mut Vec<Effect>) {
+    pub(crate) fn claim(&self, request: &Request, effects: &mut Vec<Effect>) {
+        let Some(key) = &request.key else { return };
         let claim = Claim {
             key: key.clone(),
             tenant: request.tenant.clone(),
@@ -58,6 +59,7 @@
         match message {
             Message::Ask(question) => self.tell(now, from, question, effects),
             Message::Tell { question, fate } => self.told(now, &from, question, fate, effects),
+            Message::Slots(parcel) => self.unpack(now, from, parcel, effects),
         }
     }
 
--- a/crates/route/src/claims.rs
+++ b/crates/route/src/claims.rs
@@ -26,21 +26,6 @@
     /// Claims kept at once; further ones are refused.
     pub const MAX_CLAIMS: usize = 262_144;
 
-    /// Applies a command from the log.
-    pub fn apply(&mut self, command: Command) -> Option<Verdict> {
-        match command {
-            Command::Claim(claim) => self.claim(claim),
-            Command::Release(claim) => {
-                self.release(&claim);
-                None
-            }
-            Command::Tick { from, to } => {
-                self.tick(from, to);
-                None
-            }
-        }
-    }
-
     /// Log time.
     pub fn clock(&self) -> Duration {
         self.clock
@@ -61,7 +46,7 @@
         self.held.get(key).map(|entry| &entry.claim)
     }
 
-    fn claim(&mut self, claim: Claim) -> Option<Verdict> {
+    pub(crate) fn claim(&mut self, claim: Claim) -> Option<Verdict> {
         let ruling = match self.held.get(&claim.key) {
             Some(entry) if entry.claim.same_holder(&claim) => return None,
             Some(entry) => entry
@@ -84,7 +69,7 @@
         self.held.insert(key, Entry { claim, sequence, at });
     }
 
-    fn release(&mut self, claim: &Claim) {
+    pub(crate) fn release(&mut self, claim: &Claim) {
         let Some(entry) = self.held.get(&claim.key) else { return };
         if !entry.claim.same_holder(claim) {
             return;
@@ -93,7 +78,7 @@
         self.held.remove(&claim.key);
     }
 
-    fn tick(&mut self, from: Duration, to: Duration) {
+    pub(crate) fn tick(&mut self, from: Duration, to: Duration) {
         if from != self.clock || to < from {
             return;
         }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -12,8 +12,8 @@
         /// How it ended.
         report: Report,
     },
-    /// The log decided on a claim.
-    Decided(Verdict),
+    /// The log decided on a claim, or on who dispatches.
+    Decided(Decision),
     /// Another daemon sent a message.
     Message {
         /// The daemon.
--- a/crates/route/src/fingerprint.rs
+++ b/crates/route/src/fingerprint.rs
@@ -1,4 +1,4 @@
-use {super::*, std::hash::Hasher, twox_hash::XxHash64};
+use {super::*, std::hash::Hasher};
 
 /// Hashes of a request, the same on every daemon.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/route/src/ledger.rs
@@ -0,0 +1,35 @@
+use super::*;
+
+/// What the replicated log determines of dispatch, the same on every daemon.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Claims of non-idempotent requests.
+    pub claims: Claims,
+    /// Daemons that dispatch.
+    pub roster: Arc<Roster>,
+}
+
+impl Ledger {
+    /// Applies a command from the log.
+    pub fn apply(&mut self, command: Command) -> Option<Decision> {
+        match command {
+            Command::Claim(claim) => self.claims.claim(claim).map(Decision::Claim),
+            Command::Release(claim) => {
+                self.claims.release(&claim);
+                None
+            }
+            Command::Tick { from, to } => {
+                self.claims.tick(from, to);
+                None
+            }
+            Command::Join { daemon, boot } => {
+                let changed = Arc::make_mut(&mut self.roster).join(daemon, boot);
+                changed.then(|| Decision::Roster(self.roster.clone()))
+            }
+            Command::Part { daemon, boot } => {
+                let changed = Arc::make_mut(&mut self.roster).part(daemon, boot);
+                changed.then(|| Decision::Roster(self.roster.clone()))
+            }
+        }
+    }
+}
--- a/crates/route/src/message.rs
+++ b/crates/route/src/message.rs
@@ -12,4 +12,6 @@
         /// What became of it.
         fate: Fate,
     },
+    /// Slots are asked for, granted and given back.
+    Slots(Parcel),
 }
--- a/crates/route/src/pending.rs
+++ b/crates/route/src/pending.rs
@@ -4,11 +4,18 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Pending {
     pub(crate) request: Request,
+    /// Number of its service's desk.
+    pub(crate) desk: usize,
     pub(crate) idempotent: bool,
     pub(crate) deadline: Time,
-    pub(crate) attempts: u32,
+    /// Slots that it had before.
+    pub(crate) turn: u32,
+    /// Rack where the last attempt failed.
+    pub(crate) avoid: Option<Name>,
+    /// When it last asked for a slot.
+    pub(crate) sought: Time,
     pub(crate) phase: Phase,
-    /// Claim that it holds or wants.
+    /// Claim that it holds.
     pub(crate) claim: Option<Claim>,
     /// Daemons that want to know what becomes of it.
     pub(crate) askers: Vec<(Name, Question)>,
@@ -24,4 +31,19 @@
             self.askers.push(asker);
         }
     }
+
+    pub(crate) fn ticket(&self) -> Ticket {
+        Ticket { request: self.request.id, turn: self.turn }
+    }
+
+    /// What it asks of whoever grants slots.
+    pub(crate) fn want(&self, now: Time) -> Want {
+        Want {
+            ticket: self.ticket(),
+            kind: self.request.kind.clone(),
+            tenant: self.request.tenant.clone(),
+            left: self.deadline.saturating_sub(now),
+            avoid: self.avoid.clone(),
+        }
+    }
 }
--- a/crates/route/src/reason.rs
+++ b/crates/route/src/reason.rs
@@ -16,6 +16,9 @@
     /// The queue of the service is full.
     #[display("queue is full")]
     QueueFull,
+    /// More waits than can be answered by the deadline.
+    #[display("it could not be answered in time")]
+    Overloaded,
     /// It waited for a slot until its deadline.
     #[display("no slot was free in time")]
     NoSlot,
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -12,6 +12,9 @@
     /// The upstream said that it did not run the request.
     #[display("refused by the upstream")]
     Refused,
+    /// The slot was not used.
+    #[display("slot not used")]
+    Unused,
     /// The request may have run; no whole answer came.
     #[display("no whole answer")]
     Broken,
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -1,61 +1,77 @@
 use super::*;
 
-/// Attempts that one request may use.
-const MAX_ATTEMPTS: u32 = 3;
-
-/// When a caller that was refused should come back.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Requests of one daemon and what it knows of the upstreams.
 #[derive(Debug)]
 pub struct State {
     pub(crate) id: Name,
     pub(crate) boot: u64,
-    config: Arc<Config>,
-    view: bool,
+    pub(crate) policy: Policy,
+    pub(crate) born: Option<Time>,
+    pub(crate) config: Arc<Config>,
+    pub(crate) roster: Arc<Roster>,
+    pub(crate) view: bool,
     stopping: bool,
-    next_attempt: AttemptId,
-    upstreams: BTreeMap<Name, Upstream>,
+    pub(crate) next_attempt: AttemptId,
     pub(crate) pending: Map<RequestId, Pending>,
     pub(crate) settled: Settled,
-    attempts: Map<AttemptId, Attempt>,
-    queues: BTreeMap<Name, VecDeque<RequestId>>,
+    pub(crate) flights: Map<AttemptId, Flight>,
+    pub(crate) desks: Vec<Desk>,
+    services: Map<Name, usize>,
+    pub(crate) owners: Owners,
+    pub(crate) parted: Map<Name, Time>,
+    pub(crate) outbox: Outbox,
+    pub(crate) resending: bool,
 }
 
+/// Slots that one request may use.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// When a caller that was refused for another reason than load should come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl State {
     /// The dispatcher of the daemon `id`; `boot` differs between any two starts.
-    pub fn new(id: Name, boot: u64) -> Self {
+    pub fn new(id: Name, boot: u64, policy: Policy) -> Self {
         Self {
+            owners: Owners::new(id.clone(), boot),
             id,
             boot,
+            policy,
+            born: None,
             config: Arc::default(),
+            roster: Arc::default(),
             view: false,
             stopping: false,
             next_attempt: 0,
-            upstreams: BTreeMap::new(),
             pending: Map::default(),
             settled: Settled::default(),
-            attempts: Map::default(),
-            queues: BTreeMap::new(),
+            flights: Map::default(),
+            desks: Vec::new(),
+            services: Map::default(),
+            parted: Map::default(),
+            outbox: Outbox::default(),
+            resending: false,
         }
     }
 
     /// Takes one event, and says what is to be done.
     pub fn reduce(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.born.get_or_insert(now);
         match event {
             Event::Arrive(request) => self.arrive(now, request, &mut effects),
             Event::Done { attempt, report } => self.done(now, attempt, report, &mut effects),
-            Event::Decided(verdict) => self.decided(now, verdict, &mut effects),
+            Event::Decided(Decision::Claim(verdict)) => self.decided(now, verdict, &mut effects),
+            Event::Decided(Decision::Roster(roster)) => self.enrol(now, roster, &mut effects),
             Event::Message { from, message } => self.message(now, from, message, &mut effects),
-            Event::Timer(Timer::Deadline(request)) => self.expire(now, request, &mut effects),
-            Event::Timer(Timer::Ask(resend)) => self.ask_again(now, resend, &mut effects),
-            Event::Configured(config) => self.config = config,
-            Event::Serving(announcement) => self.serve(announcement, &mut effects),
+            Event::Timer(timer) => self.on_timer(now, timer, &mut effects),
+            Event::Configured(config) => self.configure(config),
+            Event::Serving(announcement) => self.serve(now, announcement, &mut effects),
             Event::Gone(instance) => self.gone(&instance),
-            Event::View(view) => self.view = view,
+            Event::View(view) => self.look(now, view, &mut effects),
             Event::Stop => self.stopping = true,
         }
+        self.outbox.flush(now, self.boot, &self.desks, &mut effects);
         effects
     }
 
@@ -64,38 +80,66 @@
         self.pending.len()
     }
 
+    /// Slots that this daemon has granted, for every service whose broker it is.
+    pub fn granted(&self) -> usize {
+        self.desks.iter().map(|desk| desk.pool.granted()).sum()
+    }
+
+    fn on_timer(&mut self, now: Time, timer: Timer, effects: &mut Vec<Effect>) {
+        match timer {
+            Timer::Deadline(request) => self.expire(now, request, effects),
+            Timer::Ask(resend) => self.ask_again(now, resend, effects),
+            Timer::Pool(desk) => {
+                self.desks[desk].wakes = None;
+                self.pump(now, desk, effects);
+            }
+            Timer::Resend => self.resend(now, effects),
+            Timer::Flush => self.outbox.wake(),
+        }
+    }
+
     fn arrive(&mut self, now: Time, request: Request, effects: &mut Vec<Effect>) {
-        let pending = match self.accept(now, &request) {
+        let pending = match self.accept(now, request) {
             Ok(pending) => pending,
-            Err(outcome) => return effects.push(Effect::Answer { request: request.id, outcome }),
+            Err((request, outcome)) => return effects.push(Effect::Answer { request, outcome }),
         };
-        let (id, timer) = (request.id, Timer::Deadline(request.id));
-        effects.push(Effect::Subscribe { timer, after: pending.deadline - now });
+        let id = pending.request.id;
+        let after = pending.deadline - now;
+        effects.push(Effect::Subscribe { timer: Timer::Deadline(id), after });
         let claims = pending.phase == Phase::Claiming;
+        if claims {
+            self.claim(&pending.request, effects);
+        }
         self.pending.insert(id, pending);
-        match &request.key {
-            Some(key) if claims => self.claim(&request, key, effects),
-            _ => self.enqueue(now, id, effects),
+        if !claims {
+            self.enqueue(now, id, effects);
         }
     }
 
     /// A request on its way, or what its caller learns at once.
-    fn accept(&self, now: Time, request: &Request) -> Result<Pending, Outcome> {
+    fn accept(&mut self, now: Time, request: Request) -> Result<Pending, (RequestId, Outcome)> {
+        let id = request.id;
         let kind = self.config.kinds.get(&request.kind);
         let claims = request.key.is_some() && !kind.is_some_and(|kind| kind.idempotent);
         if self.stopping || !self.view {
             let reason = if self.stopping { Reason::Stopping } else { Reason::NoView };
-            return Err(if claims { Outcome::Unknown(reason) } else { not_run(reason) });
+            let outcome = if claims { Outcome::Unknown(reason) } else { not_run(reason) };
+            return Err((id, outcome));
         }
         if !self.config.services.contains_key(&request.service) {
-            return Err(not_run(Reason::UnknownService));
+            return Err((id, not_run(Reason::UnknownService)));
         }
-        let kind = kind.ok_or(not_run(Reason::UnknownKind))?;
+        let Some(kind) = kind else { return Err((id, not_run(Reason::UnknownKind))) };
+        let (idempotent, longest) = (kind.idempotent, kind.deadline);
+        let desk = self.desk(now, &request.service);
         Ok(Pending {
-            request: request.clone(),
-            idempotent: kind.idempotent,
-            deadline: now + request.patience.unwrap_or(kind.deadline).min(kind.deadline),
-            attempts: 0,
+            deadline: now + request.patience.unwrap_or(longest).min(longest),
+            request,
+            desk,
+            idempotent,
+            turn: 0,
+            avoid: None,
+            sought: now,
             phase: if claims { Phase::Claiming } else { Phase::Waiting },
             claim: None,
             askers: Vec::new(),
@@ -106,14 +150,65 @@
     pub(crate) fn enqueue(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         pending.phase = Phase::Waiting;
-        let service = pending.request.service.clone();
-        let most = self.config.services.get(&service).map_or(0, |service| service.queue as usize);
-        let queue = self.queues.entry(service.clone()).or_default();
-        if queue.len() >= most {
+        let desk = &mut self.desks[pending.desk];
+        let service = self.config.services.get(&desk.service);
+        let most = service.map_or(0, |service| service.queue as usize);
+        desk.earn_retry();
+        if desk.waiting.len() >= most {
             return self.refuse(now, id, Reason::QueueFull, effects);
         }
-        queue.push_back(id);
-        self.dispatch(&service, effects);
+        self.seek(now, id, effects);
+    }
+
+    fn done(&mut self, now: Time, id: AttemptId, report: Report, effects: &mut Vec<Effect>) {
+        let Some(flight) = self.flights.remove(&id) else { return };
+        let took = now - flight.started;
+        self.give_back(now, flight.desk, flight.ticket, report, took);
+        self.conclude(now, id, &flight, report, effects);
+        self.pump(now, flight.desk, effects);
+    }
+
+    fn conclude(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        flight: &Flight,
+        report: Report,
+        effects: &mut Vec<Effect>,
+    ) {
+        let request = flight.ticket.request;
+        let Some(pending) = self.pending.get(&request) else { return };
+        let certain = matches!(report, Report::NotSent | Report::Refused | Report::Unused);
+        let repeatable = certain || report == Report::Broken && pending.idempotent;
+        if repeatable && self.may_retry(now, request, report) {
+            return self.retry(now, request, flight, effects);
+        }
+        let outcome = match report {
+            Report::Answered => Outcome::Run(id),
+            Report::Broken => Outcome::Unknown(Reason::Broken),
+            Report::Late => Outcome::Unknown(Reason::Late),
+            Report::NotSent | Report::Refused | Report::Unused => not_run(Reason::NotTaken),
+        };
+        self.finish(now, request, outcome, effects);
+    }
+
+    fn may_retry(&mut self, now: Time, request: RequestId, report: Report) -> bool {
+        let Some(pending) = self.pending.get(&request) else { return false };
+        if now >= pending.deadline || !self.view {
+            return false;
+        }
+        if report == Report::Refused && self.policy.overcommits() {
+            return true;
+        }
+        pending.turn + 1 < MAX_ATTEMPTS && self.desks[pending.desk].spend_retry()
+    }
+
+    fn retry(&mut self, now: Time, request: RequestId, flight: &Flight, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get_mut(&request) else { return };
+        pending.turn += 1;
+        pending.phase = Phase::Waiting;
+        pending.avoid = Some(flight.rack.clone());
+        self.seek(now, request, effects);
     }
 
     /// Answers a request; nothing further happens to it.
@@ -125,11 +220,12 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(pending) = self.pending.remove(&request) else { return };
+        if pending.phase == Phase::Waiting {
+            self.withdraw(&pending);
+        }
         if let Some(claim) = pending.claim {
             match &outcome {
-                Outcome::Run(attempt) => {
-                    effects.push(Effect::Keep { request, attempt: *attempt });
-                }
+                Outcome::Run(attempt) => effects.push(Effect::Keep { request, attempt: *attempt }),
                 Outcome::NotRun { .. } => {
                     effects.push(Effect::Propose(Command::Release(claim.clone())));
                 }
@@ -151,81 +247,6 @@
         self.finish(now, request, not_run(reason), effects);
     }
 
-    fn dispatch(&mut self, service: &Name, effects: &mut Vec<Effect>) {
-        if !self.view {
-            return;
-        }
-        while let Some(instance) = self.least_loaded(service) {
-            let Some(request) = self.next_waiting(service) else { return };
-            self.attempt(request, &instance, effects);
-        }
-    }
-
-    fn least_loaded(&self, service: &Name) -> Option<Name> {
-        let free = self.upstreams.iter().filter(|(_, upstream)| {
-            upstream.announcement.service == *service && upstream.has_slot()
-        });
-        free.min_by_key(|(_, upstream)| upstream.in_flight).map(|(name, _)| name.clone())
-    }
-
-    fn next_waiting(&mut self, service: &Name) -> Option<RequestId> {
-        let queue = self.queues.get_mut(service)?;
-        while let Some(request) = queue.pop_front() {
-            if self.pending.contains_key(&request) {
-                return Some(request);
-            }
-        }
-        None
-    }
-
-    fn attempt(&mut self, request: RequestId, instance: &Name, effects: &mut Vec<Effect>) {
-        let Some(upstream) = self.upstreams.get_mut(instance) else { return };
-        let Some(pending) = self.pending.get_mut(&request) else { return };
-        self.next_attempt += 1;
-        upstream.in_flight += 1;
-        pending.attempts += 1;
-        pending.phase = Phase::Running(self.next_attempt);
-        let attempt = Attempt {
-            id: self.next_attempt,
-            request,
-            instance: instance.clone(),
-            address: upstream.announcement.address.clone(),
-            deadline: pending.deadline,
-        };
-        self.attempts.insert(attempt.id, attempt.clone());
-        effects.push(Effect::Attempt(attempt));
-    }
-
-    fn done(&mut self, now: Time, id: AttemptId, report: Report, effects: &mut Vec<Effect>) {
-        let Some(attempt) = self.attempts.remove(&id) else { return };
-        let Some(upstream) = self.upstreams.get_mut(&attempt.instance) else { return };
-        upstream.in_flight -= 1;
-        let service = upstream.announcement.service.clone();
-        self.conclude(now, &attempt, report, effects);
-        self.dispatch(&service, effects);
-    }
-
-    fn conclude(&mut self, now: Time, tried: &Attempt, report: Report, effects: &mut Vec<Effect>) {
-        let Some(pending) = self.pending.get_mut(&tried.request) else { return };
-        let again = pending.attempts < MAX_ATTEMPTS && now < pending.deadline;
-        let outcome = match report {
-            Report::Answered => Outcome::Run(tried.id),
-            Report::NotSent | Report::Refused if again => return self.requeue(tried.request),
-            Report::Broken if again && pending.idempotent => return self.requeue(tried.request),
-            Report::NotSent | Report::Refused => not_run(Reason::NotTaken),
-            Report::Broken => Outcome::Unknown(Reason::Broken),
-            Report::Late => Outcome::Unknown(Reason::Late),
-        };
-        self.finish(now, tried.request, outcome, effects);
-    }
-
-    fn requeue(&mut self, request: RequestId) {
-        let Some(pending) = self.pending.get_mut(&request) else { return };
-        pending.phase = Phase::Waiting;
-        let service = pending.request.service.clone();
-        self.queues.entry(service).or_default().push_front(request);
-    }
-
     /// Answers a request whose deadline has come; an attempt that runs keeps its slot.
     fn expire(&mut self, now: Time, request: RequestId, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get(&request) else { return };
@@ -237,18 +258,59 @@
         self.finish(now, request, outcome, effects);
     }
 
-    fn serve(&mut self, announcement: Announcement, effects: &mut Vec<Effect>) {
-        let service = announcement.service.clone();
-        let instance = announcement.instance.clone();
-        let in_flight = self.upstreams.get(&instance).map_or(0, |upstream| upstream.in_flight);
-        self.upstreams.insert(instance, Upstream { announcement, serving: true, in_flight });
-        self.dispatch(&service, effects);
+    /// Refuses what waits when the view is lost: nothing may be sent without one.
+    fn look(&mut self, now: Time, view: bool, effects: &mut Vec<Effect>) {
+        self.view = view;
+        for desk in 0..self.desks.len() {
+            if view {
+                self.pump(now, desk, effects);
+                continue;
+            }
+            for request in self.desks[desk].waiting.clone() {
+                self.refuse(now, request, Reason::NoView, effects);
+            }
+        }
+    }
+
+    fn configure(&mut self, config: Arc<Config>) {
+        for desk in &mut self.desks {
+            desk.pool.configure(config.clone());
+        }
+        self.config = config;
+    }
+
+    fn serve(&mut self, now: Time, announcement: Announcement, effects: &mut Vec<Effect>) {
+        let index = self.desk(now, &announcement.service);
+        self.leave_others(&announcement.instance, index);
+        let slots = self.own_slots(&announcement);
+        self.desks[index].pool.serve(announcement, slots);
+        self.pump(now, index, effects);
     }
 
     fn gone(&mut self, instance: &Name) {
-        if let Some(upstream) = self.upstreams.get_mut(instance) {
-            upstream.serving = false;
+        self.leave_others(instance, usize::MAX);
+    }
+
+    fn leave_others(&mut self, instance: &Name, keep: usize) {
+        for (index, desk) in self.desks.iter_mut().enumerate() {
+            if index != keep {
+                desk.pool.gone(instance);
+            }
+        }
+    }
+
+    /// Number of the desk of `service`.
+    pub(crate) fn desk(&mut self, now: Time, service: &Name) -> usize {
+        if let Some(desk) = self.services.get(service) {
+            return *desk;
         }
+        let index = self.desks.len();
+        let seed = self.boot ^ index as u64;
+        let pool = Pool::new(self.policy, self.config.clone(), seed);
+        self.desks.push(Desk::new(service.clone(), pool));
+        self.services.insert(service.clone(), index);
+        self.assign(now, index);
+        index
     }
 }
 
--- a/crates/route/src/timer.rs
+++ b/crates/route/src/timer.rs
@@ -7,4 +7,10 @@
     Deadline(RequestId),
     /// A resend asks again for the first answer.
     Ask(RequestId),
+    /// Something falls due at the pool of a service.
+    Pool(usize),
+    /// What got no answer is sent again.
+    Resend,
+    /// The next batch of notes may leave.
+    Flush,
 }
