--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -12,6 +12,9 @@
         default_value = "127.0.0.1:7300"
     )]
     pub(crate) daemon: String,
+    /// File with the operator's token
+    #[arg(long, env = "SARDINEVALVE_TOKEN_FILE", hide_env_values = true)]
+    pub(crate) token_file: Option<PathBuf>,
     /// Print replies as JSON
     #[arg(long, global = true)]
     pub(crate) json: bool,
@@ -42,11 +45,43 @@
     Get,
     /// Show the state of the fleet
     Status,
+    /// Change a member of the agreement; call the daemon that leads
+    #[command(subcommand)]
+    Member(Member),
     /// Make the keys of daemons
     #[command(subcommand)]
     Keys(Keys),
 }
 
+#[derive(Debug, Subcommand)]
+pub(crate) enum Member {
+    /// Make an observer with a data folder a voter
+    Voter {
+        /// Name of the daemon
+        name: Name,
+    },
+    /// Make a voter an observer, or let an observer join
+    Observer {
+        /// Name of the daemon
+        name: Name,
+    },
+    /// Let a member leave
+    Remove {
+        /// Name of the daemon
+        name: Name,
+    },
+}
+
+impl Member {
+    pub(crate) fn change(&self) -> quorum::Change {
+        match self {
+            Self::Voter { name } => quorum::Change::Voter(name.clone()),
+            Self::Observer { name } => quorum::Change::Observer(name.clone()),
+            Self::Remove { name } => quorum::Change::Remove(name.clone()),
+        }
+    }
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum Keys {
     /// Make the fleet's authority in a new folder
@@ -61,4 +96,16 @@
         /// Name of the daemon
         name: String,
     },
+    /// Issue a new certificate and key in place of a daemon's present ones
+    Renew {
+        /// Folder of the authority
+        folder: PathBuf,
+        /// Name of the daemon
+        name: String,
+    },
+    /// Show what a certificate says
+    Show {
+        /// Certificate file
+        certificate: PathBuf,
+    },
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -13,7 +13,7 @@
 }
 
 fn dispatch(arguments: &Arguments) -> eyre::Result<ExitCode> {
-    let client = Client::new(&arguments.daemon);
+    let client = Client::new(&arguments.daemon, arguments.token_file.as_deref())?;
     match &arguments.command {
         Command::Apply { file, wait, base, request, author } => {
             let change = apply::Change { file, base: *base, request: request.as_deref(), author };
@@ -21,6 +21,9 @@
         }
         Command::Get => show::reply(&client.config()?, arguments.json),
         Command::Status => show::reply(&client.status()?, arguments.json),
+        Command::Member(member) => {
+            show::reply(&client.change_member(&member.change())?, arguments.json)
+        }
         Command::Keys(command) => keys::run(command),
     }
 }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -9,6 +9,12 @@
     }
     match reply {
         Reply::Applied { verdict, .. } => println!("{verdict}"),
+        Reply::Changing { index } => println!("changes with log entry {index}"),
+        Reply::Unchanged { refusal, leader } => {
+            let leader = leader.as_deref().unwrap_or("nobody");
+            println!("refused: {refusal} (`{leader}` leads)");
+            return Ok(ExitCode::FAILURE);
+        }
         Reply::Unknown => println!("outcome is unknown"),
         Reply::Config { revision, config } => {
             println!("revision {revision}");
@@ -26,6 +32,12 @@
     println!("view      {}", if status.view { "present" } else { "lapsed" });
     println!("revision  {}", status.revision);
     println!("log       {} applied, {} in force everywhere", status.applied, status.forced);
+    for (name, member) in &status.members {
+        println!("member    {name:<20} {}", member.role);
+    }
+    if status.lost_disk {
+        println!("disk      replaced: this daemon has no vote, see docs/operators/lost-voter.md");
+    }
     println!("requests  {} pending", status.pending);
     println!("upstreams {}", status.upstreams.len());
     for (instance, upstream) in &status.upstreams {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -31,7 +31,7 @@
             proposals: Proposals::new(id.clone(), boot),
             quorum,
             replica: Replica::default(),
-            route: route::State::new(id.clone(), boot),
+            route: route::State::new(id.clone(), boot, route::Policy::default()),
             id,
             heard: BTreeSet::new(),
             leases: Leases::default(),
@@ -118,6 +118,7 @@
                 let command = fleet::Command::Change(change).into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
+            operator::Call::Member(change) => self.change_member(now, change, effects),
             operator::Call::Config => operator::Reply::Config {
                 revision: self.replica.fleet.revision(),
                 config: model::Config::clone(self.replica.fleet.config()),
@@ -131,6 +132,8 @@
         operator::Status {
             daemon: self.id.clone(),
             leader: self.quorum.leader().cloned(),
+            members: self.quorum.members().iter().map(|(n, m)| (n.clone(), m)).collect(),
+            lost_disk: self.quorum.lost_disk(),
             term: self.quorum.term(),
             view: self.quorum.has_view(now),
             revision: self.replica.fleet.revision(),
@@ -201,20 +204,45 @@
 
     fn agree(&mut self, now: Time, event: quorum::Event, effects: &mut Vec<Effect>) {
         for effect in self.quorum.reduce(now, event) {
+            self.on_quorum(now, effect, effects);
+        }
+    }
+
+    fn change_member(
+        &mut self,
+        now: Time,
+        change: quorum::Change,
+        effects: &mut Vec<Effect>,
+    ) -> operator::Reply {
+        let mut reply = operator::Reply::Unknown;
+        for effect in self.quorum.reduce(now, quorum::Event::Change(change)) {
             match effect {
-                quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
-                quorum::Effect::Send { to, message } => {
-                    effects.push(Effect::Send { to, message: Message::Quorum(message) });
-                }
-                quorum::Effect::Subscribe { timer, after } => {
-                    effects.push(Effect::Subscribe { timer: timer.into(), after });
+                quorum::Effect::Changed(Ok(index)) => reply = operator::Reply::Changing { index },
+                quorum::Effect::Changed(Err(refusal)) => {
+                    let leader = self.quorum.leader().cloned();
+                    reply = operator::Reply::Unchanged { refusal, leader };
                 }
-                quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
-                quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
-                quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
-                quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
+                effect => self.on_quorum(now, effect, effects),
             }
         }
+        reply
+    }
+
+    fn on_quorum(&mut self, now: Time, effect: quorum::Effect, effects: &mut Vec<Effect>) {
+        match effect {
+            quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
+            quorum::Effect::Send { to, message } => {
+                effects.push(Effect::Send { to, message: Message::Quorum(message) });
+            }
+            quorum::Effect::Subscribe { timer, after } => {
+                effects.push(Effect::Subscribe { timer: timer.into(), after });
+            }
+            quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
+            quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
+            quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
+            quorum::Effect::Changed(_) => {}
+            quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
+        }
     }
 
     fn on_leader(&mut self, now: Time, leader: Option<Name>, effects: &mut Vec<Effect>) {
@@ -236,9 +264,9 @@
         let proposal = postcard::from_bytes::<Proposal>(&entry.command);
         let proposal = proposal.expect("committed entries decode: the leader encoded them");
         let caller = self.proposals.finish(&proposal);
-        let clock = self.replica.claims.clock();
+        let clock = self.replica.route.claims.clock();
         let outcomes = self.replica.apply(index, proposal.command);
-        if self.replica.claims.clock() != clock {
+        if self.replica.route.claims.clock() != clock {
             self.ticked = now;
         }
         self.reply(index, caller, &outcomes, effects);
@@ -337,6 +365,7 @@
         self.pass_on_heard(now, effects);
         self.lapse(now, effects);
         self.tick(now, effects);
+        self.enrol(now, effects);
         self.give_up(now, effects);
         self.repeat(now, Proposals::REPEAT, effects);
     }
@@ -375,14 +404,30 @@
     /// Moves log time on, where there are claims that grow old.
     fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let passed = now - self.ticked;
-        if !self.quorum.leads() || self.replica.claims.is_empty() || passed < TICK {
+        let claims = &self.replica.route.claims;
+        if !self.quorum.leads() || claims.is_empty() || passed < TICK {
             return;
         }
-        let from = self.replica.claims.clock();
+        let from = claims.clock();
         let command = route::Command::Tick { from, to: from + passed };
         self.propose(now, command.into(), None, effects);
     }
 
+    /// Keeps the roster: this daemon joins, and as the leader it parts those without a view.
+    fn enrol(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let roster = self.replica.route.roster.clone();
+        let (daemon, boot) = (self.id.clone(), self.proposals.boot());
+        if self.view && !roster.contains(&daemon, boot) {
+            let command = route::Command::Join { daemon, boot };
+            self.propose(now, command.into(), None, effects);
+        }
+        for daemon in self.quorum.without_view(now) {
+            let Some(boot) = roster.daemons().get(&daemon).copied() else { continue };
+            let command = route::Command::Part { daemon, boot };
+            self.propose(now, command.into(), None, effects);
+        }
+    }
+
     fn give_up(&mut self, now: Time, effects: &mut Vec<Effect>) {
         for caller in self.proposals.give_up(now) {
             effects.push(match caller {
--- a/crates/quorum/src/effect.rs
+++ b/crates/quorum/src/effect.rs
@@ -35,6 +35,8 @@
         /// How long to wait.
         after: Duration,
     },
+    /// Index of the membership after [`Event::Change`], or why nothing changes.
+    Changed(Result<Index, Refusal>),
     /// Who leads, as far as this member knows, has changed.
     Leader(Option<Name>),
 }
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -4,11 +4,11 @@
 
 impl State {
     pub(crate) fn on_election(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        if self.leads() {
+        if self.leads() || !self.stands() {
             return;
         }
         self.leader = None;
-        self.standing = Standing::Asking { votes: BTreeSet::from([self.id.clone()]) };
+        self.standing = Standing::Asking { votes: self.own_vote() };
         self.ask(true, self.term + 1, effects);
         self.await_leader(effects);
         self.count_votes(now, effects);
@@ -23,12 +23,11 @@
     }
 
     pub(crate) fn count_votes(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let majority = self.majority();
         match &self.standing {
-            Standing::Asking { votes } if votes.len() >= majority => {
+            Standing::Asking { votes } if self.elects(votes) => {
                 self.become_candidate(now, effects);
             }
-            Standing::Candidate { votes } if votes.len() >= majority => {
+            Standing::Candidate { votes } if self.elects(votes) => {
                 self.become_leader(now, effects);
             }
             _ => {}
@@ -38,14 +37,17 @@
     pub(crate) fn become_candidate(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.term += 1;
         self.vote = Some(self.id.clone());
-        self.standing = Standing::Candidate { votes: BTreeSet::from([self.id.clone()]) };
+        self.standing = Standing::Candidate { votes: self.own_vote() };
         self.persist_vote(effects);
         self.ask(false, self.term, effects);
         self.await_leader(effects);
         self.count_votes(now, effects);
     }
 
-    pub(crate) fn become_leader(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    fn become_leader(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Standing::Candidate { votes } = &self.standing else { return };
+        let founded = self.members.founded();
+        let members = (!founded).then(|| self.members.found(votes));
         let next = self.log.last_index() + 1;
         let granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
         let progress = self.others().into_iter();
@@ -53,7 +55,7 @@
         self.standing = Standing::Leader { opened: next, progress };
         self.leader = Some(self.id.clone());
         self.heard = now;
-        self.append(now, Vec::new(), effects);
+        self.append(now, Entry { term: self.term, command: Vec::new(), members }, effects);
         effects.push(Effect::Subscribe { timer: Timer::Heartbeat, after: Timing::HEARTBEAT });
     }
 
@@ -68,9 +70,7 @@
     ) {
         let led = self.leads() || now < self.heard + Timing::ELECTION_MIN;
         let behind = last < (self.log.last_term(), self.log.last_index());
-        if led || !self.is_voter(&from) {
-            return;
-        }
+        let Some(disk) = self.disk.filter(|_| !led) else { return };
         if !pre && term > self.term {
             self.enter(term, None, effects);
         }
@@ -82,18 +82,18 @@
             self.await_leader(effects);
         }
         let term = if granted { term } else { self.term };
-        effects.push(Effect::Send { to: from, message: Message::Vote { term, pre, granted } });
+        effects
+            .push(Effect::Send { to: from, message: Message::Vote { term, pre, granted, disk } });
     }
 
     pub(crate) fn on_vote(
         &mut self,
         now: Time,
         from: Name,
-        term: Term,
-        pre: bool,
-        granted: bool,
+        message: Message,
         effects: &mut Vec<Effect>,
     ) {
+        let Message::Vote { term, pre, granted, disk } = message else { return };
         if !granted {
             if term > self.term {
                 self.enter(term, None, effects);
@@ -101,10 +101,24 @@
             return;
         }
         match &mut self.standing {
-            Standing::Asking { votes } if pre && term == self.term + 1 => votes.insert(from),
-            Standing::Candidate { votes } if !pre && term == self.term => votes.insert(from),
+            Standing::Asking { votes } if pre && term == self.term + 1 => votes.insert(from, disk),
+            Standing::Candidate { votes } if !pre && term == self.term => votes.insert(from, disk),
             _ => return,
         };
         self.count_votes(now, effects);
     }
+
+    /// The first votes of this member's own candidacy.
+    fn own_vote(&self) -> BTreeMap<Name, Disk> {
+        self.disk.map(|disk| (self.id.clone(), disk)).into_iter().collect()
+    }
+
+    /// Whether `votes` elect: those of a majority, or to found the log those of all voters.
+    fn elects(&self, votes: &BTreeMap<Name, Disk>) -> bool {
+        if !self.members.founded() {
+            return self.members.voters().all(|name| votes.contains_key(name));
+        }
+        let counted = votes.iter().filter(|(name, disk)| self.members.counts(name, Some(**disk)));
+        counted.count() >= self.members.majority()
+    }
 }
--- a/crates/quorum/src/following.rs
+++ b/crates/quorum/src/following.rs
@@ -20,7 +20,7 @@
             return self.answer_append(now, from, false, hint, sent, effects);
         }
         let index = prev_index + entries.len() as Index;
-        self.merge(prev_index + 1, entries, effects);
+        self.merge(now, prev_index + 1, entries, effects);
         self.advance_commit(commit.min(index), effects);
         self.forced = self.forced.max(forced.min(self.applied));
         if let Some(echo) = echo.filter(|echo| echo.boot == self.boot && self.applied >= commit) {
@@ -48,7 +48,7 @@
         Some(hint.max(self.commit))
     }
 
-    fn merge(&mut self, first: Index, entries: Vec<Entry>, effects: &mut Vec<Effect>) {
+    fn merge(&mut self, now: Time, first: Index, entries: Vec<Entry>, effects: &mut Vec<Effect>) {
         let known = |(i, entry): (usize, &Entry)| {
             let index = first + i as Index;
             index <= self.log.offset() || self.log.term(index) == Some(entry.term)
@@ -59,10 +59,15 @@
         if entries.is_empty() {
             return;
         }
+        let mut changed = first <= self.members_index;
         self.log.truncate(first);
         self.synced = self.synced.min(first - 1);
         for entry in &entries {
             self.log.push(entry.clone());
+            changed |= entry.members.is_some();
+        }
+        if changed {
+            self.refresh_members(now);
         }
         effects.push(Effect::Persist(Record::Entries { first, entries }));
     }
@@ -97,6 +102,7 @@
             applied: self.applied,
             sent,
             stamp: self.stamp(now),
+            disk: self.disk,
         };
         effects.push(Effect::Send { to, message });
     }
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -6,6 +6,8 @@
     offset: Index,
     /// Term of the entry at `offset`.
     offset_term: Term,
+    /// Members after the entry at `offset`, and the index of the entry that made them so.
+    offset_members: Option<(Index, Members)>,
     entries: VecDeque<Entry>,
 }
 
@@ -14,8 +16,24 @@
     pub const ENTRY_BYTES: usize = 16;
 
     /// A log that goes on after the entry at `offset`.
-    pub fn new(offset: Index, offset_term: Term, entries: Vec<Entry>) -> Self {
-        Self { offset, offset_term, entries: entries.into() }
+    pub fn new(snapshot: Option<&Snapshot>, entries: Vec<Entry>) -> Self {
+        let entries = entries.into();
+        let Some(snapshot) = snapshot else { return Self { entries, ..Self::default() } };
+        let (offset, offset_term) = (snapshot.index, snapshot.term);
+        let offset_members = Some((offset, snapshot.members.clone()));
+        Self { offset, offset_term, offset_members, entries }
+    }
+
+    /// Members after the last entry, and the index of the entry that made them so.
+    pub fn members(&self) -> Option<(Index, &Members)> {
+        self.members_at(self.last_index())
+    }
+
+    /// Members after the entry at `index`, and the index of the entry that made them so.
+    pub fn members_at(&self, index: Index) -> Option<(Index, &Members)> {
+        let changes = (self.offset + 1..=index).rev();
+        let mut changes = changes.filter_map(|at| Some((at, self.get(at)?.members.as_ref()?)));
+        changes.next().or(self.offset_members.as_ref().map(|(at, members)| (*at, members)))
     }
 
     /// Index of the last entry that is gone.
@@ -66,6 +84,8 @@
     /// Drops the entries up to `index`.
     pub fn compact(&mut self, index: Index) {
         let Some(term) = self.term(index) else { return };
+        let members = self.members_at(index);
+        self.offset_members = members.map(|(at, members)| (at, members.clone()));
         self.entries.drain(..(index - self.offset) as usize);
         (self.offset, self.offset_term) = (index, term);
     }
--- /dev/null
+++ b/crates/quorum/src/members.rs
@@ -0,0 +1,76 @@
+use super::*;
+
+/// Everyone who takes part in the agreement.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members(BTreeMap<Name, Member>);
+
+impl Members {
+    /// The member called `name`.
+    pub fn get(&self, name: &Name) -> Option<Member> {
+        self.0.get(name).copied()
+    }
+
+    /// Every member by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, Member)> {
+        self.0.iter().map(|(name, member)| (name, *member))
+    }
+
+    /// Names of the voters.
+    pub fn voters(&self) -> impl Iterator<Item = &Name> {
+        self.iter().filter(|(_, member)| member.role == Role::Voter).map(|(name, _)| name)
+    }
+
+    /// Whether `name` is a voter.
+    pub fn is_voter(&self, name: &Name) -> bool {
+        self.get(name).is_some_and(|member| member.role == Role::Voter)
+    }
+
+    /// Voters that make a majority.
+    pub fn majority(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Whether the disks of the voters are known: they are from the first entry of the log on.
+    pub fn founded(&self) -> bool {
+        self.0.values().any(|member| member.disk.is_some())
+    }
+
+    /// Whether the word of `name` counts in a majority: it must be a voter, and must still have the
+    /// disk that it was admitted with.
+    pub fn counts(&self, name: &Name, disk: Option<Disk>) -> bool {
+        let Some(member) = self.get(name) else { return false };
+        member.role == Role::Voter && member.disk.is_some() && member.disk == disk
+    }
+
+    /// The same members with the disks of all voters.
+    pub(crate) fn found(&self, disks: &BTreeMap<Name, Disk>) -> Self {
+        let member = |(name, member): (&Name, Member)| {
+            let disk = disks.get(name).copied();
+            (name.clone(), Member { disk, ..member })
+        };
+        Self(self.iter().map(member).collect())
+    }
+
+    /// The same members but for one.
+    pub(crate) fn with(&self, name: &Name, member: Option<Member>) -> Self {
+        let mut members = self.0.clone();
+        match member {
+            Some(member) => members.insert(name.clone(), member),
+            None => members.remove(name),
+        };
+        Self(members)
+    }
+}
+
+impl From<BTreeMap<Name, Role>> for Members {
+    fn from(roles: BTreeMap<Name, Role>) -> Self {
+        let member = |(name, role)| (name, Member { role, disk: None });
+        Self(roles.into_iter().map(member).collect())
+    }
+}
+
+impl FromIterator<(Name, Member)> for Members {
+    fn from_iter<T: IntoIterator<Item = (Name, Member)>>(members: T) -> Self {
+        Self(members.into_iter().collect())
+    }
+}
--- a/crates/quorum/src/snapshot.rs
+++ b/crates/quorum/src/snapshot.rs
@@ -7,6 +7,8 @@
     pub index: Index,
     /// Term of that entry.
     pub term: Term,
+    /// Members after that entry.
+    pub members: Members,
     /// Encoded state.
     #[serde(with = "serde_bytes")]
     pub state: Vec<u8>,
