Bound the HTTP edges, and pass on whole answers only

Cause: `tiny_http` accepts without a limit, reads without a timeout and never closes an idle connection; `attohttpc` takes an answer that is cut short, or that ends with the connection, for a whole one. A body was read on one of eight threads that also took every other request.

Change: - The listening socket carries read and write timeouts, which accepted sockets inherit. The read timeout also ends an idle `accept`, after which `tiny_http` accepts no more; the edge then starts another server on the same socket and serves the old one's connections until they have gone. The same mechanism stops accepting at the limit (callers 512, upstreams 256, operators 64), where a connection is answered 503, not-run, until there is room. - Found on the way: a burst of connections leaves some queued in `tiny_http` behind others that stay open, since it counts a notified thread as free until it has woken up. With 60 connections that stay open, one waited for the read timeout of another (test `burst_of_idle_connections_delays_no_other` fails without the change, passes with it). Connections that end at once make it start the missing threads. Ruled out: ports taken by others, a lost accept, the thread pool of the daemon. - Bodies that may have to be waited for, and every answer, are off the receiving thread; a body has 10 s. Methods, URLs, headers (64, 16 KiB) are checked; hop-by-hop headers are dropped, others passed on in both directions; each request has an id, returned and passed to the upstream. - An answer counts as whole if it has its stated length, or ends with its last chunk. The view lease is looked at again right before a connection is made. - Fakes misbehave on demand and record what they ran; the tests compare outcomes with the record.

Open: `tiny_http` reads a head into memory without a bound; the size is checked only afterwards.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -8,7 +8,8 @@
     pub daemons: Vec<Daemon>,
     /// Links between the daemons.
     pub network: Network,
-    fakes: Vec<Program>,
+    /// Processes of fake upstreams.
+    pub fakes: Vec<Program>,
 }
 
 /// Data centres over which daemons are spread.
@@ -73,10 +74,11 @@
             all.extend(["--daemon", daemon.upstreams.as_str()]);
         }
         all.extend(arguments);
+        let before = serving(&self.daemons[0], service);
         let log = self.folder.path().join(format!("fake-{service}.log"));
         self.fakes.push(Program::start("sardinevalve-fake", &all, &log)?);
         wait_until("every daemon knows the upstreams", || {
-            self.daemons.iter().all(|daemon| serving(daemon, service) == count)
+            self.daemons.iter().all(|daemon| serving(daemon, service) == before + count)
         })
     }
 
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -2,6 +2,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: u16,
-    pub(crate) content_type: Option<String>,
+    /// Headers that are passed on.
+    pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
 }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -3,15 +3,19 @@
 /// The callers' HTTP interface.
 pub(crate) struct Callers {
     edge: Edge,
-    pool: Pool,
 }
 
 /// What the threads of the interface share.
 #[derive(Clone)]
 struct Edge {
+    /// Start of the ids of requests.
+    prefix: Arc<str>,
     clock: Clock,
     events: Sender<Event>,
+    pool: Pool,
     healthy: Arc<AtomicBool>,
+    /// End of the view lease, in milliseconds of the clock.
+    view_until: Arc<AtomicU64>,
     next: Arc<AtomicU64>,
     held: Arc<Mutex<Map<route::RequestId, Held>>>,
     answering: Arc<AtomicU64>,
@@ -26,33 +30,50 @@
 /// Between two looks at whether the last answers have gone out.
 const FINISH_POLL: Duration = Duration::from_millis(5);
 
+/// Methods that are passed on.
+const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"];
+
+/// Punctuation that may stand in a URL.
+const URL_PUNCTUATION: &str = "-._~:/?[]@!$&'()*+,;=%";
+
 impl Callers {
     pub(crate) fn start(
-        address: SocketAddr,
+        settings: &settings::Daemon,
+        boot: u64,
         clock: Clock,
         events: Sender<Event>,
     ) -> eyre::Result<Self> {
         let edge = Edge {
+            prefix: format!("{}-{boot:x}", settings.id).into(),
             clock,
             events,
+            pool: Pool::new(),
             healthy: Arc::default(),
+            view_until: Arc::default(),
             next: Arc::default(),
             held: Arc::default(),
             answering: Arc::default(),
         };
         let handler = edge.clone();
-        http::serve(address, move |request| handler.handle(request))?;
-        Ok(Self { edge, pool: Pool::new() })
+        Acceptor::start(settings.listen.callers, Limits::CALLERS, move |request| {
+            handler.take(request);
+        })?;
+        Ok(Self { edge })
     }
 
     pub(crate) fn set_health(&self, healthy: bool) {
         self.edge.healthy.store(healthy, Ordering::Relaxed);
     }
 
+    /// Sets the time after which no attempt may start.
+    pub(crate) fn set_view_until(&self, until: Time) {
+        self.edge.view_until.store(until.as_millis() as u64, Ordering::Release);
+    }
+
     /// Sends a request to an upstream.
     pub(crate) fn attempt(&self, attempt: route::Attempt) {
         let edge = self.edge.clone();
-        self.pool.run(move || edge.attempt(&attempt));
+        self.edge.pool.run(move || edge.attempt(&attempt));
     }
 
     /// Answers a caller.
@@ -60,8 +81,8 @@
         let Some(held) = lock(&self.edge.held).remove(&request) else { return };
         let answering = self.edge.answering.clone();
         answering.fetch_add(1, Ordering::AcqRel);
-        self.pool.run(move || {
-            answer(held, &outcome);
+        self.edge.pool.run(move || {
+            response::answer(held, &outcome);
             answering.fetch_sub(1, Ordering::AcqRel);
         });
     }
@@ -75,44 +96,64 @@
 }
 
 impl Edge {
+    /// Takes a request from the edge; whatever may wait for its client happens on another thread.
+    fn take(&self, request: tiny_http::Request) {
+        if request.url().starts_with("/call/") && http::is_read_ahead(&request) {
+            return self.handle(request);
+        }
+        let edge = self.clone();
+        self.pool.run(move || edge.handle(request));
+    }
+
     fn handle(&self, mut request: tiny_http::Request) {
-        let url = request.url().to_owned();
-        if url == "/health" {
+        if request.url() == "/health" {
             return self.health(request);
         }
-        let Some((service, path)) = target(&url) else {
-            return refuse(request, 404, "use `/call/SERVICE/PATH`");
-        };
-        let body = match http::body(&mut request, MAX_BODY_BYTES) {
-            Ok(body) => body,
-            Err(failure) => return refuse(request, 400, &failure.error),
-        };
-        let Some(kind) = header::get(&request, header::KIND).map(str::to_owned) else {
-            return refuse(request, 400, "header `Sardinevalve-Kind` is missing");
-        };
-        let patience = match header::get(&request, header::DEADLINE).map(str::parse) {
-            None => None,
-            Some(Ok(milliseconds)) => Some(Duration::from_millis(milliseconds)),
-            Some(Err(_)) => return refuse(request, 400, "`Sardinevalve-Deadline-Ms` is no number"),
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{}-{number}", self.prefix);
+        match self.read(&mut request, number, id.clone()) {
+            Ok((call, arrival)) => self.hold(request, call, arrival),
+            Err(failure) => {
+                self.pool.run(move || response::refuse(request, &id, &failure));
+            }
+        }
+    }
+
+    fn read(
+        &self,
+        request: &mut tiny_http::Request,
+        number: route::RequestId,
+        id: String,
+    ) -> Result<(Call, route::Request), http::Failure> {
+        check_head(request)?;
+        let Some((service, path)) = target(request.url()) else {
+            return Err(http::failure("use `/call/SERVICE/PATH`").with_status(404));
         };
-        let tenant = header::get(&request, header::TENANT).unwrap_or(NO_TENANT).to_owned();
-        let call = Call {
-            method: request.method().to_string(),
-            path,
-            kind,
-            tenant,
-            content_type: header::get(&request, "Content-Type").map(str::to_owned),
-            body,
+        let body = http::body(request, MAX_BODY_BYTES)?;
+        let Some(kind) = header::get(request, header::KIND).map(str::to_owned) else {
+            return Err(http::failure("header `Sardinevalve-Kind` is missing"));
         };
+        let patience = patience(request)?;
+        let tenant = header::get(request, header::TENANT).unwrap_or(NO_TENANT).to_owned();
+        let connection = header::get(request, "Connection").unwrap_or_default();
+        let headers = request.headers().iter();
+        let headers = headers.map(|h| (h.field.as_str().as_str(), h.value.as_str()));
+        let headers = header::passed(headers, connection);
+        let method = request.method().to_string();
+        let call = Call { id, method, path, kind, tenant, headers, body };
         let arrival = route::Request {
-            id: self.next.fetch_add(1, Ordering::Relaxed),
+            id: number,
             service,
             kind: call.kind.as_str().into(),
             tenant: call.tenant.as_str().into(),
-            key: header::get(&request, header::KEY).map(Into::into),
+            key: header::get(request, header::KEY).map(Into::into),
             fingerprint: 0,
             patience,
         };
+        Ok((call, arrival))
+    }
+
+    fn hold(&self, request: tiny_http::Request, call: Call, arrival: route::Request) {
         let held = Held { request, call: Arc::new(call), answers: BTreeMap::new() };
         lock(&self.held).insert(arrival.id, held);
         self.events.send(Event::Route(route::Event::Arrive(arrival))).ok();
@@ -128,8 +169,8 @@
     fn attempt(&self, attempt: &route::Attempt) {
         let call = lock(&self.held).get(&attempt.request).map(|held| held.call.clone());
         let (report, answer) = match call {
-            Some(call) => outbound::send(attempt, &call, self.clock),
-            None => (route::Report::NotSent, None),
+            Some(call) if self.may_send() => outbound::send(attempt, &call, self.clock),
+            _ => (route::Report::NotSent, None),
         };
         let mut held = lock(&self.held);
         if let (Some(held), Some(answer)) = (held.get_mut(&attempt.request), answer) {
@@ -139,6 +180,40 @@
         let event = route::Event::Done { attempt: attempt.id, report };
         self.events.send(Event::Route(event)).ok();
     }
+
+    /// Whether the view lease still holds; a process that was paused may have missed its end.
+    fn may_send(&self) -> bool {
+        let until = Duration::from_millis(self.view_until.load(Ordering::Acquire));
+        self.clock.now() < until
+    }
+}
+
+fn check_head(request: &tiny_http::Request) -> Result<(), http::Failure> {
+    let headers = request.headers();
+    let bytes = headers.iter().map(|h| h.field.as_str().as_str().len() + h.value.as_str().len());
+    if headers.len() > header::MAX_COUNT || bytes.sum::<usize>() > header::MAX_BYTES {
+        return Err(http::failure("headers are too large").with_status(431));
+    }
+    if request.url().len() > header::MAX_BYTES {
+        return Err(http::failure("URL is too long").with_status(414));
+    }
+    let valid = |c: char| c.is_ascii_alphanumeric() || URL_PUNCTUATION.contains(c);
+    if !request.url().chars().all(valid) {
+        return Err(http::failure("URL is not valid"));
+    }
+    if !METHODS.contains(&request.method().as_str()) {
+        return Err(http::failure(format!("method `{}` is not passed on", request.method()))
+            .with_status(405));
+    }
+    Ok(())
+}
+
+fn patience(request: &tiny_http::Request) -> Result<Option<Duration>, http::Failure> {
+    let Some(milliseconds) = header::get(request, header::DEADLINE) else { return Ok(None) };
+    let Ok(milliseconds) = milliseconds.parse() else {
+        return Err(http::failure("`Sardinevalve-Deadline-Ms` is no number"));
+    };
+    Ok(Some(Duration::from_millis(milliseconds)))
 }
 
 /// Service and path of a URL `/call/SERVICE/PATH`.
@@ -149,48 +224,3 @@
     let slash = if path.starts_with('/') { "" } else { "/" };
     (!service.is_empty()).then(|| (service.into(), format!("{slash}{path}")))
 }
-
-fn refuse(request: tiny_http::Request, status: u16, error: &str) {
-    respond(request, status, header::NOT_RUN, None, &http::failure(error));
-}
-
-fn answer(mut held: Held, outcome: &route::Outcome) {
-    match outcome {
-        route::Outcome::Run(attempt) => {
-            let Some(answer) = held.answers.remove(attempt) else { return };
-            let content_type = answer.content_type.as_deref().unwrap_or("application/octet-stream");
-            let response = tiny_http::Response::from_data(answer.body)
-                .with_status_code(answer.status)
-                .with_header(header::make("Content-Type", content_type))
-                .with_header(header::make(header::OUTCOME, "run"));
-            held.request.respond(response).ok();
-        }
-        route::Outcome::NotRun { reason, retry_after } => {
-            let failure = http::failure(reason.to_string());
-            respond(held.request, 503, header::NOT_RUN, Some(*retry_after), &failure);
-        }
-        route::Outcome::Unknown(reason) => {
-            let status = if *reason == route::Reason::Late { 504 } else { 502 };
-            respond(held.request, status, "unknown", None, &http::failure(reason.to_string()));
-        }
-    }
-}
-
-fn respond(
-    request: tiny_http::Request,
-    status: u16,
-    outcome: &str,
-    retry_after: Option<Duration>,
-    failure: &http::Failure,
-) {
-    let body = serde_json::to_vec(failure).unwrap_or_default();
-    let mut response = tiny_http::Response::from_data(body)
-        .with_status_code(status)
-        .with_header(header::make("Content-Type", "application/json"))
-        .with_header(header::make(header::OUTCOME, outcome));
-    if let Some(after) = retry_after {
-        let seconds = after.as_secs().max(1).to_string();
-        response.add_header(header::make("Retry-After", &seconds));
-    }
-    request.respond(response).ok();
-}
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -40,7 +40,9 @@
     fn step(&mut self, event: Event, timers: &mut timer::Queue<node::Timer>) -> bool {
         let now = self.clock.now();
         let mut stopped = false;
-        for effect in self.state.reduce(now, event) {
+        let effects = self.state.reduce(now, event);
+        self.callers.set_view_until(self.state.view_until());
+        for effect in effects {
             match effect {
                 Effect::Persist(record) => self.disk.persist(record),
                 Effect::Send { to, message } => self.send(to, &message),
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -2,43 +2,73 @@
 
 use super::*;
 
-/// Threads that wait for requests at one edge.
-const THREADS: usize = 8;
+/// Largest body that `tiny_http` reads before it hands a request out, in bytes.
+const READ_AHEAD_BYTES: usize = 1024;
+
+/// Time within which a body must arrive whole.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// An error as the edges report it.
 #[derive(Debug, Serialize)]
 pub(crate) struct Failure {
+    #[serde(skip)]
+    pub(crate) status: u16,
     pub(crate) error: String,
 }
 
-/// Listens on `address`, and hands each request to `handle` on one of a few threads.
+/// Listens on `address`, and hands each request to `handle` on a thread that may block.
 pub(crate) fn serve(
     address: SocketAddr,
-    handle: impl Fn(tiny_http::Request) + Clone + Send + 'static,
+    limits: Limits,
+    handle: impl Fn(tiny_http::Request) + Clone + Send + Sync + 'static,
 ) -> eyre::Result<()> {
-    let server = tiny_http::Server::http(address)
-        .map_err(|error| eyre::eyre!("cannot listen on `{address}`: {error}"))?;
-    let server = Arc::new(server);
-    for _ in 0..THREADS {
-        let (server, handle) = (server.clone(), handle.clone());
-        thread::spawn(move || {
-            while let Ok(request) = server.recv() {
-                handle(request);
-            }
-        });
-    }
-    Ok(())
+    let pool = Pool::new();
+    Acceptor::start(address, limits, move |request| {
+        let handle = handle.clone();
+        pool.run(move || handle(request));
+    })
+}
+
+/// Whether the body of `request` can be read without a wait for the client.
+pub(crate) fn is_read_ahead(request: &tiny_http::Request) -> bool {
+    let small = request.body_length().unwrap_or(0) <= READ_AHEAD_BYTES;
+    small
+        && !["Transfer-Encoding", "Expect"].iter().any(|name| header::get(request, name).is_some())
 }
 
 /// Reads a body of at most `max` bytes.
 pub(crate) fn body(request: &mut tiny_http::Request, max: usize) -> Result<Vec<u8>, Failure> {
+    let length = request.body_length();
+    if length.is_some_and(|length| length > max) {
+        return Err(too_large(max));
+    }
+    let body = read(request.as_reader(), max)?;
+    if length.is_some_and(|length| length != body.len()) {
+        return Err(failure("body ended before its stated length"));
+    }
+    Ok(body)
+}
+
+fn read(reader: &mut dyn Read, max: usize) -> Result<Vec<u8>, Failure> {
+    let started = Instant::now();
     let mut body = Vec::new();
-    let read = request.as_reader().take(max as u64 + 1).read_to_end(&mut body);
-    match read {
-        Ok(bytes) if bytes > max => Err(failure(format!("body is over {max} bytes"))),
-        Ok(_) => Ok(body),
-        Err(error) => Err(failure(format!("cannot read the body: {error}"))),
+    let mut chunk = [0; 8 * 1024];
+    while started.elapsed() < BODY_TIMEOUT {
+        match reader.read(&mut chunk) {
+            Ok(0) => return Ok(body),
+            Ok(bytes) => body.extend_from_slice(&chunk[..bytes]),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+            Err(error) => return Err(failure(format!("cannot read the body: {error}"))),
+        }
+        if body.len() > max {
+            return Err(too_large(max));
+        }
     }
+    Err(failure("body did not arrive in time").with_status(408))
+}
+
+fn too_large(max: usize) -> Failure {
+    failure(format!("body is over {max} bytes")).with_status(413)
 }
 
 /// Reads a JSON body.
@@ -51,7 +81,13 @@
 }
 
 pub(crate) fn failure(error: impl Into<String>) -> Failure {
-    Failure { error: error.into() }
+    Failure { status: 400, error: error.into() }
+}
+
+impl Failure {
+    pub(crate) fn with_status(self, status: u16) -> Self {
+        Self { status, ..self }
+    }
 }
 
 /// Answers with `value` as JSON.
@@ -60,5 +96,10 @@
     let response = tiny_http::Response::from_data(body)
         .with_status_code(status)
         .with_header(header::make("Content-Type", "application/json"));
-    request.respond(response).ok();
+    send(request, response);
+}
+
+/// Sends `response` with its length, never in chunks.
+pub(crate) fn send(request: tiny_http::Request, response: tiny_http::Response<Cursor<Vec<u8>>>) {
+    request.respond(response.with_chunked_threshold(usize::MAX)).ok();
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,10 +9,10 @@
     node::{Effect, Event, Ticket},
     serde::{Serialize, de::DeserializeOwned},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, VecDeque},
         fs,
-        io::Read,
-        net::SocketAddr,
+        io::{Cursor, ErrorKind, Read, Write},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         path::{Path, PathBuf},
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -23,20 +23,26 @@
     },
 };
 
+mod acceptor;
 mod answer;
 mod arguments;
 mod call;
 mod callers;
 mod clock;
+mod connections;
 mod disk;
 mod engine;
+mod files;
 mod header;
 mod held;
 mod http;
+mod limits;
 mod logging;
 mod operators;
 mod outbound;
 mod pool;
+mod refused;
+mod response;
 mod run;
 mod signals;
 mod tickets;
@@ -44,8 +50,9 @@
 
 pub use run::run;
 use {
-    answer::Answer, arguments::Arguments, call::Call, callers::Callers, clock::Clock, disk::Disk,
-    engine::Engine, held::Held, pool::Pool, tickets::Tickets,
+    acceptor::Acceptor, answer::Answer, arguments::Arguments, call::Call, callers::Callers,
+    clock::Clock, disk::Disk, engine::Engine, held::Held, limits::Limits, pool::Pool,
+    refused::Refused, tickets::Tickets,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -2,7 +2,7 @@
 
 use log4rs::{
     append::console::{ConsoleAppender, Target},
-    config::{Appender, Config, Root},
+    config::{Appender, Config, Logger, Root},
     encode::json::JsonEncoder,
 };
 
@@ -12,6 +12,7 @@
         .encoder(Box::new(JsonEncoder::new()))
         .build();
     let config = Config::builder()
+        .logger(Logger::builder().build("tiny_http", log::LevelFilter::Off))
         .appender(Appender::builder().build("stderr", Box::new(appender)))
         .build(Root::builder().appender("stderr").build(log::LevelFilter::Info))?;
     log4rs::init_config(config)?;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -11,7 +11,7 @@
 ) -> eyre::Result<Tickets<node::operator::Reply>> {
     let tickets = Tickets::default();
     let edge = Edge { tickets: tickets.clone(), events };
-    http::serve(address, move |request| edge.handle(request))?;
+    http::serve(address, Limits::OPERATORS, move |request| edge.handle(request))?;
     Ok(tickets)
 }
 
@@ -46,7 +46,7 @@
     fn apply(&self, mut request: tiny_http::Request) {
         let body = match http::body(&mut request, MAX_BODY_BYTES) {
             Ok(body) => body,
-            Err(failure) => return http::respond(request, 400, &failure),
+            Err(failure) => return http::respond(request, failure.status, &failure),
         };
         let (id, author) = (header::get(&request, "Request-Id"), header::get(&request, "Author"));
         let base = header::get(&request, "Base-Revision").and_then(|base| base.parse().ok());
--- a/crates/daemon/src/outbound.rs
+++ b/crates/daemon/src/outbound.rs
@@ -8,6 +8,9 @@
 /// Largest answer, in bytes.
 const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Statuses of answers that have no body.
+const WITHOUT_BODY: [u16; 2] = [204, 304];
+
 /// Sends `call` as `attempt`, and says how it ended.
 pub(crate) fn send(
     attempt: &route::Attempt,
@@ -21,50 +24,92 @@
     match exchange(attempt, call, left) {
         Ok((true, _)) => (route::Report::Refused, None),
         Ok((false, answer)) => (route::Report::Answered, Some(answer)),
-        Err(error) if refused(&error) => (route::Report::NotSent, None),
+        Err(error) if was_refused(&error) => (route::Report::NotSent, None),
         Err(_) if clock.now() >= attempt.deadline => (route::Report::Late, None),
         Err(_) => (route::Report::Broken, None),
     }
 }
 
+/// The whole answer, and whether it says that the request did not run.
 fn exchange(
     attempt: &route::Attempt,
     call: &Call,
     left: Duration,
 ) -> attohttpc::Result<(bool, Answer)> {
+    let response = prepare(attempt, call, left)?.bytes(&call.body).send()?;
+    let (status, headers, reader) = response.split();
+    let status = status.as_u16();
+    if status < 200 {
+        return Err(broken("answer is not final"));
+    }
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let refused = status == 503 && text(header::OUTCOME) == Some(header::NOT_RUN);
+    let has_body = call.method != "HEAD" && !WITHOUT_BODY.contains(&status);
+    let length = text("content-length").and_then(|length| length.parse().ok());
+    let body = if has_body { read(reader, length)? } else { Vec::new() };
+    let all =
+        headers.iter().filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)));
+    let headers = header::passed(all, text("connection").unwrap_or_default());
+    Ok((refused, Answer { status, headers, body }))
+}
+
+fn prepare(
+    attempt: &route::Attempt,
+    call: &Call,
+    left: Duration,
+) -> attohttpc::Result<attohttpc::RequestBuilder> {
     let method = attohttpc::Method::from_bytes(call.method.as_bytes())
         .map_err(|error| attohttpc::Error::from(attohttpc::ErrorKind::Http(error.into())))?;
     let url = format!("http://{}{}", attempt.address, call.path);
-    let mut request = attohttpc::RequestBuilder::new(method, url)
+    let mut request = attohttpc::RequestBuilder::try_new(method, url)?
         .follow_redirects(false)
         .proxy_settings(attohttpc::ProxySettings::builder().build())
+        .max_headers(header::MAX_COUNT)
         .connect_timeout(CONNECT_TIMEOUT.min(left))
         .read_timeout(left)
-        .timeout(left)
-        .header(header::KIND, call.kind.as_str())
-        .header(header::TENANT, call.tenant.as_str())
-        .header("Sardinevalve-Attempt", attempt.id);
-    if let Some(content_type) = &call.content_type {
-        request = request.header("Content-Type", content_type.as_str());
+        .timeout(left);
+    for (name, value) in &call.headers {
+        let name = attohttpc::header::HeaderName::from_bytes(name.as_bytes())
+            .map_err(|error| attohttpc::Error::from(attohttpc::ErrorKind::Http(error.into())))?;
+        request = request.try_header_append(name, value.as_str())?;
+    }
+    request
+        .try_header(header::KIND, call.kind.as_str())?
+        .try_header(header::TENANT, call.tenant.as_str())?
+        .try_header(header::REQUEST, call.id.as_str())?
+        .try_header(header::ATTEMPT, attempt.id)
+}
+
+/// Reads a body whole; `length` is its stated length.
+fn read(reader: attohttpc::ResponseReader, length: Option<u64>) -> attohttpc::Result<Vec<u8>> {
+    if length.is_none() && !is_chunked(&reader) {
+        return Err(broken("answer has no stated end"));
     }
-    let response = request.bytes(&call.body).send()?;
-    let (status, headers, reader) = response.split();
-    let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
-    let refused =
-        status.as_u16() == 503 && text(header::OUTCOME).as_deref() == Some(header::NOT_RUN);
     let mut body = Vec::new();
-    let bytes = reader.take(MAX_ANSWER_BYTES + 1).read_to_end(&mut body)?;
-    if bytes as u64 > MAX_ANSWER_BYTES {
-        return Err(std::io::Error::other("answer is too large").into());
+    let bytes = reader.take(MAX_ANSWER_BYTES + 1).read_to_end(&mut body)? as u64;
+    if bytes > MAX_ANSWER_BYTES {
+        return Err(broken("answer is too large"));
+    }
+    if length.is_some_and(|length| length != bytes) {
+        return Err(broken("answer ended before its stated length"));
     }
-    let content_type = text("content-type");
-    Ok((refused, Answer { status: status.as_u16(), content_type, body }))
+    Ok(body)
+}
+
+/// Whether a body comes in chunks. The library hides both the header and the kind of the reader, so
+/// that its debug output alone tells a chunked body from one that ends with the connection.
+fn is_chunked(reader: &attohttpc::ResponseReader) -> bool {
+    format!("{reader:?}").contains("Chunked(")
+}
+
+fn broken(message: &str) -> attohttpc::Error {
+    std::io::Error::other(message).into()
 }
 
 /// Whether no byte can have reached the upstream.
-fn refused(error: &attohttpc::Error) -> bool {
+fn was_refused(error: &attohttpc::Error) -> bool {
     match error.kind() {
-        attohttpc::ErrorKind::Io(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        attohttpc::ErrorKind::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
         _ => false,
     }
 }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -4,7 +4,7 @@
 type Job = Box<dyn FnOnce() + Send>;
 
 /// Threads that block on connections; idle ones are used before new ones start.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Pool {
     jobs: Sender<Job>,
     idle: Receiver<Job>,
--- /dev/null
+++ b/crates/daemon/src/response.rs
@@ -0,0 +1,63 @@
+//! Answers to callers.
+
+use super::*;
+
+/// Answers a request that was held, as its outcome says.
+pub(crate) fn answer(mut held: Held, outcome: &route::Outcome) {
+    let id = held.call.id.clone();
+    match outcome {
+        route::Outcome::Run(attempt) => match held.answers.remove(attempt) {
+            Some(answer) => pass_on(held.request, &id, answer),
+            None => unknown(held.request, &id, route::Reason::Broken),
+        },
+        route::Outcome::NotRun { reason, retry_after } => {
+            let failure = http::failure(reason.to_string()).with_status(503);
+            fail(held.request, &id, header::NOT_RUN, Some(*retry_after), &failure);
+        }
+        route::Outcome::Unknown(reason) => unknown(held.request, &id, *reason),
+    }
+}
+
+/// Refuses a request before the reducer has seen it.
+pub(crate) fn refuse(request: tiny_http::Request, id: &str, failure: &http::Failure) {
+    fail(request, id, header::NOT_RUN, None, failure);
+}
+
+fn pass_on(request: tiny_http::Request, id: &str, answer: Answer) {
+    let mut response = tiny_http::Response::from_data(answer.body)
+        .with_status_code(answer.status)
+        .with_header(header::make(header::OUTCOME, "run"))
+        .with_header(header::make(header::REQUEST, id));
+    for (name, value) in answer.headers {
+        if let Ok(header) = tiny_http::Header::from_bytes(name, value) {
+            response.add_header(header);
+        }
+    }
+    http::send(request, response);
+}
+
+fn unknown(request: tiny_http::Request, id: &str, reason: route::Reason) {
+    let status = if reason == route::Reason::Late { 504 } else { 502 };
+    let failure = http::failure(reason.to_string()).with_status(status);
+    fail(request, id, "unknown", None, &failure);
+}
+
+fn fail(
+    request: tiny_http::Request,
+    id: &str,
+    outcome: &str,
+    retry_after: Option<Duration>,
+    failure: &http::Failure,
+) {
+    let body = serde_json::to_vec(failure).unwrap_or_default();
+    let mut response = tiny_http::Response::from_data(body)
+        .with_status_code(failure.status)
+        .with_header(header::make("Content-Type", "application/json"))
+        .with_header(header::make(header::OUTCOME, outcome))
+        .with_header(header::make(header::REQUEST, id));
+    if let Some(after) = retry_after {
+        let seconds = after.as_secs().max(1).to_string();
+        response.add_header(header::make("Retry-After", &seconds));
+    }
+    http::send(request, response);
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -34,6 +34,7 @@
 
 fn serve(settings: settings::Daemon) -> eyre::Result<()> {
     logging::start()?;
+    files::raise();
     let (store, restored) = open_store(&settings)?;
     let identity = wire::Identity::load(
         &settings.keys.authority,
@@ -47,7 +48,7 @@
     let disk = Disk::start(store, transport.clone(), events.clone());
     let quorum = quorum::State::new(settings.id.clone(), members(&settings), restored, boot);
     let state = node::State::new(quorum, boot);
-    let callers = Callers::start(settings.listen.callers, clock, events.clone())?;
+    let callers = Callers::start(&settings, boot, clock, events.clone())?;
     let operators = operators::start(settings.listen.operators, events.clone())?;
     let upstreams = upstreams::start(settings.listen.upstreams, events.clone())?;
     signals::start(events.clone())?;
--- a/crates/daemon/src/upstreams.rs
+++ b/crates/daemon/src/upstreams.rs
@@ -11,7 +11,7 @@
 ) -> eyre::Result<Tickets<node::upstream::Reply>> {
     let tickets = Tickets::default();
     let edge = Edge { tickets: tickets.clone(), events };
-    http::serve(address, move |request| edge.handle(request))?;
+    http::serve(address, Limits::UPSTREAMS, move |request| edge.handle(request))?;
     Ok(tickets)
 }
 
@@ -32,7 +32,7 @@
     fn handle(&self, mut request: tiny_http::Request) {
         match call(&mut request) {
             Ok(call) => self.ask(request, call),
-            Err(failure) => http::respond(request, 400, &failure),
+            Err(failure) => http::respond(request, failure.status, &failure),
         }
     }
 
@@ -45,6 +45,9 @@
 
 fn call(request: &mut tiny_http::Request) -> Result<node::upstream::Call, http::Failure> {
     let path = request.url().to_owned();
+    if *request.method() != tiny_http::Method::Post {
+        return Err(http::failure("use `POST`").with_status(405));
+    }
     match path.as_str() {
         "/v1/announce" => Ok(node::upstream::Call::Announce(http::json(request, MAX_BODY_BYTES)?)),
         "/v1/renew" => {
@@ -55,7 +58,7 @@
             let Start { instance, incarnation } = http::json(request, MAX_BODY_BYTES)?;
             Ok(node::upstream::Call::Leave { instance, incarnation })
         }
-        _ => Err(http::failure(format!("no such call `{path}`"))),
+        _ => Err(http::failure(format!("no such call `{path}`")).with_status(404)),
     }
 }
 
--- a/crates/fake/src/arguments.rs
+++ b/crates/fake/src/arguments.rs
@@ -31,4 +31,22 @@
     /// Time that a request takes, in milliseconds
     #[arg(long, default_value_t = 1)]
     pub(crate) service_time_ms: u64,
+    /// What goes wrong
+    #[arg(long)]
+    pub(crate) fault: Option<Fault>,
+    /// Share of requests that it happens to, from 0 to 1
+    #[arg(long, default_value_t = 1.0)]
+    pub(crate) fault_share: f64,
+    /// Time that a slow or late answer takes longer, in milliseconds
+    #[arg(long, default_value_t = 5000)]
+    pub(crate) fault_ms: u64,
+    /// Seed of what is left to chance
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+    /// File to append a JSON line to for each request that is run
+    #[arg(long)]
+    pub(crate) record: Option<PathBuf>,
+    /// Added to the names of the instances
+    #[arg(long, default_value = "")]
+    pub(crate) suffix: String,
 }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -2,12 +2,18 @@
 //! announces itself, renews, answers, and leaves when the process is told to stop.
 
 use {
-    clap::{Args, Parser, Subcommand},
+    clap::{Args, Parser, Subcommand, ValueEnum},
     model::{Announcement, Labels, Location},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
     std::{
+        fs::{File, OpenOptions},
+        io::Write,
+        net::TcpListener,
+        path::{Path, PathBuf},
         process::ExitCode,
         sync::{
-            Arc,
+            Arc, Mutex, PoisonError,
             atomic::{AtomicU32, AtomicU64, Ordering},
         },
         thread,
@@ -17,6 +23,8 @@
 
 mod arguments;
 mod client;
+mod fault;
+mod record;
 mod run;
 mod runner;
 
@@ -24,5 +32,7 @@
 use {
     arguments::{Arguments, Command, Upstreams},
     client::Client,
+    fault::Fault,
+    record::{Record, Run},
     runner::Runner,
 };
--- a/crates/fake/src/run.rs
+++ b/crates/fake/src/run.rs
@@ -15,8 +15,9 @@
 fn play(settings: &Upstreams) -> eyre::Result<()> {
     use signal_hook::consts::{SIGINT, SIGTERM};
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
+    let record = settings.record.as_deref().map(Record::open).transpose()?.map(Arc::new);
     let runners: Vec<_> = (0..settings.count)
-        .map(|number| Runner::start(settings, number))
+        .map(|number| Runner::start(settings, number, record.clone()))
         .collect::<eyre::Result<_>>()?;
     signals.forever().next();
     for runner in runners {
--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -8,6 +8,11 @@
     service_time: Duration,
     busy: AtomicU32,
     runs: AtomicU64,
+    fault: Option<Fault>,
+    fault_share: f64,
+    fault_time: Duration,
+    chance: Mutex<ChaCha8Rng>,
+    record: Option<Arc<Record>>,
 }
 
 /// Runners in a rack.
@@ -24,11 +29,20 @@
 
 impl Runner {
     /// Starts the runner `number` and returns once it listens.
-    pub(crate) fn start(settings: &Upstreams, number: u32) -> eyre::Result<Arc<Self>> {
-        let server = tiny_http::Server::http("127.0.0.1:0").map_err(|error| eyre::eyre!(error))?;
+    pub(crate) fn start(
+        settings: &Upstreams,
+        number: u32,
+        record: Option<Arc<Record>>,
+    ) -> eyre::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        if settings.fault == Some(Fault::Reset) {
+            socket2::SockRef::from(&listener).set_linger(Some(Duration::ZERO))?;
+        }
+        let server = tiny_http::Server::from_listener(listener, None);
+        let server = server.map_err(|error| eyre::eyre!(error))?;
         let address = server.server_addr().to_string();
         let announcement = Announcement {
-            instance: format!("{}-{number}", settings.service).into(),
+            instance: format!("{}{}-{number}", settings.service, settings.suffix).into(),
             service: settings.service.as_str().into(),
             address: address.into(),
             slots: settings.slots,
@@ -47,6 +61,11 @@
             service_time: Duration::from_millis(settings.service_time_ms),
             busy: AtomicU32::new(0),
             runs: AtomicU64::new(0),
+            fault: settings.fault,
+            fault_share: settings.fault_share,
+            fault_time: Duration::from_millis(settings.fault_ms),
+            chance: Mutex::new(ChaCha8Rng::seed_from_u64(settings.seed + u64::from(number))),
+            record,
         });
         runner.clone().listen(Arc::new(server), settings.slots + SPARE_THREADS);
         thread::spawn({
@@ -86,26 +105,86 @@
         serde_json::json!({ "instance": instance, "incarnation": incarnation })
     }
 
-    fn answer(&self, mut request: tiny_http::Request) {
+    fn answer(&self, request: tiny_http::Request) {
         if self.busy.fetch_add(1, Ordering::AcqRel) >= self.announcement.slots {
             self.busy.fetch_sub(1, Ordering::AcqRel);
-            let header = tiny_http::Header::from_bytes("Sardinevalve-Outcome", "not-run");
-            let response = tiny_http::Response::from_string("no slot is free")
-                .with_status_code(503)
-                .with_header(header.expect("header is ASCII"));
-            request.respond(response).ok();
-            return;
+            return refuse(request);
         }
+        self.run(request);
+    }
+
+    fn run(&self, mut request: tiny_http::Request) {
         let mut body = Vec::new();
-        request.as_reader().read_to_end(&mut body).ok();
-        thread::sleep(self.service_time);
+        let whole = request.as_reader().read_to_end(&mut body).is_ok();
+        if !whole {
+            self.busy.fetch_sub(1, Ordering::AcqRel);
+            return;
+        }
+        self.note(&request);
+        let fault = self.draw();
+        if fault != Some(Fault::FailFast) {
+            thread::sleep(self.service_time);
+        }
+        if matches!(fault, Some(Fault::Slow | Fault::Late)) {
+            thread::sleep(self.fault_time);
+        }
         let answer = serde_json::json!({
             "instance": self.announcement.instance,
             "run": self.runs.fetch_add(1, Ordering::Relaxed) + 1,
+            "method": request.method().as_str(),
             "path": request.url(),
+            "request": header(&request, "Sardinevalve-Request"),
             "body": String::from_utf8_lossy(&body),
         });
         self.busy.fetch_sub(1, Ordering::AcqRel);
-        request.respond(tiny_http::Response::from_string(answer.to_string())).ok();
+        respond(request, &answer.to_string(), fault);
+    }
+
+    /// Notes that a request is run, before anything of its answer is sent.
+    fn note(&self, request: &tiny_http::Request) {
+        let Some(record) = &self.record else { return };
+        record.push(&Run {
+            request: header(request, "Sardinevalve-Request"),
+            attempt: header(request, "Sardinevalve-Attempt"),
+            kind: header(request, "Sardinevalve-Kind"),
+            key: header(request, "Idempotency-Key"),
+            caller: header(request, "Caller-Request"),
+            instance: &self.announcement.instance,
+        });
+    }
+
+    /// The fault of the next request.
+    fn draw(&self) -> Option<Fault> {
+        let fault = self.fault?;
+        let mut chance = self.chance.lock().unwrap_or_else(PoisonError::into_inner);
+        (fault == Fault::Reset || chance.random_bool(self.fault_share)).then_some(fault)
+    }
+}
+
+fn header<'a>(request: &'a tiny_http::Request, name: &'static str) -> &'a str {
+    let header = request.headers().iter().find(|header| header.field.equiv(name));
+    header.map(|header| header.value.as_str()).unwrap_or_default()
+}
+
+fn refuse(request: tiny_http::Request) {
+    let header = tiny_http::Header::from_bytes("Sardinevalve-Outcome", "not-run");
+    let response = tiny_http::Response::from_string("no slot is free")
+        .with_status_code(503)
+        .with_header(header.expect("header is ASCII"));
+    request.respond(response).ok();
+}
+
+fn respond(request: tiny_http::Request, body: &str, fault: Option<Fault>) {
+    let Some(bytes) = fault.and_then(|fault| fault.distort(body)) else {
+        let status = if fault == Some(Fault::FailFast) { 500 } else { 200 };
+        let response = tiny_http::Response::from_string(body).with_status_code(status);
+        request.respond(response).ok();
+        return;
+    };
+    let mut writer = request.into_writer();
+    writer.write_all(bytes.as_bytes()).ok();
+    writer.flush().ok();
+    if fault == Some(Fault::DieMidAnswer) {
+        std::process::exit(1);
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Until when the daemon may act on its configuration.
+    pub fn view_until(&self) -> Time {
+        self.quorum.view_until()
+    }
+
     /// Takes one event, and says what is to be done.
     pub fn reduce(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -101,6 +101,11 @@
         now < self.view_until
     }
 
+    /// Until when this member may act on what it has applied.
+    pub fn view_until(&self) -> Time {
+        self.view_until
+    }
+
     /// What the leader knows of the other members; empty elsewhere.
     pub fn progress(&self) -> Vec<(Name, Progress)> {
         let Standing::Leader { progress, .. } = &self.standing else { return Vec::new() };
