--- a/crates/route/src/answer.rs
+++ b/crates/route/src/answer.rs
@@ -5,8 +5,8 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
-    /// Media type of the body.
-    pub content_type: Option<String>,
+    /// Headers that are passed on.
+    pub headers: Vec<(String, String)>,
     /// The body.
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -207,7 +207,8 @@
         let Some(pending) = self.pending.get_mut(&request) else { return };
         pending.turn += 1;
         pending.phase = Phase::Waiting;
-        pending.avoid = Some(flight.rack.clone());
+        pending.avoid =
+            Some(Avoid { instance: flight.instance.clone(), rack: flight.rack.clone() });
         self.seek(now, request, effects);
     }
 
