--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -31,15 +31,55 @@
         /// Revision that the change was made against; the present one by default
         #[arg(long)]
         base: Option<Revision>,
-        /// Id of the request; the same id again returns the first answer
-        #[arg(long)]
-        request: Option<String>,
-        /// Who asks
-        #[arg(long, env = "USER", hide_env_values = true, default_value = "operator")]
-        author: String,
+        #[command(flatten)]
+        signature: Signature,
+    },
+    /// Show the fleet's configuration as INI
+    Get {
+        /// Revision; the present one by default
+        revision: Option<Revision>,
+    },
+    /// Show what a file would change
+    Diff {
+        /// Configuration file
+        file: PathBuf,
+    },
+    /// Give labels to an instance, which win over those it announces
+    Label {
+        /// The instance
+        instance: String,
+        /// Labels, KEY=VALUE; KEY= takes the operators' label away
+        #[arg(required = true)]
+        labels: Vec<String>,
+        #[command(flatten)]
+        signature: Signature,
+    },
+    /// List the latest configurations
+    History,
+    /// Go back, by a new change, to the configuration before a revision
+    Undo {
+        /// Revision to undo; the present one by default
+        revision: Option<Revision>,
+        #[command(flatten)]
+        signature: Signature,
+    },
+    /// Maintain instances in waves
+    #[command(subcommand)]
+    Maintain(Maintain),
+    /// Forget an instance that is gone for good
+    Forget {
+        /// The instance
+        instance: String,
+        #[command(flatten)]
+        signature: Signature,
+    },
+    /// Tell what was decided, and why
+    Explain {
+        /// What the decisions concern
+        kind: Kind,
+        /// Its name; none for the configuration
+        name: Option<String>,
     },
-    /// Show the fleet's configuration
-    Get,
     /// Show the state of the fleet
     Status,
     /// Make the keys of daemons
@@ -62,3 +102,65 @@
         name: String,
     },
 }
+
+/// What identifies a request.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct Signature {
+    /// Id of the request; the same id again returns the first answer
+    #[arg(long)]
+    pub(crate) request: Option<String>,
+    /// Who asks
+    #[arg(long, env = "USER", hide_env_values = true, default_value = "operator")]
+    pub(crate) author: String,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Maintain {
+    /// Start a wave over the instances that a selector matches
+    Start {
+        /// Name of the new wave
+        wave: String,
+        /// Instances to maintain, such as `pool=quotes` or `rack=r1, service!=payouts`
+        selector: String,
+        #[command(flatten)]
+        signature: Signature,
+    },
+    /// Disrupt no further instance for now
+    Pause {
+        /// Name of the wave
+        wave: String,
+        #[command(flatten)]
+        signature: Signature,
+    },
+    /// Go on with a wave that was paused, or stopped by itself
+    Resume {
+        /// Name of the wave
+        wave: String,
+        #[command(flatten)]
+        signature: Signature,
+    },
+    /// End a wave; instances that reboot are still waited for
+    Cancel {
+        /// Name of the wave
+        wave: String,
+        #[command(flatten)]
+        signature: Signature,
+    },
+    /// Show how far the waves are
+    Status {
+        /// Name of the wave; all by default
+        wave: Option<String>,
+    },
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub(crate) enum Kind {
+    /// An instance
+    Instance,
+    /// A pool
+    Pool,
+    /// A wave
+    Wave,
+    /// The configuration
+    Config,
+}
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -14,8 +14,39 @@
         Self { address: address.into() }
     }
 
-    pub(crate) fn config(&self) -> eyre::Result<Reply> {
-        self.call(attohttpc::get(self.url("config")))
+    pub(crate) fn get(&self, call: &str) -> eyre::Result<Reply> {
+        self.call(attohttpc::get(self.url(call)))
+    }
+
+    pub(crate) fn config(&self, revision: Option<Revision>) -> eyre::Result<Reply> {
+        match revision {
+            Some(revision) => self.get(&format!("config/{revision}")),
+            None => self.get("config"),
+        }
+    }
+
+    /// The present configuration with its number.
+    pub(crate) fn present(&self) -> eyre::Result<(Revision, Config)> {
+        match self.config(None)? {
+            Reply::Config { revision, config } => Ok((revision, config)),
+            reply => bail!("unexpected reply `{reply:?}`"),
+        }
+    }
+
+    pub(crate) fn post(
+        &self,
+        call: &str,
+        signature: &Signature,
+        body: &serde_json::Value,
+    ) -> eyre::Result<Reply> {
+        let request = signature.id();
+        let post = attohttpc::post(self.url(call))
+            .header("Request-Id", &request)
+            .header("Author", &signature.author);
+        match self.call(post.json(body)?)? {
+            Reply::Unknown => bail!("outcome is unknown: repeat with `--request {request}`"),
+            reply => Ok(reply),
+        }
     }
 
     pub(crate) fn status(&self) -> eyre::Result<Reply> {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,9 +1,9 @@
 //! The operators' command-line tool, over the operators' HTTP interface of any daemon.
 
 use {
-    clap::{Parser, Subcommand},
+    clap::{Args, Parser, Subcommand, ValueEnum},
     eyre::{WrapErr, bail},
-    model::{Index, Name, Revision},
+    model::{Config, Index, Revision},
     node::operator::{Reply, Status},
     std::{
         fs,
@@ -17,12 +17,14 @@
 mod apply;
 mod arguments;
 mod client;
+mod edit;
 mod keys;
+mod maintain;
 mod run;
 mod show;
 
-pub use run::run;
 use {
-    arguments::{Arguments, Command, Keys},
+    arguments::{Arguments, Command, Keys, Kind, Maintain, Signature},
     client::Client,
 };
+pub use {run::run, show::text};
--- /dev/null
+++ b/crates/cli/src/maintain.rs
@@ -0,0 +1,55 @@
+//! `sardinevalve maintain`, `forget` and `explain`.
+
+use super::*;
+
+pub(crate) fn run(client: &Client, command: &Maintain, json: bool) -> eyre::Result<ExitCode> {
+    let (wave, action, signature) = match command {
+        Maintain::Start { wave, selector, signature } => {
+            let body = serde_json::json!({ "wave": wave, "action": "start", "selector": selector });
+            return show::reply(&client.post("waves", signature, &body)?, json);
+        }
+        Maintain::Pause { wave, signature } => (wave, "pause", signature),
+        Maintain::Resume { wave, signature } => (wave, "resume", signature),
+        Maintain::Cancel { wave, signature } => (wave, "cancel", signature),
+        Maintain::Status { wave } => return status(client, wave.as_deref(), json),
+    };
+    let body = serde_json::json!({ "wave": wave, "action": action });
+    show::reply(&client.post("waves", signature, &body)?, json)
+}
+
+fn status(client: &Client, wave: Option<&str>, json: bool) -> eyre::Result<ExitCode> {
+    let Reply::Waves { mut waves } = client.get("waves")? else { bail!("unexpected reply") };
+    if let Some(wave) = wave {
+        waves.retain(|name, _| **name == *wave);
+        if waves.is_empty() {
+            bail!("wave `{wave}` does not exist");
+        }
+    }
+    show::reply(&Reply::Waves { waves }, json)
+}
+
+pub(crate) fn forget(
+    client: &Client,
+    instance: &str,
+    signature: &Signature,
+    json: bool,
+) -> eyre::Result<ExitCode> {
+    let body = serde_json::json!({ "instance": instance });
+    show::reply(&client.post("forget", signature, &body)?, json)
+}
+
+pub(crate) fn explain(
+    client: &Client,
+    kind: Kind,
+    name: Option<&str>,
+    json: bool,
+) -> eyre::Result<ExitCode> {
+    let query = match (kind, name) {
+        (Kind::Config, _) => "config".into(),
+        (_, None) => bail!("a name is needed"),
+        (Kind::Instance, Some(name)) => format!("instance={name}"),
+        (Kind::Pool, Some(name)) => format!("pool={name}"),
+        (Kind::Wave, Some(name)) => format!("wave={name}"),
+    };
+    show::reply(&client.get(&format!("explain?{query}"))?, json)
+}
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -15,11 +15,25 @@
 fn dispatch(arguments: &Arguments) -> eyre::Result<ExitCode> {
     let client = Client::new(&arguments.daemon);
     match &arguments.command {
-        Command::Apply { file, wait, base, request, author } => {
-            let change = apply::Change { file, base: *base, request: request.as_deref(), author };
-            apply::run(&client, &change, *wait, arguments.json)
+        Command::Apply { file, wait, base, signature } => {
+            apply::run(&client, file, *base, signature, *wait, arguments.json)
+        }
+        Command::Get { revision } => show::reply(&client.config(*revision)?, arguments.json),
+        Command::Diff { file } => edit::diff(&client, file, arguments.json),
+        Command::Label { instance, labels, signature } => {
+            edit::label(&client, instance, labels, signature, arguments.json)
+        }
+        Command::History => show::reply(&client.get("history")?, arguments.json),
+        Command::Undo { revision, signature } => {
+            edit::undo(&client, *revision, signature, arguments.json)
+        }
+        Command::Maintain(command) => maintain::run(&client, command, arguments.json),
+        Command::Forget { instance, signature } => {
+            maintain::forget(&client, instance, signature, arguments.json)
+        }
+        Command::Explain { kind, name } => {
+            maintain::explain(&client, *kind, name.as_deref(), arguments.json)
         }
-        Command::Get => show::reply(&client.config()?, arguments.json),
         Command::Status => show::reply(&client.status()?, arguments.json),
         Command::Keys(command) => keys::run(command),
     }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -2,35 +2,99 @@
 
 use super::*;
 
+/// Exit code for a request that was refused.
+const EXIT_REFUSED: u8 = 5;
+
+/// Lines of one list in the status, so that it fits a screen.
+const MAX_LINES: usize = 6;
+
 pub(crate) fn reply(reply: &Reply, json: bool) -> eyre::Result<ExitCode> {
     if json {
         println!("{}", serde_json::to_string_pretty(reply)?);
-        return Ok(ExitCode::SUCCESS);
+    } else {
+        print!("{}", text(reply));
     }
+    Ok(match reply {
+        Reply::Applied { verdict, .. } if verdict.refused() => ExitCode::from(EXIT_REFUSED),
+        Reply::Unknown | Reply::NoRevision { .. } => ExitCode::FAILURE,
+        _ => ExitCode::SUCCESS,
+    })
+}
+
+/// The reply in words, each line with its end.
+pub fn text(reply: &Reply) -> String {
     match reply {
-        Reply::Applied { verdict, .. } => println!("{verdict}"),
-        Reply::Unknown => println!("outcome is unknown"),
+        Reply::Applied { verdict, .. } => format!("{verdict}\n"),
+        Reply::Unknown => "outcome is unknown\n".into(),
         Reply::Config { revision, config } => {
-            println!("revision {revision}");
-            println!("{}", serde_json::to_string_pretty(config)?);
+            format!("# revision {revision}\n{}", settings::text(config))
         }
-        Reply::Status(status) => show_status(status),
+        Reply::Status(status) => status_text(status),
+        Reply::Waves { waves } if waves.is_empty() => "no waves\n".into(),
+        Reply::Waves { waves } => waves.iter().map(|(n, tour)| format!("{n}: {tour}\n")).collect(),
+        Reply::Explanation { subject, present, entries } => {
+            let present = present.as_deref().unwrap_or("does not exist");
+            let entries = entries.iter().map(entry_text);
+            format!("{subject}: {present}\n{}", entries.collect::<String>())
+        }
+        Reply::History { now, past } => {
+            past.iter().rev().map(|past| past_text(*now, past)).collect()
+        }
+        Reply::NoRevision { revision } => format!("revision {revision} is not kept\n"),
     }
-    Ok(ExitCode::SUCCESS)
 }
 
-fn show_status(status: &Status) {
-    let nobody = || Name::from("nobody");
-    println!("daemon    {}", status.daemon);
-    println!("leader    {} (term {})", status.leader.clone().unwrap_or_else(nobody), status.term);
-    println!("view      {}", if status.view { "present" } else { "lapsed" });
-    println!("revision  {}", status.revision);
-    println!("log       {} applied, {} in force everywhere", status.applied, status.forced);
-    println!("requests  {} pending", status.pending);
-    println!("upstreams {}", status.upstreams.len());
-    for (instance, upstream) in &status.upstreams {
-        let announcement = &upstream.announcement;
-        let (service, presence) = (&announcement.service, upstream.presence);
-        println!("  {instance:<20} {service:<16} {presence:<8} {}", announcement.address);
+fn entry_text(entry: &fleet::Entry) -> String {
+    let others = entry.subjects.iter().skip(1).map(|subject| format!(" ({subject})"));
+    let others: String = others.collect();
+    format!("{:>8} s  {}: {}{others}\n", entry.at.as_secs(), entry.subjects[0], entry.reason)
+}
+
+fn past_text(now: Duration, past: &fleet::Past) -> String {
+    let age = now.saturating_sub(past.at).as_secs();
+    let fleet::Past { revision, author, request, .. } = past;
+    format!("{revision:>6}  {age:>8} s ago  {author}  {request}\n")
+}
+
+fn status_text(status: &Status) -> String {
+    let leader = status.leader.as_deref().unwrap_or("nobody");
+    let view = if status.view { "present" } else { "lapsed" };
+    let mut lines = vec![
+        format!("daemon    {}", status.daemon),
+        format!("leader    {leader} (term {})", status.term),
+        format!("view      {view}"),
+        format!("revision  {}", status.revision),
+        format!("log       {} applied, {} in force everywhere", status.applied, status.forced),
+        format!("requests  {} pending", status.pending),
+        format!("upstreams {}", status.upstreams.len()),
+    ];
+    let overview = &status.overview;
+    let mut pools: Vec<_> = overview.pools.iter().collect();
+    pools.sort_by_key(|(_, (serving, all))| std::cmp::Reverse(all - serving));
+    let pools =
+        pools.into_iter().map(|(name, (serving, all))| format!("{name}: {serving} of {all}"));
+    list(&mut lines, "pools", pools.collect());
+    let mut budgets: Vec<_> = overview.budgets.iter().collect();
+    budgets.sort_by_key(|(_, (_, room))| *room);
+    let budgets = budgets.into_iter().map(|(name, (outage, room))| {
+        let fleet::Outage { selected, down, granted } = outage;
+        format!("{name}: {down} down and {granted} granted of {selected}, room for {room}")
+    });
+    list(&mut lines, "budgets", budgets.collect());
+    let waves = overview.waves.iter().map(|(name, tour)| format!("{name}: {tour}"));
+    list(&mut lines, "waves", waves.collect());
+    let unavailable = overview.unavailable.iter().map(|(name, why)| format!("{name}: {why}"));
+    list(&mut lines, "unavailable", unavailable.collect());
+    lines.join("\n") + "\n"
+}
+
+fn list(lines: &mut Vec<String>, title: &str, items: Vec<String>) {
+    if items.is_empty() {
+        return;
+    }
+    lines.push(format!("{title:<9} {}", items.len()));
+    lines.extend(items.iter().take(MAX_LINES).map(|item| format!("  {item}")));
+    if items.len() > MAX_LINES {
+        lines.push(format!("  and {} more", items.len() - MAX_LINES));
     }
 }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -9,6 +9,7 @@
     pub(crate) disk: Disk,
     pub(crate) callers: Callers,
     pub(crate) operators: Tickets<node::operator::Reply>,
+    pub(crate) platform: Sender<node::platform::Call>,
     pub(crate) upstreams: Tickets<node::upstream::Reply>,
 }
 
@@ -47,6 +48,9 @@
                 Effect::Subscribe { timer, after } => timers.subscribe(timer, now + after),
                 Effect::Operator { ticket, reply } => self.operators.resolve(ticket, reply),
                 Effect::Upstream { ticket, reply } => self.upstreams.resolve(ticket, reply),
+                Effect::Platform(call) => {
+                    self.platform.send(call).ok();
+                }
                 Effect::Attempt(attempt) => self.callers.attempt(attempt),
                 Effect::Answer { request, outcome } => self.callers.answer(request, outcome),
                 Effect::Health(healthy) => self.callers.set_health(healthy),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,6 +36,7 @@
 mod logging;
 mod operators;
 mod outbound;
+mod platform;
 mod pool;
 mod run;
 mod signals;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -28,6 +28,40 @@
     findings: settings::Findings,
 }
 
+/// What an operator asks of a wave.
+#[derive(serde::Deserialize)]
+struct Tour {
+    wave: Name,
+    #[serde(flatten)]
+    action: Action,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "action")]
+enum Action {
+    Start { selector: String },
+    Pause,
+    Resume,
+    Cancel,
+}
+
+/// An instance that is gone for good.
+#[derive(serde::Deserialize)]
+struct Lost {
+    instance: Name,
+}
+
+impl Tour {
+    fn edit(&self) -> Result<fleet::Edit, model::Error> {
+        Ok(match &self.action {
+            Action::Start { selector } => fleet::Edit::Start(selector.parse()?),
+            Action::Pause => fleet::Edit::Pause,
+            Action::Resume => fleet::Edit::Resume,
+            Action::Cancel => fleet::Edit::Cancel,
+        })
+    }
+}
+
 impl Edge {
     fn handle(&self, request: tiny_http::Request) {
         let path = request.url().to_owned();
@@ -38,8 +72,51 @@
             (tiny_http::Method::Get, "/v1/status") => {
                 self.ask(request, node::operator::Call::Status);
             }
+            (tiny_http::Method::Get, "/v1/waves") => self.ask(request, node::operator::Call::Waves),
+            (tiny_http::Method::Get, "/v1/history") => {
+                self.ask(request, node::operator::Call::History);
+            }
+            (tiny_http::Method::Get, path) => self.look_up(request, path),
             (tiny_http::Method::Post, "/v1/changes") => self.apply(request),
-            _ => http::respond(request, 404, &http::failure(format!("no such call `{path}`"))),
+            (tiny_http::Method::Post, "/v1/waves") => self.maintain(request),
+            (tiny_http::Method::Post, "/v1/forget") => self.forget(request),
+            _ => unknown(request, &path),
+        }
+    }
+
+    fn look_up(&self, request: tiny_http::Request, path: &str) {
+        if let Some(revision) = path.strip_prefix("/v1/config/").and_then(|r| r.parse().ok()) {
+            return self.ask(request, node::operator::Call::Past(revision));
+        }
+        match path.strip_prefix("/v1/explain?").and_then(subject) {
+            Some(subject) => self.ask(request, node::operator::Call::Explain(subject)),
+            None => unknown(request, path),
+        }
+    }
+
+    fn maintain(&self, mut request: tiny_http::Request) {
+        let Some((id, author)) = sender(&request) else { return unsigned(request) };
+        let tour = match http::json::<Tour>(&mut request, MAX_BODY_BYTES) {
+            Ok(tour) => tour,
+            Err(failure) => return http::respond(request, 400, &failure),
+        };
+        match tour.edit() {
+            Ok(edit) => {
+                let order = fleet::Order { request: id, author, wave: tour.wave, edit };
+                self.ask(request, node::operator::Call::Maintain(order));
+            }
+            Err(error) => http::respond(request, 422, &http::failure(error.to_string())),
+        }
+    }
+
+    fn forget(&self, mut request: tiny_http::Request) {
+        let Some((id, author)) = sender(&request) else { return unsigned(request) };
+        match http::json::<Lost>(&mut request, MAX_BODY_BYTES) {
+            Ok(Lost { instance }) => {
+                let call = node::operator::Call::Forget { request: id, author, instance };
+                self.ask(request, call);
+            }
+            Err(failure) => http::respond(request, 400, &failure),
         }
     }
 
@@ -48,13 +125,11 @@
             Ok(body) => body,
             Err(failure) => return http::respond(request, 400, &failure),
         };
-        let (id, author) = (header::get(&request, "Request-Id"), header::get(&request, "Author"));
         let base = header::get(&request, "Base-Revision").and_then(|base| base.parse().ok());
-        let (Some(id), Some(author), Some(base)) = (id, author, base) else {
+        let (Some((id, author)), Some(base)) = (sender(&request), base) else {
             let failure = http::failure("`Request-Id`, `Author` and `Base-Revision` are needed");
             return http::respond(request, 400, &failure);
         };
-        let (id, author) = (Name::from(id), Name::from(author));
         match settings::config("configuration", &String::from_utf8_lossy(&body)) {
             Ok(config) => {
                 let change = fleet::Change { request: id, author, base, config };
@@ -76,8 +151,37 @@
 
 fn status(reply: &node::operator::Reply) -> u16 {
     match reply {
-        node::operator::Reply::Applied { verdict: fleet::Verdict::Conflict { .. }, .. } => 409,
+        node::operator::Reply::Applied { verdict, .. } if verdict.refused() => 409,
+        node::operator::Reply::NoRevision { .. } => 404,
         node::operator::Reply::Unknown => 504,
         _ => 200,
     }
 }
+
+/// Id of a request and who asks.
+fn sender(request: &tiny_http::Request) -> Option<(Name, Name)> {
+    let (id, author) = (header::get(request, "Request-Id")?, header::get(request, "Author")?);
+    Some((id.into(), author.into()))
+}
+
+fn unsigned(request: tiny_http::Request) {
+    let failure = http::failure("`Request-Id` and `Author` are needed");
+    http::respond(request, 400, &failure);
+}
+
+fn unknown(request: tiny_http::Request, path: &str) {
+    http::respond(request, 404, &http::failure(format!("no such call `{path}`")));
+}
+
+fn subject(query: &str) -> Option<fleet::Subject> {
+    if query == "config" {
+        return Some(fleet::Subject::Config);
+    }
+    let (kind, name) = query.split_once('=')?;
+    match kind {
+        "instance" => Some(fleet::Subject::Instance(name.into())),
+        "pool" => Some(fleet::Subject::Pool(name.into())),
+        "wave" => Some(fleet::Subject::Wave(name.into())),
+        _ => None,
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -50,9 +50,10 @@
     let callers = Callers::start(settings.listen.callers, clock, events.clone())?;
     let operators = operators::start(settings.listen.operators, events.clone())?;
     let upstreams = upstreams::start(settings.listen.upstreams, events.clone())?;
+    let platform = platform::start(settings.platform, events.clone());
     signals::start(events.clone())?;
     log::info!(daemon = &*settings.id; "started");
-    Engine { state, clock, inbox, transport, disk, callers, operators, upstreams }.run();
+    Engine { state, clock, inbox, transport, disk, callers, operators, platform, upstreams }.run();
     log::info!(daemon = &*settings.id; "stopped");
     Ok(())
 }
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -21,4 +21,31 @@
         /// Start of the instance that is meant.
         incarnation: u64,
     },
+    /// An operator wants something of a wave.
+    Maintain(Order),
+    /// An instance is gone for good.
+    Forget {
+        /// Id that the operator gave the request.
+        request: Name,
+        /// Who asks.
+        author: Name,
+        /// The instance.
+        instance: Name,
+    },
+    /// The leader goes one step further with an instance.
+    Step(Step),
+    /// What a wave waits for has changed.
+    Wait {
+        /// The wave.
+        wave: Name,
+        /// What it waits for.
+        wait: Wait,
+        /// Fleet time of the proposal.
+        at: Time,
+    },
+    /// Fleet time passes.
+    Tick {
+        /// Fleet time of the proposal.
+        at: Time,
+    },
 }
--- a/crates/fleet/src/effect.rs
+++ b/crates/fleet/src/effect.rs
@@ -3,9 +3,9 @@
 /// What follows from a command.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
-    /// A change was judged; a resend gets the first verdict.
+    /// A request was judged; a resend gets the first verdict.
     Verdict {
-        /// Request of the change.
+        /// The request.
         request: Name,
         /// What became of it.
         verdict: Verdict,
@@ -14,4 +14,8 @@
     Configured(Arc<Config>),
     /// An upstream is new, or is another than before.
     Upstream(Upstream),
+    /// An instance takes new work, as announced here.
+    Serving(Announcement),
+    /// An instance takes no new work.
+    Gone(Name),
 }
--- /dev/null
+++ b/crates/fleet/src/outage.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+/// What a budget counts at the moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outage {
+    /// Instances that the budget selects.
+    pub selected: u32,
+    /// Instances down without a grant.
+    pub down: u32,
+    /// Instances under a grant.
+    pub granted: u32,
+}
+
+impl Outage {
+    /// Instances that are unavailable, for whatever cause.
+    pub fn unavailable(&self) -> u32 {
+        self.down + self.granted
+    }
+
+    /// Instances that decisions may make unavailable, those already unavailable included.
+    pub fn ceiling(&self, budget: &Budget) -> u32 {
+        let limit = budget.max_unavailable.of(self.selected);
+        limit.saturating_sub(budget.reserve.at_least(self.selected))
+    }
+
+    /// Further instances that decisions may make unavailable.
+    pub fn room(&self, budget: &Budget) -> u32 {
+        self.ceiling(budget).saturating_sub(self.unavailable())
+    }
+
+    /// The refusal of `budget` under the name `name`.
+    pub fn shortage(&self, name: &Name, budget: &Budget) -> Shortage {
+        Shortage {
+            budget: name.clone(),
+            selected: self.selected,
+            limit: budget.max_unavailable.of(self.selected),
+            reserve: budget.reserve.at_least(self.selected),
+            down: self.down,
+            granted: self.granted,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/planner.rs
@@ -0,0 +1,184 @@
+use super::*;
+
+/// What the leader proposes next. It keeps nothing that a new leader would miss.
+#[derive(Debug, Clone, Default)]
+pub struct Planner {
+    commands: Vec<Command>,
+    now: Time,
+    tally: Tally,
+}
+
+impl Planner {
+    /// Author of waves that the schedule starts.
+    pub const SCHEDULE: &'static str = "schedule";
+
+    /// Commands for the state of the fleet at fleet time `now`.
+    pub fn plan(state: &State, now: Time) -> Vec<Command> {
+        let tally = Tally::count(state);
+        let mut planner = Self { commands: Vec::new(), now, tally };
+        planner.end_phases(state);
+        planner.move_misplaced(state);
+        for (name, wave) in state.waves() {
+            if wave.standing == Standing::Running {
+                planner.advance_wave(state, name, wave);
+            }
+        }
+        planner.schedule(state);
+        planner.commands
+    }
+
+    /// What the wave `name` waits for, if it can give no grant now.
+    pub fn wait(state: &State, name: &Name) -> Option<Wait> {
+        let wave = state.waves().get(name).filter(|wave| wave.standing == Standing::Running)?;
+        let tally = Tally::count(state);
+        let mut planner = Self { commands: Vec::new(), now: state.now(), tally };
+        planner.fill(state, name, wave)
+    }
+
+    fn propose(&mut self, upstream: &Upstream, action: Action) {
+        self.commands.push(Command::Step(Step {
+            instance: upstream.announcement.instance.clone(),
+            epoch: upstream.epoch,
+            action,
+            at: self.now,
+        }));
+    }
+
+    fn end_phases(&mut self, state: &State) {
+        for upstream in state.upstreams().values() {
+            let Some(grant) = &upstream.grant else { continue };
+            let due = grant.until.is_some_and(|until| until <= self.now);
+            match grant.phase {
+                Phase::Returned if due => self.propose(upstream, Action::Release),
+                Phase::Draining | Phase::Rebooting { .. } if due => {
+                    self.propose(upstream, Action::Expire);
+                }
+                Phase::Lent if loan_is_void(state, upstream) || awaited(state, upstream) => {
+                    self.propose(upstream, Action::Recall);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn move_misplaced(&mut self, state: &State) {
+        for upstream in state.upstreams().values().filter(|upstream| upstream.misplaced()) {
+            self.grant(state, upstream, Purpose::Move).ok();
+        }
+    }
+
+    fn grant(&mut self, state: &State, upstream: &Upstream, purpose: Purpose) -> Result {
+        state.permit(upstream, &purpose, &self.tally)?;
+        if state.available(upstream) {
+            self.tally.grant(upstream);
+        }
+        self.propose(upstream, Action::Grant(purpose));
+        Ok(())
+    }
+
+    fn advance_wave(&mut self, state: &State, name: &Name, wave: &Wave) {
+        let Some(wait) = self.fill(state, name, wave) else { return };
+        let known = wave.wait.as_ref().is_some_and(|former| former.same_cause(&wait));
+        if !known {
+            self.commands.push(Command::Wait { wave: name.clone(), wait, at: self.now });
+        }
+    }
+
+    /// Grants as many instances of a wave as budgets allow, and says what keeps back the rest.
+    fn fill(&mut self, state: &State, name: &Name, wave: &Wave) -> Option<Wait> {
+        let granted = wave.instances.iter().filter(|(_, p)| **p == Progress::Granted);
+        let first_granted = granted.clone().next().map(|(instance, _)| instance.clone());
+        let canary = wave.width(&state.config().policy);
+        let mut left = canary.unwrap_or(usize::MAX).saturating_sub(granted.count());
+        let mut wait = None;
+        for upstream in self.ordered(state, wave) {
+            if left == 0 {
+                return wait.or(first_granted.map(Wait::Canary));
+            }
+            let instance = upstream.announcement.instance.clone();
+            match self.grant(state, upstream, Purpose::Maintenance(name.clone())) {
+                Ok(()) => left -= 1,
+                Err(Error::Shortage(shortage)) => {
+                    wait = wait.or(Some(Wait::Budget { instance, shortage }));
+                }
+                Err(Error::Busy { .. }) => wait = wait.or(Some(Wait::Granted(instance))),
+                Err(_) => wait = wait.or(Some(Wait::Down(instance))),
+            }
+        }
+        wait.or(first_granted.map(Wait::Granted))
+    }
+
+    /// Waiting instances of a wave, those of the budgets that take longest first, and of racks
+    /// with the fewest disruptions first.
+    fn ordered<'a>(&self, state: &'a State, wave: &Wave) -> Vec<&'a Upstream> {
+        let waiting = wave.instances.iter().filter(|(_, p)| **p == Progress::Waiting);
+        let waiting = waiting.filter_map(|(instance, _)| state.upstreams().get(instance));
+        let mut waiting: Vec<_> = waiting.collect();
+        let rounds = self.rounds(state, &waiting);
+        let mut racks = disrupted_racks(state);
+        let key = |upstream: &Upstream| {
+            let rounds = upstream.budgets.iter().filter_map(|budget| rounds.get(budget)).max();
+            std::cmp::Reverse(rounds.copied().unwrap_or(0))
+        };
+        waiting.sort_by_cached_key(|upstream| {
+            let rack = racks.entry(&upstream.announcement.location).or_default();
+            *rack += 1;
+            (!state.available(upstream), key(upstream), *rack)
+        });
+        waiting
+    }
+
+    /// How many times over the waiting instances would fill each budget, in thousandths.
+    fn rounds(&self, state: &State, waiting: &[&Upstream]) -> BTreeMap<Name, u64> {
+        let mut counts = BTreeMap::<&Name, u64>::new();
+        for budget in waiting.iter().flat_map(|upstream| &upstream.budgets) {
+            *counts.entry(budget).or_default() += 1;
+        }
+        let rounds = counts.into_iter().filter_map(|(name, count)| {
+            let budget = state.config().budgets.get(name)?;
+            let ceiling = u64::from(self.tally.get(name).ceiling(budget).max(1));
+            Some((name.clone(), count * 1000 / ceiling))
+        });
+        rounds.collect()
+    }
+
+    fn schedule(&mut self, state: &State) {
+        let due = state.due_for_maintenance(self.now);
+        if due.is_empty() {
+            return;
+        }
+        let name = Name::from(format!("{}-{}", Self::SCHEDULE, self.now.as_secs()));
+        self.commands.push(Command::Tick { at: self.now });
+        self.commands.push(Command::Maintain(Order {
+            request: name.clone(),
+            author: Self::SCHEDULE.into(),
+            wave: name,
+            edit: Edit::Schedule,
+        }));
+    }
+}
+
+/// Disruptions by rack.
+fn disrupted_racks(state: &State) -> BTreeMap<&model::Location, u32> {
+    let mut racks = BTreeMap::new();
+    for upstream in state.upstreams().values().filter(|upstream| upstream.grant.is_some()) {
+        *racks.entry(&upstream.announcement.location).or_default() += 1;
+    }
+    racks
+}
+
+/// Whether the pools of a loan have changed since it began.
+fn loan_is_void(state: &State, upstream: &Upstream) -> bool {
+    let Some(tenure) = &upstream.tenure else { return false };
+    let pools = &state.config().pools;
+    upstream.misplaced()
+        || pools.get(&tenure.pool).is_none_or(|pool| pool.spare)
+        || pools.get(&tenure.home).is_none_or(|pool| !pool.spare)
+}
+
+/// Whether a wave that gives grants is to maintain the instance.
+fn awaited(state: &State, upstream: &Upstream) -> bool {
+    let wave = state.wave_of(&upstream.announcement.instance);
+    let wave = wave.and_then(|wave| state.waves().get(wave));
+    wave.is_some_and(|wave| wave.standing == Standing::Running)
+}
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -15,6 +15,8 @@
     pub budgets: BTreeMap<Name, Budget>,
     /// Labels that operators give to instances.
     pub instances: BTreeMap<Name, Instance>,
+    /// How the fleet is maintained and spare instances are used.
+    pub policy: Policy,
 }
 
 impl Config {
--- a/crates/model/src/labels.rs
+++ b/crates/model/src/labels.rs
@@ -10,6 +10,11 @@
         self.0.insert(key, value);
     }
 
+    /// Removes `key`.
+    pub fn remove(&mut self, key: &str) {
+        self.0.remove(key);
+    }
+
     /// Adds every label of `other`; those of `other` win.
     pub fn merge(&mut self, other: &Labels) {
         for (key, value) in &other.0 {
@@ -34,6 +39,24 @@
     }
 }
 
+impl fmt::Display for Labels {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        join(f, self.0.iter().map(|(key, value)| format!("{key}={value}")))
+    }
+}
+
+/// Writes `terms` with commas between them.
+pub(crate) fn join<T: fmt::Display>(
+    f: &mut Formatter,
+    terms: impl IntoIterator<Item = T>,
+) -> fmt::Result {
+    for (i, term) in terms.into_iter().enumerate() {
+        let separator = if i == 0 { "" } else { ", " };
+        write!(f, "{separator}{term}")?;
+    }
+    Ok(())
+}
+
 /// Checks and shares a name.
 pub(crate) fn name(text: &str) -> Result<Name> {
     let valid = |c: char| c.is_ascii_alphanumeric() || "._-/".contains(c);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,7 +4,13 @@
 use {
     derive_more::{Deref, Display, Error, From},
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, str::FromStr, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeMap,
+        fmt::{self, Formatter},
+        str::FromStr,
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 mod announcement;
@@ -15,6 +21,7 @@
 mod kind;
 mod labels;
 mod location;
+mod policy;
 mod pool;
 mod quota;
 mod requirement;
@@ -24,7 +31,7 @@
 
 pub use {
     announcement::Announcement, budget::Budget, config::Config, error::Error, instance::Instance,
-    kind::Kind, labels::Labels, location::Location, pool::Pool, quota::Quota,
+    kind::Kind, labels::Labels, location::Location, policy::Policy, pool::Pool, quota::Quota,
     requirement::Requirement, selector::Selector, service::Service, tenant::Tenant,
 };
 
--- a/crates/model/src/pool.rs
+++ b/crates/model/src/pool.rs
@@ -7,4 +7,6 @@
     pub selector: Selector,
     /// Whether its instances may be lent to pools in need.
     pub spare: bool,
+    /// Service that instances lent to the pool answer.
+    pub service: Option<Name>,
 }
--- a/crates/model/src/quota.rs
+++ b/crates/model/src/quota.rs
@@ -12,6 +12,16 @@
 }
 
 impl Quota {
+    /// The count that this quota holds back of `total` instances, rounded up.
+    pub fn at_least(self, total: u32) -> u32 {
+        match self {
+            Self::Count(count) => count,
+            Self::Percent(percent) => (u64::from(total) * u64::from(percent))
+                .div_ceil(100)
+                .min(u64::from(u32::MAX)) as u32,
+        }
+    }
+
     /// The count that this quota allows of `total` instances, rounded down.
     pub fn of(self, total: u32) -> u32 {
         match self {
--- a/crates/model/src/selector.rs
+++ b/crates/model/src/selector.rs
@@ -37,3 +37,9 @@
         Ok(Self(terms.map(|term| Self::term(term, text)).collect::<Result<_>>()?))
     }
 }
+
+impl fmt::Display for Selector {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        labels::join(f, &self.0)
+    }
+}
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -33,6 +33,8 @@
         /// The reply.
         reply: upstream::Reply,
     },
+    /// Call the platform.
+    Platform(platform::Call),
     /// Send a request to an upstream.
     Attempt(route::Attempt),
     /// Answer a caller.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -35,6 +35,8 @@
         /// What is asked.
         call: upstream::Call,
     },
+    /// The platform answered, or did not.
+    Platform(platform::Report),
     /// Something happened to a caller's request.
     Route(route::Event),
     /// The process is to stop.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,33 +12,43 @@
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
+        fmt::{self, Formatter},
         time::Duration,
     },
 };
 
 mod command;
+mod drains;
 mod effect;
 mod event;
 mod leases;
 mod message;
 pub mod operator;
 mod outcome;
+mod overview;
 mod pending;
+pub mod platform;
 mod proposal;
 mod proposals;
 mod replica;
 mod state;
+mod steward;
 mod timer;
+mod tour;
 pub mod upstream;
+mod view;
 
 pub use {
     command::Command, effect::Effect, event::Event, message::Message, outcome::Outcome,
-    proposal::Proposal, replica::Replica, state::State, timer::Timer,
+    overview::Overview, proposal::Proposal, replica::Replica, state::State, timer::Timer,
+    tour::Tour,
 };
 use {
+    drains::Drains,
     leases::Leases,
     pending::{Caller, Pending},
     proposals::Proposals,
+    steward::Steward,
 };
 
 /// Number of a call that waits for a reply at an edge.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -6,7 +6,9 @@
     /// Agreement.
     Quorum(quorum::Message),
     /// A proposal for whoever leads.
-    Propose(Proposal),
+    Propose(Box<Proposal>),
     /// Upstreams that were heard by the sender, for whoever leads.
     Heard(Vec<Name>),
+    /// Drains under way on which the sender has no work in flight, for whoever leads.
+    Idle(Vec<(Name, fleet::Epoch)>),
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -11,16 +11,34 @@
     Config,
     /// Show the state of the fleet.
     Status,
+    /// Change a wave.
+    Maintain(fleet::Order),
+    /// Forget an instance that is gone for good.
+    Forget {
+        /// Id that the operator gave the request.
+        request: Name,
+        /// Who asks.
+        author: Name,
+        /// The instance.
+        instance: Name,
+    },
+    /// Show the waves.
+    Waves,
+    /// Show the decisions about a subject.
+    Explain(fleet::Subject),
+    /// Show the latest configurations.
+    History,
+    /// Show an earlier configuration.
+    Past(Revision),
 }
 
 /// Reply to an operator.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "reply")]
 pub enum Reply {
-    /// A change was judged.
+    /// A request was judged.
     Applied {
         /// What became of it.
-        #[serde(flatten)]
         verdict: fleet::Verdict,
         /// Position of the verdict in the log; in force once the status shows as much.
         index: Index,
@@ -36,6 +54,32 @@
     },
     /// The state of the fleet.
     Status(Status),
+    /// The waves, ended ones included while they are kept.
+    Waves {
+        /// Waves by name.
+        waves: BTreeMap<Name, Tour>,
+    },
+    /// The decisions about a subject, the oldest first.
+    Explanation {
+        /// What they concern.
+        subject: fleet::Subject,
+        /// Its present state in words.
+        present: Option<Name>,
+        /// The decisions.
+        entries: Vec<fleet::Entry>,
+    },
+    /// The latest configurations, the oldest first.
+    History {
+        /// Fleet time now.
+        now: Duration,
+        /// Configurations.
+        past: Vec<fleet::Past>,
+    },
+    /// No such revision is kept.
+    NoRevision {
+        /// The revision.
+        revision: Revision,
+    },
 }
 
 /// State of the fleet as one daemon sees it.
@@ -59,4 +103,6 @@
     pub pending: usize,
     /// Upstreams by instance.
     pub upstreams: BTreeMap<Name, fleet::Upstream>,
+    /// The fleet in numbers.
+    pub overview: Overview,
 }
--- /dev/null
+++ b/crates/node/src/overview.rs
@@ -0,0 +1,91 @@
+use super::*;
+
+/// The fleet in numbers.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Overview {
+    /// Instances by pool: available, and all.
+    pub pools: BTreeMap<Name, (u32, u32)>,
+    /// What each budget counts, and how many further instances it lets decisions disrupt.
+    pub budgets: BTreeMap<Name, (fleet::Outage, u32)>,
+    /// Waves that are not over, and what each waits for.
+    pub waves: BTreeMap<Name, Tour>,
+    /// Instances that are not available.
+    pub unavailable: BTreeMap<Name, Name>,
+}
+
+impl Overview {
+    /// The numbers of `fleet`.
+    pub fn new(fleet: &fleet::State) -> Self {
+        let mut overview = Self { waves: tours(fleet, false), ..Self::default() };
+        for name in fleet.config().pools.keys() {
+            overview.pools.insert(name.clone(), (0, 0));
+        }
+        for (name, upstream) in fleet.upstreams() {
+            let available = fleet.available(upstream);
+            if let Some(tenure) = &upstream.tenure {
+                let pool = overview.pools.entry(tenure.pool.clone()).or_default();
+                pool.0 += u32::from(fleet.serves(upstream));
+                pool.1 += 1;
+            }
+            if !available {
+                overview.unavailable.insert(name.clone(), cause(upstream).into());
+            }
+        }
+        let tally = fleet::Tally::count(fleet);
+        for (name, budget) in &fleet.config().budgets {
+            let outage = tally.get(name);
+            overview.budgets.insert(name.clone(), (outage, outage.room(budget)));
+        }
+        overview
+    }
+}
+
+/// Every wave in numbers, ended ones only where they are asked for.
+pub(crate) fn tours(fleet: &fleet::State, ended: bool) -> BTreeMap<Name, Tour> {
+    let waves = fleet.waves().iter().filter(|(_, wave)| ended || !wave.standing.ended());
+    waves.map(|(name, wave)| (name.clone(), tour(fleet, name, wave))).collect()
+}
+
+fn tour(fleet: &fleet::State, name: &Name, wave: &fleet::Wave) -> Tour {
+    let mut counts = BTreeMap::new();
+    for progress in wave.instances.values() {
+        *counts.entry(progress.to_string().into()).or_default() += 1;
+    }
+    let wait = match wave.standing {
+        fleet::Standing::Stopped => Some("waits for an operator to resume or cancel it".into()),
+        fleet::Standing::Paused => Some("waits for an operator to resume it".into()),
+        _ => fleet::Planner::wait(fleet, name).map(|wait| wait.to_string().into()),
+    };
+    Tour {
+        standing: wave.standing,
+        counts,
+        elapsed: wave.ended.unwrap_or(fleet.now()).saturating_sub(wave.started),
+        estimate: wave.estimate(fleet.now()),
+        wait,
+    }
+}
+
+/// The state of an instance in words.
+pub(crate) fn present(upstream: &fleet::Upstream) -> String {
+    let pool = match &upstream.tenure {
+        Some(tenure) if tenure.lent() => {
+            format!("in pool `{}`, lent by `{}`", tenure.pool, tenure.home)
+        }
+        Some(tenure) => format!("in pool `{}`", tenure.pool),
+        None => "in no pool".into(),
+    };
+    let available = upstream.grant.is_none()
+        && upstream.presence == fleet::Presence::Serving
+        && !upstream.failed;
+    if available { pool } else { format!("{pool}, {}", cause(upstream)) }
+}
+
+fn cause(upstream: &fleet::Upstream) -> String {
+    match (&upstream.grant, upstream.presence) {
+        (Some(grant), _) => format!("{} for {}", grant.phase, grant.purpose),
+        (None, fleet::Presence::Serving) if upstream.failed => "failed to return".into(),
+        (None, fleet::Presence::Serving) if upstream.pools.len() > 1 => "in several pools".into(),
+        (None, fleet::Presence::Serving) => "in no pool".into(),
+        (None, presence) => presence.to_string(),
+    }
+}
--- a/crates/node/src/proposals.rs
+++ b/crates/node/src/proposals.rs
@@ -37,6 +37,13 @@
         self.pending.remove(&applied.sequence)?.caller
     }
 
+    /// Whether a step of the fleet's planner is under way.
+    pub(crate) fn awaits_step(&self) -> bool {
+        self.pending.values().any(|pending| {
+            matches!(pending.proposal.command, Command::Fleet(fleet::Command::Step(_)))
+        })
+    }
+
     /// Proposals older than `age`.
     pub(crate) fn older(&self, now: Time, age: Duration) -> Vec<Proposal> {
         let due = self.pending.values().filter(|pending| pending.proposed + age <= now);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,6 +14,7 @@
     /// Upstreams heard here since the last beat.
     heard: BTreeSet<Name>,
     leases: Leases,
+    steward: Steward,
     view: bool,
     stopping: bool,
 }
@@ -29,6 +30,7 @@
             route: route::State::default(),
             heard: BTreeSet::new(),
             leases: Leases::default(),
+            steward: Steward::default(),
             view: false,
             stopping: false,
         }
@@ -47,6 +49,7 @@
             }
             Event::Operator { ticket, call } => self.on_operator(now, ticket, call, &mut effects),
             Event::Upstream { ticket, call } => self.on_upstream(now, ticket, call, &mut effects),
+            Event::Platform(report) => self.on_platform(now, report, &mut effects),
             Event::Route(event) => self.route(now, event, &mut effects),
             Event::Stop => self.stop(now, &mut effects),
         }
@@ -93,6 +96,7 @@
             }
             Message::Propose(proposal) => self.append(now, &proposal, effects),
             Message::Heard(instances) => self.renew(now, instances),
+            Message::Idle(drains) => self.steward.drains.report(now, from, drains),
         }
     }
 
@@ -108,11 +112,16 @@
                 let command = fleet::Command::Change(change).into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
-            operator::Call::Config => operator::Reply::Config {
-                revision: self.replica.fleet.revision(),
-                config: model::Config::clone(self.replica.fleet.config()),
-            },
+            operator::Call::Maintain(order) => {
+                let command = fleet::Command::Maintain(order).into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
+            operator::Call::Forget { request, author, instance } => {
+                let command = fleet::Command::Forget { request, author, instance }.into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
             operator::Call::Status => operator::Reply::Status(self.status(now)),
+            call => view::reply(&self.replica.fleet, call),
         };
         effects.push(Effect::Operator { ticket, reply });
     }
@@ -128,6 +137,7 @@
             forced: self.quorum.forced(),
             pending: self.route.pending(),
             upstreams: self.replica.fleet.upstreams().clone(),
+            overview: Overview::new(&self.replica.fleet),
         }
     }
 
@@ -180,7 +190,8 @@
             return self.append(now, proposal, effects);
         }
         if let Some(to) = self.quorum.leader().cloned() {
-            effects.push(Effect::Send { to, message: Message::Propose(proposal.clone()) });
+            effects
+                .push(Effect::Send { to, message: Message::Propose(Box::new(proposal.clone())) });
         }
     }
 
@@ -207,7 +218,9 @@
 
     fn on_leader(&mut self, now: Time, leader: Option<Name>, effects: &mut Vec<Effect>) {
         self.leases.clear();
-        if self.quorum.leads() {
+        let leads = self.quorum.leads();
+        self.steward.lead(now, leads.then_some(&self.replica.fleet));
+        if leads {
             let instances = self.replica.fleet.upstreams().keys().cloned().collect();
             self.renew(now, instances);
         }
@@ -263,15 +276,19 @@
                 self.route(now, route::Event::Configured(config), effects);
             }
             fleet::Effect::Upstream(upstream) => {
-                let instance = upstream.announcement.instance.clone();
+                let instance = upstream.announcement.instance;
                 if upstream.presence == fleet::Presence::Serving {
                     self.renew(now, vec![instance]);
-                    self.route(now, route::Event::Serving(upstream.announcement), effects);
                 } else {
                     self.leases.remove(&instance);
-                    self.route(now, route::Event::Gone(instance), effects);
                 }
             }
+            fleet::Effect::Serving(announcement) => {
+                self.route(now, route::Event::Serving(announcement), effects);
+            }
+            fleet::Effect::Gone(instance) => {
+                self.route(now, route::Event::Gone(instance), effects);
+            }
         }
     }
 
@@ -291,6 +308,8 @@
         effects.push(Effect::Subscribe { timer: Timer::Beat, after: BEAT });
         self.pass_on_heard(now, effects);
         self.lapse(now, effects);
+        self.report_idle(now, effects);
+        self.lead_fleet(now, effects);
         self.give_up(now, effects);
         self.repeat(now, Proposals::REPEAT, effects);
     }
@@ -308,6 +327,41 @@
         }
     }
 
+    /// Tells whoever leads on which drains this daemon has no work in flight.
+    fn report_idle(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let draining = steward::draining(&self.replica.fleet);
+        if draining.is_empty() {
+            return;
+        }
+        let idle = draining.into_iter().filter(|(name, _)| self.route.in_flight(name) == 0);
+        let idle = idle.collect();
+        if self.quorum.leads() {
+            return self.steward.drains.report(now, self.id.clone(), idle);
+        }
+        if let Some(to) = self.quorum.leader().cloned() {
+            effects.push(Effect::Send { to, message: Message::Idle(idle) });
+        }
+    }
+
+    fn lead_fleet(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if !self.quorum.leads() || self.proposals.awaits_step() {
+            return;
+        }
+        let members = self.quorum.members().keys().cloned().collect();
+        for command in self.steward.commands(now, &self.replica.fleet, &members) {
+            self.propose(now, command.into(), None, effects);
+        }
+        let calls = self.steward.calls(now, &self.replica.fleet);
+        effects.extend(calls.into_iter().map(Effect::Platform));
+    }
+
+    fn on_platform(&mut self, now: Time, report: platform::Report, effects: &mut Vec<Effect>) {
+        let command = self.steward.accepted(now, &self.replica.fleet, report);
+        if let Some(command) = command.filter(|_| self.quorum.leads()) {
+            self.propose(now, command.into(), None, effects);
+        }
+    }
+
     fn renew(&mut self, now: Time, instances: Vec<Name>) {
         if !self.quorum.leads() {
             return;
--- /dev/null
+++ b/crates/node/src/view.rs
@@ -0,0 +1,37 @@
+//! Replies that need no more than the replicated state of the fleet.
+
+use super::*;
+
+pub(crate) fn reply(fleet: &fleet::State, call: operator::Call) -> operator::Reply {
+    match call {
+        operator::Call::Waves => operator::Reply::Waves { waves: overview::tours(fleet, true) },
+        operator::Call::Explain(subject) => explain(fleet, subject),
+        operator::Call::History => operator::Reply::History {
+            now: fleet.now(),
+            past: fleet.history().all().iter().cloned().collect(),
+        },
+        operator::Call::Past(revision) => match fleet.history().get(revision) {
+            Some(past) => config(revision, &past.config),
+            None => operator::Reply::NoRevision { revision },
+        },
+        _ => config(fleet.revision(), fleet.config()),
+    }
+}
+
+fn config(revision: Revision, config: &model::Config) -> operator::Reply {
+    operator::Reply::Config { revision, config: config.clone() }
+}
+
+fn explain(fleet: &fleet::State, subject: fleet::Subject) -> operator::Reply {
+    let present = match &subject {
+        fleet::Subject::Instance(name) => fleet.upstreams().get(name).map(overview::present),
+        fleet::Subject::Wave(name) => overview::tours(fleet, true).get(name).map(Tour::to_string),
+        fleet::Subject::Pool(name) => {
+            let pool = Overview::new(fleet).pools.get(name).copied();
+            pool.map(|(available, all)| format!("{available} of {all} instances serve"))
+        }
+        fleet::Subject::Config => Some(format!("revision {}", fleet.revision())),
+    };
+    let entries = fleet.journal().about(&subject);
+    operator::Reply::Explanation { subject, present: present.map(Into::into), entries }
+}
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -41,6 +41,11 @@
         self.pending.len()
     }
 
+    /// Requests that this daemon has in flight on `instance`.
+    pub fn in_flight(&self, instance: &Name) -> u32 {
+        self.upstreams.get(instance).map_or(0, |upstream| upstream.in_flight)
+    }
+
     fn arrive(&mut self, now: Time, request: Request, effects: &mut Vec<Effect>) {
         let admitted = self.admit(now, &request);
         let pending = match admitted {
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -11,6 +11,8 @@
     pub data: Option<PathBuf>,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// Where the platform listens; without it no instance is rebooted.
+    pub platform: Option<SocketAddr>,
     /// Key files.
     pub keys: Keys,
     /// Every daemon of the fleet, by name.
@@ -47,6 +49,7 @@
     location: Option<Location>,
     data: Option<PathBuf>,
     listen: Option<Listen>,
+    platform: Option<SocketAddr>,
     keys: Option<Keys>,
     peers: BTreeMap<Name, Peer>,
 }
@@ -59,6 +62,7 @@
             "daemon" => self.read_daemon(&mut reader),
             "listen" => self.read_listen(&mut reader),
             "keys" => self.read_keys(&mut reader),
+            "platform" => self.platform = reader.required("address"),
             "peer" => self.read_peer(&mut reader),
             _ => return reader.unknown(),
         }
@@ -138,6 +142,7 @@
             location: self.location?,
             data: self.data,
             listen: self.listen?,
+            platform: self.platform,
             keys: self.keys?,
             peers: self.peers,
         })
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -20,6 +20,7 @@
             "tenant" => insert(&mut config.tenants, reader.name(), tenant(&mut reader)),
             "pool" => insert(&mut config.pools, reader.name(), pool(&mut reader)),
             "budget" => insert(&mut config.budgets, reader.name(), budget(&mut reader)),
+            "policy" => config.policy = policy(&mut reader),
             "instance" => insert(&mut config.instances, reader.name(), instance(&mut reader)),
             _ => {
                 reader.unknown();
@@ -56,7 +57,8 @@
 fn pool(reader: &mut Reader) -> Option<Pool> {
     let selector = reader.required("selector");
     let spare = reader.optional("spare").unwrap_or(false);
-    Some(Pool { selector: selector?, spare })
+    let service = reader.optional::<String>("service").map(Into::into);
+    Some(Pool { selector: selector?, spare, service })
 }
 
 fn budget(reader: &mut Reader) -> Option<Budget> {
@@ -66,6 +68,27 @@
     Some(Budget { selector: selector?, max_unavailable: max_unavailable?, reserve })
 }
 
+fn policy(reader: &mut Reader) -> Policy {
+    let default = Policy::default();
+    let mut time = |key, default| reader.milliseconds(key).unwrap_or(default);
+    let drain_timeout = time("drain-timeout-ms", default.drain_timeout);
+    let return_timeout = time("return-timeout-ms", default.return_timeout);
+    let soak = time("soak-ms", default.soak);
+    let period = time("period-ms", default.period);
+    let mut count = |key, default| reader.optional(key).unwrap_or(default);
+    Policy {
+        canary: count("canary", default.canary),
+        max_failures: count("max-failures", default.max_failures),
+        buffer_weight: count("buffer-weight", default.buffer_weight),
+        rollout_weight: count("rollout-weight", default.rollout_weight),
+        moves_weight: count("moves-weight", default.moves_weight),
+        drain_timeout,
+        return_timeout,
+        soak,
+        period,
+    }
+}
+
 fn instance(reader: &mut Reader) -> Option<Instance> {
     let labels = reader.required::<Labels>("labels");
     Some(Instance { labels: labels? })
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,8 @@
 use {
     derive_more::Display,
     model::{
-        Budget, Config, Instance, Kind, Labels, Location, Name, Pool, Selector, Service, Tenant,
+        Budget, Config, Instance, Kind, Labels, Location, Name, Policy, Pool, Selector, Service,
+        Tenant,
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -31,11 +32,22 @@
 mod reader;
 mod role;
 mod section;
+mod text;
 
 use reader::Reader;
 pub use {
-    daemon::Daemon, document::Document, entry::Entry, finding::Finding, findings::Findings,
-    keys::Keys, listen::Listen, peer::Peer, problem::Problem, role::Role, section::Section,
+    daemon::Daemon,
+    document::Document,
+    entry::Entry,
+    finding::Finding,
+    findings::Findings,
+    keys::Keys,
+    listen::Listen,
+    peer::Peer,
+    problem::Problem,
+    role::Role,
+    section::Section,
+    text::{diff, text},
 };
 
 /// Result of reading a document.
