--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -9,16 +9,27 @@
     pub next: Index,
     /// Highest index that the member has applied.
     pub applied: Index,
+    /// When the leader last sent a message.
+    pub sent: Time,
     /// When the leader sent the last message that was answered.
     pub answered: Option<Time>,
     /// Member's clock in its last answer.
-    pub stamp: Option<Time>,
-    /// When the last view lease granted to the member has surely run out.
+    pub stamp: Option<Stamp>,
+    /// When every view lease that the member may hold has surely run out: a lease counts from a
+    /// clock that the member read before the leader heard of it.
     pub granted_until: Time,
 }
 
 impl Progress {
     pub(crate) fn new(next: Index, granted_until: Time) -> Self {
-        Self { matched: 0, next, applied: 0, answered: None, stamp: None, granted_until }
+        Self {
+            matched: 0,
+            next,
+            applied: 0,
+            sent: Time::ZERO,
+            answered: None,
+            stamp: None,
+            granted_until,
+        }
     }
 }
