A wave over real daemons: the platform's edge, its stand-in, and callers who notice nothing

Cause: the wave ended at the reducer; nothing rebooted an instance or said that it was drained.

Ruled out: a drain that just waits for the longest deadline, which delays every step by it; each daemon reports instead on which drains it has no work, and only a silent one is waited for.

Change: sardinevalve-fake platform, which loses answers on request; bench::Fleet::add_platform.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -8,6 +8,8 @@
     pub daemons: Vec<Daemon>,
     /// Links between the daemons.
     pub network: Network,
+    /// Address of the platform, whether it runs or not.
+    pub platform: String,
     fakes: Vec<Program>,
 }
 
@@ -19,7 +21,9 @@
     pub fn new(count: usize, voters: usize) -> eyre::Result<Self> {
         let folder = tempfile::Builder::new().prefix("sardinevalve-").tempdir()?;
         let network = Network::default();
-        let mut fleet = Self { folder, daemons: Vec::new(), network, fakes: Vec::new() };
+        let platform = Port::free()?;
+        let daemons = Vec::new();
+        let mut fleet = Self { folder, daemons, network, platform, fakes: Vec::new() };
         fleet.prepare(count)?;
         let peers: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.peers.clone()).collect();
         fleet.network = Network::start(&peers)?;
@@ -66,9 +70,37 @@
         service: &str,
         count: usize,
         arguments: &[&str],
+    ) -> eyre::Result<()> {
+        self.add_fake("upstreams", service, count, arguments)
+    }
+
+    /// Starts the platform with upstreams that it reboots, and waits until each daemon knows them.
+    pub fn add_platform(
+        &mut self,
+        service: &str,
+        count: usize,
+        arguments: &[&str],
+    ) -> eyre::Result<()> {
+        let address = self.platform.clone();
+        let arguments = [&["--listen", address.as_str()], arguments].concat();
+        self.add_fake("platform", service, count, &arguments)
+    }
+
+    /// What the platform did to each instance.
+    pub fn machines(&self) -> eyre::Result<serde_json::Value> {
+        let url = format!("http://{}/v1/instances", self.platform);
+        Ok(serde_json::from_str(&attohttpc::get(url).send()?.text()?)?)
+    }
+
+    fn add_fake(
+        &mut self,
+        kind: &str,
+        service: &str,
+        count: usize,
+        arguments: &[&str],
     ) -> eyre::Result<()> {
         let number = count.to_string();
-        let mut all = vec!["upstreams", "--service", service, "--count", &number];
+        let mut all = vec![kind, "--service", service, "--count", &number];
         for daemon in &self.daemons {
             all.extend(["--daemon", daemon.upstreams.as_str()]);
         }
@@ -126,9 +158,10 @@
             "[daemon]\nid = {name}\nregion = local\ndata-center = local-{data_center}\n\
              data = {folder}/{name}\n\
              [listen]\ncallers = {}\nupstreams = {}\noperators = {}\n\
+             [platform]\naddress = {}\n\
              [keys]\nauthority = {folder}/keys/authority.pem\n\
              certificate = {folder}/keys/{name}.pem\nkey = {folder}/keys/{name}.key\n",
-            daemon.callers, daemon.upstreams, daemon.operators,
+            daemon.callers, daemon.upstreams, daemon.operators, self.platform,
         );
         for (i, peer) in self.daemons.iter().enumerate() {
             let role = if i < voters { "voter" } else { "observer" };
--- a/crates/fake/src/arguments.rs
+++ b/crates/fake/src/arguments.rs
@@ -12,6 +12,8 @@
 pub(crate) enum Command {
     /// Play the runners of one service
     Upstreams(Upstreams),
+    /// Play the runners of one service, and the platform that drains and reboots them
+    Platform(Platform),
 }
 
 #[derive(Debug, Clone, Args)]
@@ -32,3 +34,18 @@
     #[arg(long, default_value_t = 1)]
     pub(crate) service_time_ms: u64,
 }
+
+#[derive(Debug, Clone, Args)]
+pub(crate) struct Platform {
+    /// Address of the platform's interface
+    #[arg(long)]
+    pub(crate) listen: SocketAddr,
+    /// Time that a reboot takes, in milliseconds
+    #[arg(long, default_value_t = 500)]
+    pub(crate) reboot_ms: u64,
+    /// Loses each answer whose number is a multiple of this
+    #[arg(long)]
+    pub(crate) lose_every: Option<u64>,
+    #[command(flatten)]
+    pub(crate) upstreams: Upstreams,
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -5,10 +5,12 @@
     clap::{Args, Parser, Subcommand},
     model::{Announcement, Labels, Location},
     std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
         process::ExitCode,
         sync::{
-            Arc,
-            atomic::{AtomicU32, AtomicU64, Ordering},
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         thread,
         time::Duration,
@@ -17,12 +19,14 @@
 
 mod arguments;
 mod client;
+mod machines;
 mod run;
 mod runner;
 
 pub use run::run;
 use {
-    arguments::{Arguments, Command, Upstreams},
+    arguments::{Arguments, Command, Platform, Upstreams},
     client::Client,
+    machines::Machines,
     runner::Runner,
 };
--- a/crates/fake/src/run.rs
+++ b/crates/fake/src/run.rs
@@ -2,8 +2,11 @@
 
 /// Runs the stand-ins until the process is told to stop.
 pub fn run() -> ExitCode {
-    let Arguments { command: Command::Upstreams(settings) } = Arguments::parse();
-    match play(&settings) {
+    let played = match Arguments::parse().command {
+        Command::Upstreams(settings) => play(&settings, None),
+        Command::Platform(settings) => play(&settings.upstreams, Some(&settings)),
+    };
+    match played {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error:#}");
@@ -12,12 +15,15 @@
     }
 }
 
-fn play(settings: &Upstreams) -> eyre::Result<()> {
+fn play(settings: &Upstreams, platform: Option<&Platform>) -> eyre::Result<()> {
     use signal_hook::consts::{SIGINT, SIGTERM};
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
     let runners: Vec<_> = (0..settings.count)
         .map(|number| Runner::start(settings, number))
         .collect::<eyre::Result<_>>()?;
+    if let Some(platform) = platform {
+        Machines::start(platform, &runners)?;
+    }
     signals.forever().next();
     for runner in runners {
         runner.leave();
--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -8,6 +8,11 @@
     service_time: Duration,
     busy: AtomicU32,
     runs: AtomicU64,
+    /// Reboots so far; each makes a new incarnation.
+    reboots: AtomicU64,
+    down: AtomicBool,
+    /// Requests that a reboot cut off, or that came while the runner was down.
+    cut: AtomicU64,
 }
 
 /// Runners in a rack.
@@ -47,6 +52,9 @@
             service_time: Duration::from_millis(settings.service_time_ms),
             busy: AtomicU32::new(0),
             runs: AtomicU64::new(0),
+            reboots: AtomicU64::new(0),
+            down: AtomicBool::new(false),
+            cut: AtomicU64::new(0),
         });
         runner.clone().listen(Arc::new(server), settings.slots + SPARE_THREADS);
         thread::spawn({
@@ -74,19 +82,56 @@
 
     fn renew(&self) {
         loop {
-            if !self.client.call("renew", &self.start_id()) {
-                self.client.call("announce", &self.announcement);
+            let up = !self.down.load(Ordering::Acquire);
+            if up && !self.client.call("renew", &self.start_id()) {
+                let incarnation = self.incarnation();
+                let announcement = Announcement { incarnation, ..self.announcement.clone() };
+                self.client.call("announce", &announcement);
             }
             thread::sleep(RENEWAL);
         }
     }
 
     fn start_id(&self) -> serde_json::Value {
-        let Announcement { instance, incarnation, .. } = &self.announcement;
+        let (instance, incarnation) = (&self.announcement.instance, self.incarnation());
         serde_json::json!({ "instance": instance, "incarnation": incarnation })
     }
 
+    pub(crate) fn name(&self) -> String {
+        self.announcement.instance.to_string()
+    }
+
+    /// Number of the present start.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.announcement.incarnation + self.reboots.load(Ordering::Acquire)
+    }
+
+    /// Status of a drain: 200 once nothing runs.
+    pub(crate) fn drained(&self) -> u16 {
+        if self.busy.load(Ordering::Acquire) == 0 { 200 } else { 409 }
+    }
+
+    /// Goes down for `time`, and comes back as another incarnation.
+    pub(crate) fn reboot(&self, time: Duration) {
+        self.down.store(true, Ordering::Release);
+        self.cut.fetch_add(u64::from(self.busy.load(Ordering::Acquire)), Ordering::AcqRel);
+        thread::sleep(time);
+        self.reboots.fetch_add(1, Ordering::AcqRel);
+        self.down.store(false, Ordering::Release);
+    }
+
+    pub(crate) fn report(&self) -> serde_json::Value {
+        serde_json::json!({
+            "reboots": self.reboots.load(Ordering::Acquire),
+            "cut": self.cut.load(Ordering::Acquire),
+        })
+    }
+
     fn answer(&self, mut request: tiny_http::Request) {
+        if self.down.load(Ordering::Acquire) {
+            self.cut.fetch_add(1, Ordering::AcqRel);
+            return;
+        }
         if self.busy.fetch_add(1, Ordering::AcqRel) >= self.announcement.slots {
             self.busy.fetch_sub(1, Ordering::AcqRel);
             let header = tiny_http::Header::from_bytes("Sardinevalve-Outcome", "not-run");
--- a/crates/node/src/drains.rs
+++ b/crates/node/src/drains.rs
@@ -1,10 +1,13 @@
 use super::*;
 
 /// Which daemons have no work in flight on instances that drain, as the leader keeps it. A new
-/// leader asks anew.
+/// leader asks anew. While any drain is under way every daemon that has a view reports at each
+/// beat, so that its silence tells how long it has had none.
 #[derive(Debug, Default)]
 pub(crate) struct Drains {
-    started: BTreeMap<(Name, fleet::Epoch), Time>,
+    current: BTreeSet<(Name, fleet::Epoch)>,
+    /// Since when any drain has been under way.
+    since: Time,
     idle: BTreeMap<(Name, fleet::Epoch), BTreeSet<Name>>,
     heard: BTreeMap<Name, Time>,
 }
@@ -14,12 +17,13 @@
     const SILENCE: Duration = quorum::Timing::VIEW_LEASE.saturating_mul(2);
 
     /// Keeps just the drains that are under way.
-    pub(crate) fn keep(&mut self, now: Time, drains: &BTreeSet<(Name, fleet::Epoch)>) {
-        self.started.retain(|drain, _| drains.contains(drain));
-        self.idle.retain(|drain, _| drains.contains(drain));
-        for drain in drains {
-            self.started.entry(drain.clone()).or_insert(now);
+    pub(crate) fn keep(&mut self, now: Time, drains: BTreeSet<(Name, fleet::Epoch)>) {
+        if self.current.is_empty() {
+            self.heard.clear();
+            self.since = now;
         }
+        self.idle.retain(|drain, _| drains.contains(drain));
+        self.current = drains;
     }
 
     /// Takes the report of a daemon about the drains under way on which it has no work.
@@ -38,15 +42,12 @@
         members: &BTreeSet<Name>,
         deadline: Duration,
     ) -> Vec<(Name, fleet::Epoch)> {
-        let idle = |drain: &(Name, fleet::Epoch), started: Time, member: &Name| {
-            let last = self.heard.get(member).copied().unwrap_or_default().max(started);
+        let idle = |drain: &(Name, fleet::Epoch), member: &Name| {
+            let last = self.heard.get(member).copied().unwrap_or(self.since);
             let reported = self.idle.get(drain).is_some_and(|idle| idle.contains(member));
             reported || now.saturating_sub(last) >= Self::SILENCE + deadline
         };
-        let done = self
-            .started
-            .iter()
-            .filter(|(drain, started)| members.iter().all(|member| idle(drain, **started, member)));
-        done.map(|(drain, _)| drain.clone()).collect()
+        let all_idle = |drain: &&(Name, fleet::Epoch)| members.iter().all(|m| idle(drain, m));
+        self.current.iter().filter(all_idle).cloned().collect()
     }
 }
--- a/crates/node/src/steward.rs
+++ b/crates/node/src/steward.rs
@@ -39,7 +39,7 @@
         members: &BTreeSet<Name>,
     ) -> Vec<fleet::Command> {
         let at = self.fleet_time(now, fleet);
-        self.drains.keep(now, &draining(fleet));
+        self.drains.keep(now, draining(fleet));
         let done = self.drains.done(now, members, longest_deadline(fleet));
         let drained = done.into_iter().map(|(instance, epoch)| {
             let action = fleet::Action::Drained;
