--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -6,6 +6,7 @@
     commands: Vec<Command>,
     now: Time,
     tally: Tally,
+    waits: BTreeMap<Name, Wait>,
 }
 
 impl Planner {
@@ -14,25 +15,29 @@
 
     /// Commands for the state of the fleet at fleet time `now`.
     pub fn plan(state: &State, now: Time) -> Vec<Command> {
-        let tally = Tally::count(state);
-        let mut planner = Self { commands: Vec::new(), now, tally };
-        planner.end_phases(state);
-        planner.move_misplaced(state);
-        for (name, wave) in state.waves() {
-            if wave.standing == Standing::Running {
-                planner.advance_wave(state, name, wave);
-            }
-        }
+        let mut planner = Self::run(state, now);
         planner.schedule(state);
         planner.commands
     }
 
-    /// What the wave `name` waits for, if it can give no grant now.
-    pub fn wait(state: &State, name: &Name) -> Option<Wait> {
-        let wave = state.waves().get(name).filter(|wave| wave.standing == Standing::Running)?;
+    /// What each wave that gives no grant now waits for.
+    pub fn waits(state: &State) -> BTreeMap<Name, Wait> {
+        Self::run(state, state.now()).waits
+    }
+
+    fn run(state: &State, now: Time) -> Self {
         let tally = Tally::count(state);
-        let mut planner = Self { commands: Vec::new(), now: state.now(), tally };
-        planner.fill(state, name, wave)
+        let mut planner = Self { now, tally, ..Self::default() };
+        planner.end_phases(state);
+        planner.move_misplaced(state);
+        let running = state.waves().iter();
+        let running = running.filter(|(_, wave)| wave.standing == Standing::Running);
+        let mut running: Vec<_> = running.collect();
+        running.sort_by_key(|(_, wave)| wave.started);
+        for (name, wave) in running {
+            planner.advance_wave(state, name, wave);
+        }
+        planner
     }
 
     fn propose(&mut self, upstream: &Upstream, action: Action) {
@@ -79,6 +84,7 @@
     fn advance_wave(&mut self, state: &State, name: &Name, wave: &Wave) {
         let Some(wait) = self.fill(state, name, wave) else { return };
         let known = wave.wait.as_ref().is_some_and(|former| former.same_cause(&wait));
+        self.waits.insert(name.clone(), wait.clone());
         if !known {
             self.commands.push(Command::Wait { wave: name.clone(), wait, at: self.now });
         }
--- a/crates/fleet/tests/waves.rs
+++ b/crates/fleet/tests/waves.rs
@@ -83,7 +83,7 @@
     world.lapse("quotes-4");
     world.plan();
     assert_eq!(granted(&world), 0);
-    let wait = Planner::wait(&world.state, &"w".into()).unwrap();
+    let wait = &Planner::waits(&world.state)["w"];
     insta::assert_snapshot!(wait.to_string(), @"waits with `quotes-0`: budget `quotes` allows 3 of 5 unavailable, 1 of them held in reserve: 2 down, 0 granted");
 }
 
@@ -231,3 +231,17 @@
     world.apply(Command::Forget { request, author, instance: "quotes-1".into() });
     assert_eq!(wave(&world).standing, Standing::Finished);
 }
+
+#[test]
+fn wave_is_not_starved_by_later_ones() {
+    let mut world = world(6);
+    world.configure(&CONFIG.replace("reserve = 1", "reserve = 2"));
+    world.order("z", Edit::Start("instance=quotes-5".parse().unwrap()));
+    world.now += Duration::from_secs(1);
+    world.apply(Command::Tick { at: world.now });
+    world.order("a", Edit::Start("instance!=quotes-5".parse().unwrap()));
+    world.plan();
+    assert!(world.state.upstreams()["quotes-5"].grant.is_some());
+    assert_eq!(granted(&world), 1);
+    assert!(Planner::waits(&world.state).contains_key("a"));
+}
--- a/crates/node/src/overview.rs
+++ b/crates/node/src/overview.rs
@@ -43,10 +43,11 @@
 /// Every wave in numbers, ended ones only where they are asked for.
 pub(crate) fn tours(fleet: &fleet::State, ended: bool) -> BTreeMap<Name, Tour> {
     let waves = fleet.waves().iter().filter(|(_, wave)| ended || !wave.standing.ended());
-    waves.map(|(name, wave)| (name.clone(), tour(fleet, name, wave))).collect()
+    let waits = fleet::Planner::waits(fleet);
+    waves.map(|(name, wave)| (name.clone(), tour(fleet, wave, waits.get(name)))).collect()
 }
 
-fn tour(fleet: &fleet::State, name: &Name, wave: &fleet::Wave) -> Tour {
+fn tour(fleet: &fleet::State, wave: &fleet::Wave, wait: Option<&fleet::Wait>) -> Tour {
     let mut counts = BTreeMap::new();
     for progress in wave.instances.values() {
         *counts.entry(progress.to_string().into()).or_default() += 1;
@@ -54,7 +55,7 @@
     let wait = match wave.standing {
         fleet::Standing::Stopped => Some("waits for an operator to resume or cancel it".into()),
         fleet::Standing::Paused => Some("waits for an operator to resume it".into()),
-        _ => fleet::Planner::wait(fleet, name).map(|wait| wait.to_string().into()),
+        _ => wait.map(|wait| wait.to_string().into()),
     };
     Tour {
         standing: wave.standing,
