--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -40,6 +40,7 @@
 mod logging;
 mod operators;
 mod outbound;
+mod platform;
 mod pool;
 mod refused;
 mod renewal;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -49,9 +49,10 @@
         operators::start(settings.listen.operators, tokens(&settings)?, events.clone())?;
     let upstreams = upstreams::start(settings.listen.upstreams, events.clone())?;
     renewal::start(settings.keys.clone(), transport.clone());
+    let platform = platform::start(settings.platform, events.clone());
     signals::start(events.clone())?;
     log::info!(daemon = &*settings.id; "started");
-    Engine { state, clock, inbox, transport, disk, callers, operators, upstreams }.run();
+    Engine { state, clock, inbox, transport, disk, callers, operators, platform, upstreams }.run();
     log::info!(daemon = &*settings.id; "stopped");
     Ok(())
 }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -7,14 +7,15 @@
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
+        collections::{BTreeMap, BTreeSet},
         fs::{File, OpenOptions},
         io::Write,
-        net::TcpListener,
+        net::{SocketAddr, TcpListener},
         path::{Path, PathBuf},
         process::ExitCode,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicU32, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         thread,
         time::Duration,
@@ -24,15 +25,17 @@
 mod arguments;
 mod client;
 mod fault;
+mod machines;
 mod record;
 mod run;
 mod runner;
 
 pub use run::run;
 use {
-    arguments::{Arguments, Command, Upstreams},
+    arguments::{Arguments, Command, Platform, Upstreams},
     client::Client,
     fault::Fault,
+    machines::Machines,
     record::{Record, Run},
     runner::Runner,
 };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,8 @@
 use {
     derive_more::Display,
     model::{
-        Budget, Config, Instance, Kind, Labels, Location, Name, Pool, Selector, Service, Tenant,
+        Budget, Config, Instance, Kind, Labels, Location, Name, Policy, Pool, Selector, Service,
+        Tenant,
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -32,12 +33,23 @@
 mod reader;
 mod role;
 mod section;
+mod text;
 
 use reader::Reader;
 pub use {
-    daemon::Daemon, document::Document, entry::Entry, finding::Finding, findings::Findings,
-    keys::Keys, listen::Listen, operators::Operators, peer::Peer, problem::Problem, role::Role,
+    daemon::Daemon,
+    document::Document,
+    entry::Entry,
+    finding::Finding,
+    findings::Findings,
+    keys::Keys,
+    listen::Listen,
+    operators::Operators,
+    peer::Peer,
+    problem::Problem,
+    role::Role,
     section::Section,
+    text::{diff, text},
 };
 
 /// Result of reading a document.
