--- a/crates/bench/tests/agreement.rs
+++ b/crates/bench/tests/agreement.rs
@@ -101,7 +101,7 @@
 #[test]
 fn resent_request_gets_the_first_answer() {
     let fleet = fleet(3);
-    let first = change(&fleet, 0, &["--base", "1", "--request", "a"]);
+    let first = change(&fleet, 0, &["--base", "1", "--request", "a", "--wait"]);
     change(&fleet, 1, &["--request", "b"]);
     let again = change(&fleet, 2, &["--base", "1", "--request", "a"]);
     assert_eq!(first, again);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -34,6 +34,7 @@
 
 fn serve(settings: settings::Daemon) -> eyre::Result<()> {
     logging::start()?;
+    files::raise();
     let (store, restored) = open_store(&settings)?;
     let identity = renewal::load(&settings.keys)?;
     let clock = Clock::start();
@@ -43,14 +44,15 @@
     let disk = Disk::start(store, transport.clone(), events.clone());
     let quorum = quorum::State::new(settings.id.clone(), members(&settings), restored, boot);
     let state = node::State::new(quorum, boot);
-    let callers = Callers::start(settings.listen.callers, clock, events.clone())?;
+    let callers = Callers::start(&settings, boot, clock, events.clone())?;
     let operators =
         operators::start(settings.listen.operators, tokens(&settings)?, events.clone())?;
     let upstreams = upstreams::start(settings.listen.upstreams, events.clone())?;
     renewal::start(settings.keys.clone(), transport.clone());
+    let platform = platform::start(settings.platform, events.clone());
     signals::start(events.clone())?;
     log::info!(daemon = &*settings.id; "started");
-    Engine { state, clock, inbox, transport, disk, callers, operators, upstreams }.run();
+    Engine { state, clock, inbox, transport, disk, callers, operators, platform, upstreams }.run();
     log::info!(daemon = &*settings.id; "stopped");
     Ok(())
 }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -2,13 +2,20 @@
 //! announces itself, renews, answers, and leaves when the process is told to stop.
 
 use {
-    clap::{Args, Parser, Subcommand},
+    clap::{Args, Parser, Subcommand, ValueEnum},
     model::{Announcement, Labels, Location},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
     std::{
+        collections::{BTreeMap, BTreeSet},
+        fs::{File, OpenOptions},
+        io::Write,
+        net::{SocketAddr, TcpListener},
+        path::{Path, PathBuf},
         process::ExitCode,
         sync::{
-            Arc,
-            atomic::{AtomicU32, AtomicU64, Ordering},
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         thread,
         time::Duration,
@@ -17,12 +24,18 @@
 
 mod arguments;
 mod client;
+mod fault;
+mod machines;
+mod record;
 mod run;
 mod runner;
 
 pub use run::run;
 use {
-    arguments::{Arguments, Command, Upstreams},
+    arguments::{Arguments, Command, Platform, Upstreams},
     client::Client,
+    fault::Fault,
+    machines::Machines,
+    record::{Record, Run},
     runner::Runner,
 };
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -8,7 +8,9 @@
     /// Requests.
     Route(route::Message),
     /// A proposal for whoever leads.
-    Propose(Proposal),
+    Propose(Box<Proposal>),
     /// Upstreams that were heard by the sender, for whoever leads.
     Heard(Vec<Name>),
+    /// Drains under way on which the sender has no work in flight, for whoever leads.
+    Idle(Vec<(Name, fleet::Epoch)>),
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod answer;
 mod attempt;
+mod avoid;
 mod busy;
 mod claim;
 mod claiming;
@@ -71,7 +72,7 @@
 mod want;
 
 pub use {
-    answer::Answer, attempt::Attempt, claim::Claim, claims::Claims, command::Command,
+    answer::Answer, attempt::Attempt, avoid::Avoid, claim::Claim, claims::Claims, command::Command,
     decision::Decision, effect::Effect, event::Event, fate::Fate, fingerprint::Fingerprint,
     held::Held, ledger::Ledger, message::Message, note::Note, outcome::Outcome, parcel::Parcel,
     policy::Policy, question::Question, reason::Reason, report::Report, request::Request,
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -80,6 +80,11 @@
         self.pending.len()
     }
 
+    /// Requests that this daemon has in flight on `instance`.
+    pub fn in_flight(&self, instance: &Name) -> u32 {
+        self.flights.values().filter(|flight| flight.instance == *instance).count() as u32
+    }
+
     /// Slots that this daemon has granted, for every service whose broker it is.
     pub fn granted(&self) -> usize {
         self.desks.iter().map(|desk| desk.pool.granted()).sum()
@@ -207,7 +212,8 @@
         let Some(pending) = self.pending.get_mut(&request) else { return };
         pending.turn += 1;
         pending.phase = Phase::Waiting;
-        pending.avoid = Some(flight.rack.clone());
+        pending.avoid =
+            Some(Avoid { instance: flight.instance.clone(), rack: flight.rack.clone() });
         self.seek(now, request, effects);
     }
 
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -11,6 +11,8 @@
     pub data: Option<PathBuf>,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// Where the platform listens; without it no instance is rebooted.
+    pub platform: Option<SocketAddr>,
     /// Key files.
     pub keys: Keys,
     /// Who may use the operators' interface; anybody on this machine where it is absent.
@@ -49,6 +51,7 @@
     location: Option<Location>,
     data: Option<PathBuf>,
     listen: Option<Listen>,
+    platform: Option<SocketAddr>,
     keys: Option<Keys>,
     operators: Option<Operators>,
     peers: BTreeMap<Name, Peer>,
@@ -63,6 +66,7 @@
             "listen" => self.read_listen(&mut reader),
             "keys" => self.read_keys(&mut reader),
             "operators" => self.read_operators(&mut reader),
+            "platform" => self.platform = reader.required("address"),
             "peer" => self.read_peer(&mut reader),
             _ => return reader.unknown(),
         }
@@ -152,6 +156,7 @@
             location: self.location?,
             data: self.data,
             listen: self.listen?,
+            platform: self.platform,
             keys: self.keys?,
             operators: self.operators,
             peers: self.peers,
