--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -58,7 +58,7 @@
         match settings::config("configuration", &String::from_utf8_lossy(&body)) {
             Ok(config) => {
                 let change = fleet::Change { request: id, author, base, config };
-                self.ask(request, node::operator::Call::Apply(change));
+                self.ask(request, node::operator::Call::Apply(Box::new(change)));
             }
             Err(findings) => {
                 let error = "configuration is not valid".into();
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -15,6 +15,9 @@
     pub budgets: BTreeMap<Name, Budget>,
     /// Labels that operators give to instances.
     pub instances: BTreeMap<Name, Instance>,
+    /// Teams with their quotas.
+    #[serde(default)]
+    pub teams: BTreeMap<Name, Team>,
 }
 
 impl Config {
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -16,4 +16,7 @@
     /// Label without a value.
     #[display("invalid label `{label}`: use `key=value`")]
     Label { label: String },
+    /// Urgency that does not exist.
+    #[display("invalid urgency `{urgency}`: use `batch`, `normal` or `urgent`")]
+    Urgency { urgency: String },
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -2,7 +2,7 @@
 //! operators describe it. Nothing here does I/O, and every type is cheap to clone and to encode.
 
 use {
-    derive_more::{Deref, Display, Error, From},
+    derive_more::{Add, AddAssign, Deref, Display, Error, From},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, str::FromStr, sync::Arc, time::Duration},
 };
@@ -12,20 +12,27 @@
 mod config;
 mod error;
 mod instance;
+mod job;
 mod kind;
 mod labels;
 mod location;
 mod pool;
 mod quota;
 mod requirement;
+mod resources;
 mod selector;
 mod service;
+mod spread;
+mod team;
 mod tenant;
+mod urgency;
+mod worker;
 
 pub use {
     announcement::Announcement, budget::Budget, config::Config, error::Error, instance::Instance,
-    kind::Kind, labels::Labels, location::Location, pool::Pool, quota::Quota,
-    requirement::Requirement, selector::Selector, service::Service, tenant::Tenant,
+    job::Job, kind::Kind, labels::Labels, location::Location, pool::Pool, quota::Quota,
+    requirement::Requirement, resources::Resources, selector::Selector, service::Service,
+    spread::Spread, team::Team, tenant::Tenant, urgency::Urgency, worker::Worker,
 };
 
 /// Name of anything that operators or instances name.
--- a/crates/model/src/requirement.rs
+++ b/crates/model/src/requirement.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// One condition of a selector.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum Requirement {
     /// The label has this value.
     #[display("{_0}={_1}")]
--- /dev/null
+++ b/crates/model/src/resources.rs
@@ -0,0 +1,64 @@
+use super::*;
+
+/// An amount of everything that workers have and jobs use.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Add,
+    AddAssign,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[display("{millicores}m processors, {memory_mb} MB, {accelerators} accelerators")]
+pub struct Resources {
+    /// Thousandths of a processor.
+    pub millicores: u64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators, never shared.
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// Whether this amount fits into `room`.
+    pub fn fits(self, room: Self) -> bool {
+        self.millicores <= room.millicores
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// What is left of this amount without `other`, at least nothing.
+    pub fn less(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_sub(other.millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// The greater of each.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// The lesser of each.
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.min(other.millicores),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+}
--- a/crates/model/src/selector.rs
+++ b/crates/model/src/selector.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Conditions that must all hold; the empty selector matches nothing.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Selector(Vec<Requirement>);
 
 impl Selector {
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Call {
     /// Replace the configuration.
-    Apply(fleet::Change),
+    Apply(Box<fleet::Change>),
     /// Show the configuration.
     Config,
     /// Show the state of the fleet.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -105,7 +105,7 @@
     ) {
         let reply = match call {
             operator::Call::Apply(change) => {
-                let command = fleet::Command::Change(change).into();
+                let command = fleet::Command::Change(*change).into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
             operator::Call::Config => operator::Reply::Config {
--- /dev/null
+++ b/crates/place/src/outcome.rs
@@ -0,0 +1,13 @@
+use super::*;
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// Its work is done.
+    #[display("done")]
+    Done,
+    /// It was cancelled.
+    #[display("cancelled")]
+    Cancelled,
+}
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -21,6 +21,7 @@
             "pool" => insert(&mut config.pools, reader.name(), pool(&mut reader)),
             "budget" => insert(&mut config.budgets, reader.name(), budget(&mut reader)),
             "instance" => insert(&mut config.instances, reader.name(), instance(&mut reader)),
+            "team" => insert(&mut config.teams, reader.name(), teams::team(&mut reader)),
             _ => {
                 reader.unknown();
                 continue;
@@ -31,7 +32,7 @@
     if findings.is_empty() { Ok(config) } else { Err(Findings(findings)) }
 }
 
-fn insert<T>(map: &mut BTreeMap<Name, T>, name: Option<Name>, value: Option<T>) {
+pub(crate) fn insert<T>(map: &mut BTreeMap<Name, T>, name: Option<Name>, value: Option<T>) {
     if let (Some(name), Some(value)) = (name, value) {
         map.insert(name, value);
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,8 @@
 use {
     derive_more::Display,
     model::{
-        Budget, Config, Instance, Kind, Labels, Location, Name, Pool, Selector, Service, Tenant,
+        Budget, Config, Instance, Job, Kind, Labels, Location, Name, Pool, Resources, Selector,
+        Service, Spread, Team, Tenant,
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -31,6 +32,7 @@
 mod reader;
 mod role;
 mod section;
+mod teams;
 
 use reader::Reader;
 pub use {
@@ -45,3 +47,20 @@
 pub fn config(file: &str, text: &str) -> Result<Config> {
     fleet::read(&Document::parse(file, text)?)
 }
+
+/// Reads jobs to submit from `text`; `file` names it in findings.
+pub fn jobs(file: &str, text: &str) -> Result<BTreeMap<Name, Job>> {
+    let document = Document::parse(file, text)?;
+    let mut jobs = BTreeMap::new();
+    let mut findings = Vec::new();
+    for section in &document.sections {
+        let mut reader = Reader::new(&document, section, &mut findings);
+        if section.kind != "job" {
+            reader.unknown();
+            continue;
+        }
+        fleet::insert(&mut jobs, reader.name(), teams::job(&mut reader));
+        reader.finish();
+    }
+    if findings.is_empty() { Ok(jobs) } else { Err(Findings(findings)) }
+}
--- /dev/null
+++ b/crates/settings/src/teams.rs
@@ -0,0 +1,47 @@
+use super::*;
+
+/// Millicores of a processor.
+const MILLICORES: f64 = 1000.0;
+
+/// Megabytes of a gigabyte.
+const GIGABYTE_MB: f64 = 1024.0;
+
+/// Run time of a job that declares none.
+const DEFAULT_RUN_TIME: Duration = Duration::from_secs(60);
+
+/// Most jobs of a group in one rack where a group is named without it.
+const DEFAULT_PER_RACK: u32 = 1;
+
+/// Reads a team of the fleet's configuration.
+pub(crate) fn team(reader: &mut Reader) -> Option<Team> {
+    resources(reader).map(|quota| Team { quota })
+}
+
+/// Reads a job, `[job NAME]`.
+pub(crate) fn job(reader: &mut Reader) -> Option<Job> {
+    let team = reader.required::<String>("team");
+    let size = resources(reader);
+    let class = reader.optional::<String>("class");
+    let urgency = reader.optional("urgency").unwrap_or_default();
+    let run_time = reader.milliseconds("run-time-ms").unwrap_or(DEFAULT_RUN_TIME);
+    let deadline = reader.milliseconds("deadline-ms");
+    let selector = reader.optional("selector");
+    let per_rack = reader.optional("per-rack").unwrap_or(DEFAULT_PER_RACK);
+    let group = reader.optional::<String>("spread-group");
+    let spread = group.map(|group| Spread { group: group.into(), per_rack });
+    let team: Name = team?.into();
+    let class = class.map_or_else(|| team.clone(), Into::into);
+    Some(Job { team, class, urgency, size: size?, run_time, deadline, selector, spread })
+}
+
+/// Reads `processors`, `memory-gb` and `accelerators`.
+fn resources(reader: &mut Reader) -> Option<Resources> {
+    let processors = reader.required::<f64>("processors");
+    let memory = reader.required::<f64>("memory-gb");
+    let accelerators = reader.optional("accelerators").unwrap_or(0);
+    Some(Resources {
+        millicores: (processors? * MILLICORES) as u64,
+        memory_mb: (memory? * GIGABYTE_MB) as u64,
+        accelerators,
+    })
+}
