--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -8,7 +8,8 @@
     pub daemons: Vec<Daemon>,
     /// Links between the daemons.
     pub network: Network,
-    fakes: Vec<Program>,
+    /// Processes of fake upstreams.
+    pub fakes: Vec<Program>,
 }
 
 /// Data centres over which daemons are spread.
@@ -17,6 +18,12 @@
 impl Fleet {
     /// Prepares `count` daemons, the first `voters` of which vote; none is started.
     pub fn new(count: usize, voters: usize) -> eyre::Result<Self> {
+        Self::with_settings(count, voters, "")
+    }
+
+    /// Prepares daemons as [`Fleet::new`] does, each with `settings` added to its own; `FOLDER`
+    /// there stands for the folder of the fleet.
+    pub fn with_settings(count: usize, voters: usize, settings: &str) -> eyre::Result<Self> {
         let folder = tempfile::Builder::new().prefix("sardinevalve-").tempdir()?;
         let network = Network::default();
         let mut fleet = Self { folder, daemons: Vec::new(), network, fakes: Vec::new() };
@@ -25,7 +32,8 @@
         fleet.network = Network::start(&peers)?;
         fleet.make_keys()?;
         for i in 0..count {
-            fs::write(&fleet.daemons[i].settings, fleet.settings(i, voters))?;
+            let added = settings.replace("FOLDER", &fleet.folder().display().to_string());
+            fs::write(&fleet.daemons[i].settings, fleet.settings(i, voters) + &added)?;
         }
         Ok(fleet)
     }
@@ -73,10 +81,11 @@
             all.extend(["--daemon", daemon.upstreams.as_str()]);
         }
         all.extend(arguments);
+        let before = serving(&self.daemons[0], service);
         let log = self.folder.path().join(format!("fake-{service}.log"));
         self.fakes.push(Program::start("sardinevalve-fake", &all, &log)?);
         wait_until("every daemon knows the upstreams", || {
-            self.daemons.iter().all(|daemon| serving(daemon, service) == count)
+            self.daemons.iter().all(|daemon| serving(daemon, service) == before + count)
         })
     }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -31,7 +31,7 @@
             proposals: Proposals::new(id.clone(), boot),
             quorum,
             replica: Replica::default(),
-            route: route::State::new(id.clone(), boot),
+            route: route::State::new(id.clone(), boot, route::Policy::default()),
             id,
             heard: BTreeSet::new(),
             leases: Leases::default(),
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Until when the daemon may act on its configuration.
+    pub fn view_until(&self) -> Time {
+        self.quorum.view_until()
+    }
+
     /// Takes one event, and says what is to be done.
     pub fn reduce(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -210,6 +215,8 @@
                     effects.push(Effect::Subscribe { timer: timer.into(), after });
                 }
                 quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
+                quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
+                quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
                 quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
             }
         }
@@ -234,19 +241,35 @@
         let proposal = postcard::from_bytes::<Proposal>(&entry.command);
         let proposal = proposal.expect("committed entries decode: the leader encoded them");
         let caller = self.proposals.finish(&proposal);
-        let clock = self.replica.claims.clock();
+        let clock = self.replica.route.claims.clock();
         let outcomes = self.replica.apply(index, proposal.command);
-        if self.replica.claims.clock() != clock {
+        if self.replica.route.claims.clock() != clock {
             self.ticked = now;
         }
         self.reply(index, caller, &outcomes, effects);
         for outcome in outcomes {
-            match outcome {
-                Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
-                Outcome::Route(verdict) => {
-                    self.route(now, route::Event::Decided(verdict), effects);
-                }
-            }
+            self.on_outcome(now, outcome, effects);
+        }
+    }
+
+    fn snapshot(&mut self, now: Time, index: Index, effects: &mut Vec<Effect>) {
+        let Ok(state) = postcard::to_stdvec(&self.replica) else { return };
+        self.agree(now, quorum::Event::Snapshot { index, state }, effects);
+    }
+
+    fn install(&mut self, now: Time, snapshot: &quorum::Snapshot, effects: &mut Vec<Effect>) {
+        let replica = postcard::from_bytes::<Replica>(&snapshot.state);
+        self.replica = replica.expect("snapshots decode: a daemon encoded them");
+        self.ticked = now;
+        for outcome in self.replica.outcomes() {
+            self.on_outcome(now, outcome, effects);
+        }
+    }
+
+    fn on_outcome(&mut self, now: Time, outcome: Outcome, effects: &mut Vec<Effect>) {
+        match outcome {
+            Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
+            Outcome::Route(verdict) => self.route(now, route::Event::Decided(verdict), effects),
         }
     }
 
@@ -319,6 +342,7 @@
         self.pass_on_heard(now, effects);
         self.lapse(now, effects);
         self.tick(now, effects);
+        self.enrol(now, effects);
         self.give_up(now, effects);
         self.repeat(now, Proposals::REPEAT, effects);
     }
@@ -357,14 +381,30 @@
     /// Moves log time on, where there are claims that grow old.
     fn tick(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let passed = now - self.ticked;
-        if !self.quorum.leads() || self.replica.claims.is_empty() || passed < TICK {
+        let claims = &self.replica.route.claims;
+        if !self.quorum.leads() || claims.is_empty() || passed < TICK {
             return;
         }
-        let from = self.replica.claims.clock();
+        let from = claims.clock();
         let command = route::Command::Tick { from, to: from + passed };
         self.propose(now, command.into(), None, effects);
     }
 
+    /// Keeps the roster: this daemon joins, and as the leader it parts those without a view.
+    fn enrol(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let roster = self.replica.route.roster.clone();
+        let (daemon, boot) = (self.id.clone(), self.proposals.boot());
+        if self.view && !roster.contains(&daemon, boot) {
+            let command = route::Command::Join { daemon, boot };
+            self.propose(now, command.into(), None, effects);
+        }
+        for daemon in self.quorum.without_view(now) {
+            let Some(boot) = roster.daemons().get(&daemon).copied() else { continue };
+            let command = route::Command::Part { daemon, boot };
+            self.propose(now, command.into(), None, effects);
+        }
+    }
+
     fn give_up(&mut self, now: Time, effects: &mut Vec<Effect>) {
         for caller in self.proposals.give_up(now) {
             effects.push(match caller {
