--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -22,6 +22,7 @@
             "budget" => insert(&mut config.budgets, reader.name(), budget(&mut reader)),
             "policy" => config.policy = policy(&mut reader),
             "instance" => insert(&mut config.instances, reader.name(), instance(&mut reader)),
+            "team" => insert(&mut config.teams, reader.name(), teams::team(&mut reader)),
             _ => {
                 reader.unknown();
                 continue;
@@ -32,7 +33,7 @@
     if findings.is_empty() { Ok(config) } else { Err(Findings(findings)) }
 }
 
-fn insert<T>(map: &mut BTreeMap<Name, T>, name: Option<Name>, value: Option<T>) {
+pub(crate) fn insert<T>(map: &mut BTreeMap<Name, T>, name: Option<Name>, value: Option<T>) {
     if let (Some(name), Some(value)) = (name, value) {
         map.insert(name, value);
     }
