Settings: mistakes of syntax are reported together with all others, teams read back

Cause: a key that stood twice hid every other finding, and the text of a configuration left its teams out, so that get followed by apply would have dropped them.

Change: a document keeps its findings beside what could be read; teams are written.

--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -24,17 +24,14 @@
 impl Daemon {
     /// Reads the settings of a daemon from `text`; `file` names it in findings.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
-        let document = Document::parse(file, text)?;
-        let mut findings = Vec::new();
+        let document = Document::parse(file, text);
+        let mut findings = document.findings.clone();
         let mut draft = Draft::default();
         for section in &document.sections {
             draft.read(section, Reader::new(&document, section, &mut findings));
         }
         draft.check(&document, &mut findings);
-        match draft.finish() {
-            Some(daemon) if findings.is_empty() => Ok(daemon),
-            _ => Err(Findings(findings)),
-        }
+        Findings::none_or(findings, draft.finish())
     }
 
     /// The part of this daemon in the agreement.
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -7,21 +7,22 @@
     pub file: String,
     /// Sections in the order written.
     pub sections: Vec<Section>,
+    /// Lines that cannot be read, and sections and keys that stand twice.
+    pub findings: Vec<Finding>,
 }
 
 impl Document {
-    /// Reads `text`; syntax errors and repeated sections or keys are findings.
-    pub fn parse(file: &str, text: &str) -> Result<Self> {
-        let mut document = Self { file: file.into(), sections: Vec::new() };
-        let mut findings = Vec::new();
+    /// Reads `text`; what cannot be read is left out and stands in the findings.
+    pub fn parse(file: &str, text: &str) -> Self {
+        let mut document = Self { file: file.into(), sections: Vec::new(), findings: Vec::new() };
         let text = comments_blanked(text);
         let mut parser = ini_core::Parser::new(&text).auto_trim(true);
         while let Some(item) = parser.next() {
             if let Some(finding) = document.add(item, parser.line()) {
-                findings.push(finding);
+                document.findings.push(finding);
             }
         }
-        if findings.is_empty() { Ok(document) } else { Err(Findings(findings)) }
+        document
     }
 
     fn add(&mut self, item: ini_core::Item, line: u32) -> Option<Finding> {
--- a/crates/settings/src/findings.rs
+++ b/crates/settings/src/findings.rs
@@ -4,6 +4,14 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Findings(pub Vec<Finding>);
 
+impl Findings {
+    /// Gives `value` where nothing was found, or else the findings in the order of their lines.
+    pub(crate) fn none_or<T>(mut findings: Vec<Finding>, value: Option<T>) -> Result<T> {
+        findings.sort_by_key(|finding| finding.line);
+        value.filter(|_| findings.is_empty()).ok_or(Self(findings))
+    }
+}
+
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         for (i, finding) in self.0.iter().enumerate() {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -11,7 +11,7 @@
 
 pub(crate) fn read(document: &Document) -> Result<Config> {
     let mut config = Config::default();
-    let mut findings = Vec::new();
+    let mut findings = document.findings.clone();
     for section in &document.sections {
         let mut reader = Reader::new(document, section, &mut findings);
         match section.kind.as_str() {
@@ -30,7 +30,7 @@
         }
         reader.finish();
     }
-    if findings.is_empty() { Ok(config) } else { Err(Findings(findings)) }
+    Findings::none_or(findings, Some(config))
 }
 
 pub(crate) fn insert<T>(map: &mut BTreeMap<Name, T>, name: Option<Name>, value: Option<T>) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -58,14 +58,14 @@
 
 /// Reads the fleet's configuration from `text`; `file` names it in findings.
 pub fn config(file: &str, text: &str) -> Result<Config> {
-    fleet::read(&Document::parse(file, text)?)
+    fleet::read(&Document::parse(file, text))
 }
 
 /// Reads jobs to submit from `text`; `file` names it in findings.
 pub fn jobs(file: &str, text: &str) -> Result<BTreeMap<Name, Job>> {
-    let document = Document::parse(file, text)?;
+    let document = Document::parse(file, text);
     let mut jobs = BTreeMap::new();
-    let mut findings = Vec::new();
+    let mut findings = document.findings.clone();
     for section in &document.sections {
         let mut reader = Reader::new(&document, section, &mut findings);
         if section.kind != "job" {
@@ -75,5 +75,5 @@
         fleet::insert(&mut jobs, reader.name(), teams::job(&mut reader));
         reader.finish();
     }
-    if findings.is_empty() { Ok(jobs) } else { Err(Findings(findings)) }
+    Findings::none_or(findings, Some(jobs))
 }
--- a/crates/settings/src/teams.rs
+++ b/crates/settings/src/teams.rs
@@ -45,3 +45,11 @@
         accelerators,
     })
 }
+
+/// Writes what [`resources`] reads.
+pub(crate) fn text(size: &Resources) -> String {
+    let processors = size.millicores as f64 / MILLICORES;
+    let memory = size.memory_mb as f64 / GIGABYTE_MB;
+    let accelerators = size.accelerators;
+    format!("processors = {processors}\nmemory-gb = {memory}\naccelerators = {accelerators}\n")
+}
