--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -85,11 +85,43 @@
     },
     /// Show the state of the fleet
     Status,
+    /// Change a member of the agreement; call the daemon that leads
+    #[command(subcommand)]
+    Member(Member),
     /// Make the keys of daemons
     #[command(subcommand)]
     Keys(Keys),
 }
 
+#[derive(Debug, Subcommand)]
+pub(crate) enum Member {
+    /// Make an observer with a data folder a voter
+    Voter {
+        /// Name of the daemon
+        name: Name,
+    },
+    /// Make a voter an observer, or let an observer join
+    Observer {
+        /// Name of the daemon
+        name: Name,
+    },
+    /// Let a member leave
+    Remove {
+        /// Name of the daemon
+        name: Name,
+    },
+}
+
+impl Member {
+    pub(crate) fn change(&self) -> quorum::Change {
+        match self {
+            Self::Voter { name } => quorum::Change::Voter(name.clone()),
+            Self::Observer { name } => quorum::Change::Observer(name.clone()),
+            Self::Remove { name } => quorum::Change::Remove(name.clone()),
+        }
+    }
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum Keys {
     /// Make the fleet's authority in a new folder
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -16,7 +16,7 @@
     }
     Ok(match reply {
         Reply::Applied { verdict, .. } if verdict.refused() => ExitCode::from(EXIT_REFUSED),
-        Reply::Unknown | Reply::NoRevision { .. } => ExitCode::FAILURE,
+        Reply::Unknown | Reply::NoRevision { .. } | Reply::Unchanged { .. } => ExitCode::FAILURE,
         _ => ExitCode::SUCCESS,
     })
 }
@@ -25,6 +25,11 @@
 pub fn text(reply: &Reply) -> String {
     match reply {
         Reply::Applied { verdict, .. } => format!("{verdict}\n"),
+        Reply::Changing { index } => format!("changes with log entry {index}\n"),
+        Reply::Unchanged { refusal, leader } => {
+            let leader = leader.as_deref().unwrap_or("nobody");
+            format!("refused: {refusal} (`{leader}` leads)\n")
+        }
         Reply::Unknown => "outcome is unknown\n".into(),
         Reply::Config { revision, config } => {
             format!("# revision {revision}\n{}", settings::text(config))
@@ -68,6 +73,12 @@
         format!("requests  {} pending", status.pending),
         format!("upstreams {}", status.upstreams.len()),
     ];
+    let members = status.members.iter().map(|(name, member)| format!("{name}: {}", member.role));
+    list(&mut lines, "members", members.collect());
+    if status.lost_disk {
+        let lost = "replaced: this daemon has no vote, see docs/operators/lost-voter.md";
+        lines.push(format!("disk      {lost}"));
+    }
     let overview = &status.overview;
     let mut pools: Vec<_> = overview.pools.iter().collect();
     pools.sort_by_key(|(_, (serving, all))| std::cmp::Reverse(all - serving));
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -86,6 +86,7 @@
             (tiny_http::Method::Post, "/v1/changes") => self.apply(request, operator),
             (tiny_http::Method::Post, "/v1/waves") => self.maintain(request, operator),
             (tiny_http::Method::Post, "/v1/forget") => self.forget(request, operator),
+            (tiny_http::Method::Post, "/v1/members") => self.change_member(request),
             _ => unknown(request, &path),
         }
     }
@@ -148,6 +149,13 @@
         }
     }
 
+    fn change_member(&self, mut request: tiny_http::Request) {
+        match http::json(&mut request, MAX_BODY_BYTES) {
+            Ok(change) => self.ask(request, node::operator::Call::Member(change)),
+            Err(failure) => http::respond(request, failure.status, &failure),
+        }
+    }
+
     fn ask(&self, request: tiny_http::Request, call: node::operator::Call) {
         let reply = self.tickets.ask(&self.events, |ticket| Event::Operator { ticket, call });
         let reply = reply.unwrap_or(node::operator::Reply::Unknown);
@@ -159,6 +167,7 @@
     match reply {
         node::operator::Reply::Applied { verdict, .. } if verdict.refused() => 409,
         node::operator::Reply::NoRevision { .. } => 404,
+        node::operator::Reply::Unchanged { .. } => 409,
         node::operator::Reply::Unknown => 504,
         _ => 200,
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -7,6 +7,8 @@
 pub enum Call {
     /// Replace the configuration.
     Apply(Box<fleet::Change>),
+    /// Change a member of the agreement.
+    Member(quorum::Change),
     /// Show the configuration.
     Config,
     /// Show the state of the fleet.
@@ -43,6 +45,18 @@
         /// Position of the verdict in the log; in force once the status shows as much.
         index: Index,
     },
+    /// A member changes once a majority has the change.
+    Changing {
+        /// Position of the change in the log.
+        index: Index,
+    },
+    /// A member does not change.
+    Unchanged {
+        /// Why not.
+        refusal: quorum::Refusal,
+        /// Who leads, as far as the daemon knows.
+        leader: Option<Name>,
+    },
     /// No majority has answered in time; a resend of the same request finds the outcome.
     Unknown,
     /// The configuration.
@@ -89,6 +103,12 @@
     pub daemon: Name,
     /// Who leads, as far as it knows.
     pub leader: Option<Name>,
+    /// Every member of the agreement.
+    #[serde(default)]
+    pub members: BTreeMap<Name, quorum::Member>,
+    /// Whether its disk is another than the one it was admitted with, so that it has no vote.
+    #[serde(default)]
+    pub lost_disk: bool,
     /// Its term.
     pub term: quorum::Term,
     /// Whether it may act on its configuration.
--- a/crates/quorum/tests/simulator/mod.rs
+++ b/crates/quorum/tests/simulator/mod.rs
@@ -2,6 +2,7 @@
 
 mod fault;
 mod host;
+mod operator;
 mod oracle;
 mod world;
 
@@ -10,7 +11,8 @@
 use {
     model::{Index, Name, Time},
     quorum::{
-        Effect, Entry, Event, Limits, Message, Record, Restored, Role, Snapshot, State, Timer,
+        Change, Disk, Effect, Entry, Event, Limits, Message, Record, Restored, Role, Snapshot,
+        State, Timer,
     },
     rand::{Rng, seq::IndexedRandom},
     rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
