--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -29,6 +29,12 @@
     },
     /// Many changes under faults: when each is in force, whether any is reverted or lost
     Changes(changes::Changes),
+    /// Jobs on workers on seeded traces, against first fit by declared size
+    Placement {
+        /// Seed of the traces
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// What daemons spend on control while nobody calls
     Idle {
         /// Number of daemons
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -23,18 +23,23 @@
 mod arguments;
 mod changes;
 mod daemon;
+mod first_fit;
 mod first_fleet;
 mod fleet;
 mod idle;
 mod leader_kills;
 mod link;
 mod network;
+mod placement;
+mod planned;
 mod port;
 mod program;
 mod quantiles;
 mod run;
+mod trace;
 mod usage;
 mod wait;
+mod workshop;
 
 use arguments::{Arguments, Experiment};
 pub use {
--- /dev/null
+++ b/crates/bench/src/workshop.rs
@@ -0,0 +1,96 @@
+//! Tasks that run on workers: what shares a worker's processors slows down, and what overflows its
+//! memory fails.
+
+use {super::*, model::Resources};
+
+/// Time of one step.
+pub(crate) const STEP: Duration = Duration::from_millis(100);
+
+/// A task that runs.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) number: usize,
+    pub(crate) worker: usize,
+    /// Most processors that it may use.
+    pub(crate) limit: u64,
+    /// Set while its work is being kept.
+    pub(crate) checkpointed_at: Option<Duration>,
+}
+
+/// The workers with what runs on them.
+#[derive(Debug)]
+pub(crate) struct Workshop<'a> {
+    pub(crate) trace: &'a trace::Trace,
+    pub(crate) runs: BTreeMap<u64, Run>,
+    /// Work left, by task.
+    pub(crate) left: Vec<f64>,
+    pub(crate) started: Vec<Option<Duration>>,
+    pub(crate) done: Vec<Option<Duration>>,
+    /// Processor seconds that tasks used.
+    pub(crate) used: f64,
+    pub(crate) failures: u64,
+}
+
+impl<'a> Workshop<'a> {
+    pub(crate) fn new(trace: &'a trace::Trace) -> Self {
+        let tasks = trace.tasks.len();
+        Self {
+            trace,
+            runs: BTreeMap::new(),
+            left: trace.tasks.iter().map(|task| task.work.as_secs_f64()).collect(),
+            started: vec![None; tasks],
+            done: vec![None; tasks],
+            used: 0.0,
+            failures: 0,
+        }
+    }
+
+    pub(crate) fn start(&mut self, epoch: u64, number: usize, worker: usize, now: Duration) {
+        self.started[number].get_or_insert(now);
+        let run = Run { number, worker, limit: u64::MAX, checkpointed_at: None };
+        self.runs.entry(epoch).or_insert(run);
+    }
+
+    pub(crate) fn usage(&self, run: &Run) -> Resources {
+        let mut usage = self.trace.tasks[run.number].usage;
+        usage.millicores = usage.millicores.min(run.limit);
+        usage
+    }
+
+    /// Lets time pass; the tasks that ended, and whether well.
+    pub(crate) fn step(&mut self, now: Duration) -> Vec<(u64, Run, bool)> {
+        let mut loads = vec![Resources::default(); self.trace.workers.len()];
+        for run in self.runs.values() {
+            loads[run.worker] += self.usage(run);
+        }
+        let mut ended = Vec::new();
+        for (epoch, run) in self.runs.iter().rev() {
+            let size = self.trace.workers[run.worker].1.size;
+            let load = &mut loads[run.worker];
+            let usage = self.usage(run);
+            if load.memory_mb > size.memory_mb {
+                *load = load.less(usage);
+                ended.push((*epoch, run.clone(), false));
+                continue;
+            }
+            let share = (size.millicores as f64 / load.millicores.max(1) as f64).min(1.0);
+            let full = self.trace.tasks[run.number].usage.millicores.max(1) as f64;
+            let processors = usage.millicores as f64 * share;
+            self.used += processors / 1000.0 * STEP.as_secs_f64();
+            self.left[run.number] -= processors / full * STEP.as_secs_f64();
+            if self.left[run.number] <= 0.0 {
+                ended.push((*epoch, run.clone(), true));
+            }
+        }
+        for (epoch, run, well) in &ended {
+            self.runs.remove(epoch);
+            if *well {
+                self.done[run.number] = Some(now);
+            } else {
+                self.failures += 1;
+                self.left[run.number] = self.trace.tasks[run.number].work.as_secs_f64();
+            }
+        }
+        ended
+    }
+}
