--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -18,6 +18,8 @@
     /// Teams with their quotas.
     #[serde(default)]
     pub teams: BTreeMap<Name, Team>,
+    /// How the fleet is maintained and spare instances are used.
+    pub policy: Policy,
 }
 
 impl Config {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,7 +4,13 @@
 use {
     derive_more::{Add, AddAssign, Deref, Display, Error, From},
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, str::FromStr, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeMap,
+        fmt::{self, Formatter},
+        str::FromStr,
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 mod announcement;
@@ -16,6 +22,7 @@
 mod kind;
 mod labels;
 mod location;
+mod policy;
 mod pool;
 mod quota;
 mod requirement;
@@ -30,9 +37,9 @@
 
 pub use {
     announcement::Announcement, budget::Budget, config::Config, error::Error, instance::Instance,
-    job::Job, kind::Kind, labels::Labels, location::Location, pool::Pool, quota::Quota,
-    requirement::Requirement, resources::Resources, selector::Selector, service::Service,
-    spread::Spread, team::Team, tenant::Tenant, urgency::Urgency, worker::Worker,
+    job::Job, kind::Kind, labels::Labels, location::Location, policy::Policy, pool::Pool,
+    quota::Quota, requirement::Requirement, resources::Resources, selector::Selector,
+    service::Service, spread::Spread, team::Team, tenant::Tenant, urgency::Urgency, worker::Worker,
 };
 
 /// Name of anything that operators or instances name.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,8 +5,8 @@
 use {
     derive_more::Display,
     model::{
-        Budget, Config, Instance, Job, Kind, Labels, Location, Name, Pool, Resources, Selector,
-        Service, Spread, Team, Tenant,
+        Budget, Config, Instance, Job, Kind, Labels, Location, Name, Policy, Pool, Resources,
+        Selector, Service, Spread, Team, Tenant,
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -34,12 +34,23 @@
 mod role;
 mod section;
 mod teams;
+mod text;
 
 use reader::Reader;
 pub use {
-    daemon::Daemon, document::Document, entry::Entry, finding::Finding, findings::Findings,
-    keys::Keys, listen::Listen, operators::Operators, peer::Peer, problem::Problem, role::Role,
+    daemon::Daemon,
+    document::Document,
+    entry::Entry,
+    finding::Finding,
+    findings::Findings,
+    keys::Keys,
+    listen::Listen,
+    operators::Operators,
+    peer::Peer,
+    problem::Problem,
+    role::Role,
     section::Section,
+    text::{diff, text},
 };
 
 /// Result of reading a document.
