--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -7,10 +7,11 @@
 
 pub(crate) fn start(
     address: SocketAddr,
+    tokens: Tokens,
     events: Sender<Event>,
 ) -> eyre::Result<Tickets<node::operator::Reply>> {
     let tickets = Tickets::default();
-    let edge = Edge { tickets: tickets.clone(), events };
+    let edge = Edge { tickets: tickets.clone(), tokens, events };
     http::serve(address, move |request| edge.handle(request))?;
     Ok(tickets)
 }
@@ -18,6 +19,7 @@
 #[derive(Clone)]
 struct Edge {
     tickets: Tickets<node::operator::Reply>,
+    tokens: Tokens,
     events: Sender<Event>,
 }
 
@@ -65,6 +67,10 @@
 impl Edge {
     fn handle(&self, request: tiny_http::Request) {
         let path = request.url().to_owned();
+        let operator = self.tokens.operator(&request);
+        if self.tokens.required() && operator.is_none() {
+            return http::respond(request, 401, &http::failure("a valid token is needed"));
+        }
         match (request.method(), path.as_str()) {
             (tiny_http::Method::Get, "/v1/config") => {
                 self.ask(request, node::operator::Call::Config);
@@ -77,9 +83,9 @@
                 self.ask(request, node::operator::Call::History);
             }
             (tiny_http::Method::Get, path) => self.look_up(request, path),
-            (tiny_http::Method::Post, "/v1/changes") => self.apply(request),
-            (tiny_http::Method::Post, "/v1/waves") => self.maintain(request),
-            (tiny_http::Method::Post, "/v1/forget") => self.forget(request),
+            (tiny_http::Method::Post, "/v1/changes") => self.apply(request, operator),
+            (tiny_http::Method::Post, "/v1/waves") => self.maintain(request, operator),
+            (tiny_http::Method::Post, "/v1/forget") => self.forget(request, operator),
             _ => unknown(request, &path),
         }
     }
@@ -94,8 +100,8 @@
         }
     }
 
-    fn maintain(&self, mut request: tiny_http::Request) {
-        let Some((id, author)) = sender(&request) else { return unsigned(request) };
+    fn maintain(&self, mut request: tiny_http::Request, operator: Option<Name>) {
+        let Some((id, author)) = sender(&request, operator) else { return unsigned(request) };
         let tour = match http::json::<Tour>(&mut request, MAX_BODY_BYTES) {
             Ok(tour) => tour,
             Err(failure) => return http::respond(request, 400, &failure),
@@ -109,8 +115,8 @@
         }
     }
 
-    fn forget(&self, mut request: tiny_http::Request) {
-        let Some((id, author)) = sender(&request) else { return unsigned(request) };
+    fn forget(&self, mut request: tiny_http::Request, operator: Option<Name>) {
+        let Some((id, author)) = sender(&request, operator) else { return unsigned(request) };
         match http::json::<Lost>(&mut request, MAX_BODY_BYTES) {
             Ok(Lost { instance }) => {
                 let call = node::operator::Call::Forget { request: id, author, instance };
@@ -120,13 +126,13 @@
         }
     }
 
-    fn apply(&self, mut request: tiny_http::Request) {
+    fn apply(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let body = match http::body(&mut request, MAX_BODY_BYTES) {
             Ok(body) => body,
             Err(failure) => return http::respond(request, 400, &failure),
         };
         let base = header::get(&request, "Base-Revision").and_then(|base| base.parse().ok());
-        let (Some((id, author)), Some(base)) = (sender(&request), base) else {
+        let (Some((id, author)), Some(base)) = (sender(&request, operator), base) else {
             let failure = http::failure("`Request-Id`, `Author` and `Base-Revision` are needed");
             return http::respond(request, 400, &failure);
         };
@@ -158,10 +164,10 @@
     }
 }
 
-/// Id of a request and who asks.
-fn sender(request: &tiny_http::Request) -> Option<(Name, Name)> {
+/// Id of a request and who asks; whoever showed a token is known by it.
+fn sender(request: &tiny_http::Request, operator: Option<Name>) -> Option<(Name, Name)> {
     let (id, author) = (header::get(request, "Request-Id")?, header::get(request, "Author")?);
-    Some((id.into(), author.into()))
+    Some((id.into(), operator.unwrap_or_else(|| author.into())))
 }
 
 fn unsigned(request: tiny_http::Request) {
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -18,6 +18,8 @@
     /// When every view lease that the member may hold has surely run out: a lease counts from a
     /// clock that the member read before the leader heard of it.
     pub granted_until: Time,
+    /// Snapshot on its way to the member.
+    pub transfer: Option<Transfer>,
 }
 
 impl Progress {
@@ -30,6 +32,7 @@
             answered: None,
             stamp: None,
             granted_until,
+            transfer: None,
         }
     }
 }
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -15,6 +15,8 @@
     pub platform: Option<SocketAddr>,
     /// Key files.
     pub keys: Keys,
+    /// Who may use the operators' interface; anybody on this machine where it is absent.
+    pub operators: Option<Operators>,
     /// Every daemon of the fleet, by name.
     pub peers: BTreeMap<Name, Peer>,
 }
@@ -51,6 +53,7 @@
     listen: Option<Listen>,
     platform: Option<SocketAddr>,
     keys: Option<Keys>,
+    operators: Option<Operators>,
     peers: BTreeMap<Name, Peer>,
 }
 
@@ -63,6 +66,7 @@
             "listen" => self.read_listen(&mut reader),
             "keys" => self.read_keys(&mut reader),
             "platform" => self.platform = reader.required("address"),
+            "operators" => self.read_operators(&mut reader),
             "peer" => self.read_peer(&mut reader),
             _ => return reader.unknown(),
         }
@@ -103,6 +107,10 @@
         }
     }
 
+    fn read_operators(&mut self, reader: &mut Reader) {
+        self.operators = reader.required("tokens").map(|tokens| Operators { tokens });
+    }
+
     fn read_peer(&mut self, reader: &mut Reader) {
         let name = reader.name();
         let address = reader.required("address");
@@ -127,6 +135,12 @@
                 report(section, None, Problem::MissingSection);
             }
         }
+        let open = self.operators.is_none()
+            && self.listen.as_ref().is_some_and(|listen| !listen.operators.ip().is_loopback());
+        if open {
+            let reason = "operators need tokens beyond this machine: add `[operators] tokens`";
+            report("listen", Some("operators"), Problem::Value(reason.into()));
+        }
         let Some(id) = &self.id else { return };
         let Some(peer) = self.peers.get(id) else {
             return report(&format!("peer {id}"), None, Problem::MissingSection);
@@ -144,6 +158,7 @@
             listen: self.listen?,
             platform: self.platform,
             keys: self.keys?,
+            operators: self.operators,
             peers: self.peers,
         })
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -27,6 +27,7 @@
 mod fleet;
 mod keys;
 mod listen;
+mod operators;
 mod peer;
 mod problem;
 mod reader;
@@ -43,6 +44,7 @@
     findings::Findings,
     keys::Keys,
     listen::Listen,
+    operators::Operators,
     peer::Peer,
     problem::Problem,
     role::Role,
