--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -173,7 +173,6 @@
     }
 }
 
-/// Id of a request and who asks.
 /// Id and author of a request that changes something; a token names the author where there is one.
 fn sender(request: &tiny_http::Request, operator: Option<Name>) -> Option<(Name, Name)> {
     let id = header::get(request, "Request-Id")?;
