--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -98,26 +98,26 @@
     /// Make an observer with a data folder a voter
     Voter {
         /// Name of the daemon
-        name: String,
+        name: Name,
     },
     /// Make a voter an observer, or let an observer join
     Observer {
         /// Name of the daemon
-        name: String,
+        name: Name,
     },
     /// Let a member leave
     Remove {
         /// Name of the daemon
-        name: String,
+        name: Name,
     },
 }
 
 impl Member {
     pub(crate) fn change(&self) -> quorum::Change {
         match self {
-            Self::Voter { name } => quorum::Change::Voter(name.as_str().into()),
-            Self::Observer { name } => quorum::Change::Observer(name.as_str().into()),
-            Self::Remove { name } => quorum::Change::Remove(name.as_str().into()),
+            Self::Voter { name } => quorum::Change::Voter(name.clone()),
+            Self::Observer { name } => quorum::Change::Observer(name.clone()),
+            Self::Remove { name } => quorum::Change::Remove(name.clone()),
         }
     }
 }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -16,8 +16,7 @@
     }
     Ok(match reply {
         Reply::Applied { verdict, .. } if verdict.refused() => ExitCode::from(EXIT_REFUSED),
-        Reply::Unchanged { .. } => ExitCode::from(EXIT_REFUSED),
-        Reply::Unknown | Reply::NoRevision { .. } => ExitCode::FAILURE,
+        Reply::Unknown | Reply::NoRevision { .. } | Reply::Unchanged { .. } => ExitCode::FAILURE,
         _ => ExitCode::SUCCESS,
     })
 }
@@ -74,11 +73,12 @@
         format!("requests  {} pending", status.pending),
         format!("upstreams {}", status.upstreams.len()),
     ];
-    if status.lost_disk {
-        lines.push("disk      replaced: this daemon has no vote, see lost-voter.md".into());
-    }
     let members = status.members.iter().map(|(name, member)| format!("{name}: {}", member.role));
     list(&mut lines, "members", members.collect());
+    if status.lost_disk {
+        let lost = "replaced: this daemon has no vote, see docs/operators/lost-voter.md";
+        lines.push(format!("disk      {lost}"));
+    }
     let overview = &status.overview;
     let mut pools: Vec<_> = overview.pools.iter().collect();
     pools.sort_by_key(|(_, (serving, all))| std::cmp::Reverse(all - serving));
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -84,9 +84,9 @@
             }
             (tiny_http::Method::Get, path) => self.look_up(request, path),
             (tiny_http::Method::Post, "/v1/changes") => self.apply(request, operator),
-            (tiny_http::Method::Post, "/v1/members") => self.change_member(request),
             (tiny_http::Method::Post, "/v1/waves") => self.maintain(request, operator),
             (tiny_http::Method::Post, "/v1/forget") => self.forget(request, operator),
+            (tiny_http::Method::Post, "/v1/members") => self.change_member(request),
             _ => unknown(request, &path),
         }
     }
@@ -140,7 +140,7 @@
         match settings::config("configuration", &String::from_utf8_lossy(&body)) {
             Ok(config) => {
                 let change = fleet::Change { request: id, author, base, config };
-                self.ask(request, node::operator::Call::Apply(change));
+                self.ask(request, node::operator::Call::Apply(Box::new(change)));
             }
             Err(findings) => {
                 let error = "configuration is not valid".into();
@@ -152,7 +152,7 @@
     fn change_member(&self, mut request: tiny_http::Request) {
         match http::json(&mut request, MAX_BODY_BYTES) {
             Ok(change) => self.ask(request, node::operator::Call::Member(change)),
-            Err(failure) => http::respond(request, 400, &failure),
+            Err(failure) => http::respond(request, failure.status, &failure),
         }
     }
 
@@ -165,15 +165,14 @@
 
 fn status(reply: &node::operator::Reply) -> u16 {
     match reply {
-        node::operator::Reply::Unchanged { .. } => 409,
         node::operator::Reply::Applied { verdict, .. } if verdict.refused() => 409,
         node::operator::Reply::NoRevision { .. } => 404,
+        node::operator::Reply::Unchanged { .. } => 409,
         node::operator::Reply::Unknown => 504,
         _ => 200,
     }
 }
 
-/// Id of a request and who asks.
 /// Id and author of a request that changes something; a token names the author where there is one.
 fn sender(request: &tiny_http::Request, operator: Option<Name>) -> Option<(Name, Name)> {
     let id = header::get(request, "Request-Id")?;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Call {
     /// Replace the configuration.
-    Apply(fleet::Change),
+    Apply(Box<fleet::Change>),
     /// Change a member of the agreement.
     Member(quorum::Change),
     /// Show the configuration.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -124,10 +124,9 @@
     ) {
         let reply = match call {
             operator::Call::Apply(change) => {
-                let command = fleet::Command::Change(change).into();
+                let command = fleet::Command::Change(*change).into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
-            operator::Call::Member(change) => self.change_member(now, change, effects),
             operator::Call::Maintain(order) => {
                 let command = fleet::Command::Maintain(order).into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
@@ -136,6 +135,7 @@
                 let command = fleet::Command::Forget { request, author, instance }.into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
+            operator::Call::Member(change) => self.change_member(now, change, effects),
             operator::Call::Status => operator::Reply::Status(self.status(now)),
             call => view::reply(&self.replica.fleet, call),
         };
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -80,9 +80,13 @@
         self.pending.len()
     }
 
-    /// Requests that this daemon has in flight on `instance`.
+    /// Requests in flight on `instance`, and slots of it that this daemon has granted as broker,
+    /// or that a broker before it may have granted.
     pub fn in_flight(&self, instance: &Name) -> u32 {
-        self.flights.values().filter(|flight| flight.instance == *instance).count() as u32
+        let flights = self.flights.values().filter(|flight| flight.instance == *instance);
+        let granted = self.desks.iter().filter_map(|desk| desk.pool.find(instance));
+        flights.count() as u32
+            + granted.map(|upstream| upstream.in_flight + upstream.reserved).sum::<u32>()
     }
 
     /// Slots that this daemon has granted, for every service whose broker it is.
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -11,7 +11,7 @@
 
 pub(crate) fn read(document: &Document) -> Result<Config> {
     let mut config = Config::default();
-    let mut findings = Vec::new();
+    let mut findings = document.findings.clone();
     for section in &document.sections {
         let mut reader = Reader::new(document, section, &mut findings);
         match section.kind.as_str() {
@@ -22,6 +22,7 @@
             "budget" => insert(&mut config.budgets, reader.name(), budget(&mut reader)),
             "policy" => config.policy = policy(&mut reader),
             "instance" => insert(&mut config.instances, reader.name(), instance(&mut reader)),
+            "team" => insert(&mut config.teams, reader.name(), teams::team(&mut reader)),
             _ => {
                 reader.unknown();
                 continue;
@@ -29,10 +30,10 @@
         }
         reader.finish();
     }
-    if findings.is_empty() { Ok(config) } else { Err(Findings(findings)) }
+    Findings::none_or(findings, Some(config))
 }
 
-fn insert<T>(map: &mut BTreeMap<Name, T>, name: Option<Name>, value: Option<T>) {
+pub(crate) fn insert<T>(map: &mut BTreeMap<Name, T>, name: Option<Name>, value: Option<T>) {
     if let (Some(name), Some(value)) = (name, value) {
         map.insert(name, value);
     }
