--- /dev/null
+++ b/spec/slot/model.pml
@@ -0,0 +1,161 @@
+/* Slots and claims: none is granted twice when a broker is rebuilt.
+ *
+ * A broker grants the slots of a service to daemons. When it is lost, another is built under the next
+ * epoch from what the daemons report that they hold. A daemon that does not report may hold a slot
+ * until its view lease has run out. A grant is on its way until a daemon takes it, and names the
+ * epoch. A claim is an entry of the log: the first wins, and a resend finds it. */
+
+#define SLOTS 2
+#define DAEMONS 2
+#define EPOCHS 3
+#define NOBODY 255
+
+byte epoch = 1;
+bool building;
+
+/* Holder of each slot as the broker knows it; NOBODY is free. */
+byte holder[SLOTS];
+
+/* A grant on its way to each daemon, one a slot, with its epoch. */
+byte offer[4];
+
+/* Slots that each daemon holds, the epoch that it has seen, and whether it has a view. */
+bool holds[4];
+byte seen[DAEMONS];
+bool view[DAEMONS];
+bool reported[DAEMONS];
+
+/* The claim of one request: who may run it, and how often it ran. */
+byte claimant = NOBODY;
+byte runs;
+bool ran[DAEMONS];
+
+#define at(d, s) (d * SLOTS + s)
+
+inline one_holder() {
+  assert(!(holds[at(0, 0)] && holds[at(1, 0)]));
+  assert(!(holds[at(0, 1)] && holds[at(1, 1)]))
+}
+
+proctype Broker() {
+  byte s, d;
+  do
+  :: atomic { !building ->
+       if
+       :: s = 0
+       :: s = 1
+       fi;
+       if
+       :: d = 0
+       :: d = 1
+       fi;
+       if
+       :: holder[s] == NOBODY -> holder[s] = d; offer[at(d, s)] = epoch
+       :: else
+       fi;
+       s = 0;
+       d = 0 }
+  /* The broker is lost. */
+  :: atomic { epoch < EPOCHS ->
+       epoch++;
+       building = true;
+       holder[0] = NOBODY;
+       holder[1] = NOBODY;
+       reported[0] = false;
+       reported[1] = false }
+  /* A daemon reports what it holds, and takes no grant of a former epoch any more. */
+  :: atomic { building ->
+       if
+       :: d = 0
+       :: d = 1
+       fi;
+       if
+       :: view[d] && !reported[d] ->
+#ifndef TAKES_FORMER_GRANTS
+          seen[d] = epoch;
+#endif
+          reported[d] = true;
+          if
+          :: holds[at(d, 0)] -> holder[0] = d
+          :: else
+          fi;
+          if
+          :: holds[at(d, 1)] -> holder[1] = d
+          :: else
+          fi
+       :: else
+       fi;
+       d = 0 }
+  :: atomic { building &&
+#ifdef FREES_UNREPORTED
+       true
+#else
+       (reported[0] || !view[0]) && (reported[1] || !view[1])
+#endif
+       -> building = false }
+  /* A daemon gives a slot back. */
+  :: atomic { !building ->
+       if
+       :: s = 0
+       :: s = 1
+       fi;
+       if
+       :: d = 0
+       :: d = 1
+       fi;
+       if
+       :: holder[s] == d && !holds[at(d, s)] && offer[at(d, s)] == 0 -> holder[s] = NOBODY
+       :: else
+       fi;
+       s = 0;
+       d = 0 }
+  od
+}
+
+proctype Daemon(byte me) {
+  byte s;
+  do
+  :: atomic {
+       if
+       :: s = 0
+       :: s = 1
+       fi;
+       if
+       :: view[me] && offer[at(me, s)] != 0 ->
+          if
+          :: offer[at(me, s)] >= seen[me] -> holds[at(me, s)] = true; one_holder()
+          :: else
+          fi;
+          offer[at(me, s)] = 0
+       :: holds[at(me, s)] -> holds[at(me, s)] = false
+       :: else
+       fi;
+       s = 0 }
+  /* The view lapses only once nothing is held under it; it comes back under the present epoch. */
+  :: atomic { view[me] && !holds[at(me, 0)] && !holds[at(me, 1)] -> view[me] = false }
+  :: atomic { !view[me] && !building -> view[me] = true; seen[me] = epoch }
+  /* A request that must not run twice. */
+  :: atomic {
+#ifdef CLAIMS_LOCALLY
+       !ran[me] ->
+#else
+       !ran[me] && (claimant == NOBODY || claimant == me) ->
+#endif
+       claimant = me;
+       ran[me] = true;
+       runs++;
+       assert(runs <= 1) }
+  od
+}
+
+init {
+  atomic {
+    holder[0] = NOBODY;
+    holder[1] = NOBODY;
+    view[0] = true;
+    view[1] = true;
+    run Broker();
+    run Daemon(0);
+    run Daemon(1)
+  }
+}
