--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -19,6 +19,8 @@
 
 #[derive(Debug, Clone, Subcommand)]
 pub(crate) enum Experiment {
+    /// What the agreement costs by role and size, with reducers in this process
+    Agreement,
     /// Three daemons, two fake upstreams, one request, one change
     FirstFleet,
     /// Leaders killed under a steady load: when changes are accepted again, who is refused
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -20,6 +20,7 @@
     },
 };
 
+mod agreement;
 mod arguments;
 mod changes;
 mod daemon;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -22,6 +22,7 @@
 impl Experiment {
     fn run(&self) -> eyre::Result<()> {
         match self {
+            Self::Agreement => agreement::run(),
             Self::FirstFleet => first_fleet::run(),
             Self::LeaderKills { kills } => leader_kills::run(*kills),
             Self::Changes(settings) => changes::run(settings),
