Measure four dispatch policies against an ideal central queue, and spare the broker's detour

Found: a slot counted as free when its attempt was late, though the upstream ran on; the refusals that followed were taken for failures and ejected up to 30% of a pool. Ranks that moved with each sample split a kind into many classes; they now move in steps of a quarter. The way of a slot through the broker, two delays of 1.4 ms, left it idle; the daemon that holds a slot now passes it on to its own best waiting request for 2 s at most.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -27,6 +27,21 @@
         #[arg(long, default_value_t = 100)]
         kills: u32,
     },
+    /// Dispatch policies against an ideal central queue, in process
+    Dispatch {
+        /// Seeds of the arrivals
+        #[arg(long = "seed", default_values_t = [1])]
+        seeds: Vec<u64>,
+        /// Delay between data centres, one way, in microseconds
+        #[arg(long, default_value_t = 1400)]
+        delay_us: u64,
+    },
+    /// Events a second that the dispatch reducer takes, in process
+    RouteThroughput {
+        /// Seed of the order in which attempts end
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Many changes under faults: when each is in force, whether any is reverted or lost
     Changes(changes::Changes),
     /// What daemons spend on control while nobody calls
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,11 +4,17 @@
 use {
     clap::{Args, Parser, Subcommand},
     eyre::{WrapErr, bail, ensure},
+    hdrhistogram::Histogram,
+    model::{Announcement, Config, Kind, Labels, Location, Map, Name, Service},
+    rand::Rng,
+    rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
     serde::Serialize,
     std::{
-        collections::BTreeMap,
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
         env, fs, io,
         net::{SocketAddr, TcpListener, UdpSocket},
+        ops::RangeInclusive,
         path::{Path, PathBuf},
         process::{Child, Command, ExitCode, Output, Stdio},
         sync::{
@@ -21,8 +27,10 @@
 };
 
 mod arguments;
+mod arrival;
 mod changes;
 mod daemon;
+mod dispatch;
 mod first_fleet;
 mod fleet;
 mod idle;
@@ -32,12 +40,23 @@
 mod port;
 mod program;
 mod quantiles;
+mod route_throughput;
 mod run;
+mod simulation;
+mod tally;
 mod usage;
 mod wait;
 
 use arguments::{Arguments, Experiment};
+use {
+    arrival::{Arrival, CLASSES, Class},
+    simulation::{DATA_CENTERS, Runner, Simulation, service},
+    tally::Tally,
+};
 pub use {
     daemon::Daemon, fleet::Fleet, network::Network, program::Program, run::run, wait::wait_until,
 };
 use {link::Link, port::Port, quantiles::Quantiles, usage::Usage};
+
+/// Services of the dispatch experiment.
+const SERVICES: usize = 5;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -24,6 +24,13 @@
         match self {
             Self::FirstFleet => first_fleet::run(),
             Self::LeaderKills { kills } => leader_kills::run(*kills),
+            Self::Dispatch { seeds, delay_us } => {
+                dispatch::run(seeds, Duration::from_micros(*delay_us))
+            }
+            Self::RouteThroughput { seed } => {
+                route_throughput::run(*seed);
+                Ok(())
+            }
             Self::Changes(settings) => changes::run(settings),
             Self::Idle { daemons, upstreams, seconds } => idle::run(*daemons, *upstreams, *seconds),
         }
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -25,7 +25,9 @@
     pub fn outcomes(&self) -> Vec<Outcome> {
         let configured = fleet::Effect::Configured(self.fleet.config().clone());
         let upstreams = self.fleet.upstreams().values().cloned().map(fleet::Effect::Upstream);
-        into_outcomes(std::iter::once(configured).chain(upstreams))
+        let mut outcomes = into_outcomes(std::iter::once(configured).chain(upstreams));
+        outcomes.push(route::Decision::Roster(self.route.roster.clone()).into());
+        outcomes
     }
 }
 
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -34,11 +34,11 @@
     /// Samples between two calculations.
     const REFRESH: u32 = 16;
     /// Share of requests that run no longer than the quantile, in percent.
-    const QUANTILE_PERCENT: u32 = 75;
+    const QUANTILE_PERCENT: u32 = 95;
 
     pub(crate) fn add(&mut self, time: Duration) {
         let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX).min(1 << 31);
-        self.counts[bucket(micros)] += 1;
+        self.counts[Self::bucket(micros)] += 1;
         self.total += 1;
         self.sum_us += micros;
         self.fresh += 1;
@@ -59,6 +59,16 @@
         self.quantile
     }
 
+    /// Bucket of a number; four for each doubling.
+    pub(crate) fn bucket(number: u64) -> usize {
+        if number < Self::STEPS {
+            return number as usize;
+        }
+        let doubling = u64::from(63 - number.leading_zeros());
+        let step = (number >> (doubling - 2)) & (Self::STEPS - 1);
+        (((doubling - 1) * Self::STEPS + step) as usize).min(Self::BUCKETS - 1)
+    }
+
     fn halve(&mut self) {
         let before = u64::from(self.total);
         self.counts.iter_mut().for_each(|count| *count /= 2);
@@ -79,16 +89,6 @@
     }
 }
 
-/// Bucket of a time in microseconds.
-fn bucket(micros: u64) -> usize {
-    if micros < Estimate::STEPS {
-        return micros as usize;
-    }
-    let doubling = u64::from(63 - micros.leading_zeros());
-    let step = (micros >> (doubling - 2)) & (Estimate::STEPS - 1);
-    (((doubling - 1) * Estimate::STEPS + step) as usize).min(Estimate::BUCKETS - 1)
-}
-
 /// Upper end of a bucket, in microseconds.
 fn ceiling(bucket: u64) -> u64 {
     if bucket < Estimate::STEPS {
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -10,4 +10,6 @@
     pub(crate) kind: Name,
     pub(crate) started: Time,
     pub(crate) deadline: Time,
+    /// Until when the slot may be passed on to requests whose deadline comes no later.
+    pub(crate) tenure: Time,
 }
--- a/crates/route/src/granting.rs
+++ b/crates/route/src/granting.rs
@@ -26,6 +26,7 @@
             self.offer(now, index, Owners::SELF, want, effects);
             return self.pump(now, index, effects);
         }
+        desk.pool.line_up(now, want.clone());
         if let Some(broker) = desk.broker.clone() {
             self.outbox.push(broker, index, Note::Want(want));
         }
@@ -36,14 +37,49 @@
     pub(crate) fn withdraw(&mut self, pending: &Pending) {
         let desk = &mut self.desks[pending.desk];
         desk.waiting.remove(&pending.request.id);
+        desk.pool.withdraw(Owners::SELF, pending.ticket());
         if desk.mine {
-            return desk.pool.withdraw(Owners::SELF, pending.ticket());
+            return;
         }
         if let Some(broker) = desk.broker.clone() {
             self.outbox.push(broker, pending.desk, Note::Withdraw(pending.ticket()));
         }
     }
 
+    /// Passes a slot on to a request that waits here, and spares the way through the broker.
+    pub(crate) fn pass(
+        &mut self,
+        now: Time,
+        flight: &Flight,
+        report: Report,
+        took: Duration,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(to) = self.successor(now, flight, report) else { return false };
+        let Some(pending) = self.pending.get(&to.request) else { return false };
+        let kind = pending.request.kind.clone();
+        let desk = &mut self.desks[flight.desk];
+        let Some(broker) = desk.broker.clone() else { return false };
+        desk.pool.learn(&flight.kind, report, took);
+        let note = Note::Pass { from: flight.ticket, to, kind, took };
+        self.outbox.push(broker, flight.desk, note);
+        let (instance, tenure) = (flight.instance.clone(), flight.tenure);
+        self.start(now, flight.desk, to, instance, Some(tenure), effects);
+        true
+    }
+
+    /// Request to which the slot of `flight` is passed on.
+    fn successor(&mut self, now: Time, flight: &Flight, report: Report) -> Option<Ticket> {
+        let desk = &mut self.desks[flight.desk];
+        let serving = desk.pool.find(&flight.instance).is_some_and(|upstream| upstream.serving);
+        if report != Report::Answered || desk.mine || !self.view || !serving {
+            return None;
+        }
+        let ticket = desk.pool.successor(now, &flight.kind)?;
+        let pending = self.pending.get(&ticket.request)?;
+        (pending.deadline <= flight.tenure).then_some(ticket)
+    }
+
     /// Hands a slot back to whoever grants it.
     pub(crate) fn give_back(
         &mut self,
@@ -57,6 +93,9 @@
         if desk.mine {
             return desk.pool.release(now, Owners::SELF, ticket, report, took);
         }
+        if let Some(pending) = self.pending.get(&ticket.request) {
+            desk.pool.learn(&pending.request.kind, report, took);
+        }
         if let Some(broker) = desk.broker.clone() {
             self.outbox.push(broker, index, Note::Free { ticket, report, took });
         }
@@ -98,7 +137,7 @@
                 Note::Recall => self.recalled(now, index, &from, term),
                 Note::Grant { ticket, instance } => {
                     if self.heeds(index, &from, term) {
-                        self.start(now, index, ticket, instance, effects);
+                        self.start(now, index, ticket, instance, None, effects);
                     }
                 }
                 Note::Refuse { ticket, reason, retry_after } => {
@@ -157,11 +196,19 @@
             return;
         }
         desk.take_term(shard, &self.id, self.boot);
-        if desk.mine {
+        self.end_tenures(index);
+        if self.desks[index].mine {
             self.rebuild(now, index);
         }
     }
 
+    /// Keeps slots of a former term from being passed on.
+    fn end_tenures(&mut self, index: usize) {
+        for flight in self.flights.values_mut().filter(|flight| flight.desk == index) {
+            flight.tenure = Time::ZERO;
+        }
+    }
+
     /// Starts to find out which slots former brokers have granted.
     fn rebuild(&mut self, now: Time, index: usize) {
         let window = self.window();
@@ -185,7 +232,7 @@
     /// Time after which nothing is in use that was granted before a roster was committed.
     fn window(&self) -> Duration {
         let longest = self.config.kinds.values().map(|kind| kind.deadline).max();
-        MAX_VIEW + longest.unwrap_or_default() + LEASE_MARGIN
+        MAX_VIEW + longest.unwrap_or_default() + TENURE + LEASE_MARGIN
     }
 
     /// Whether a daemon that started `age` ago knows of every slot that may be held in its name.
@@ -271,6 +318,9 @@
             Note::Free { ticket, report, took } => {
                 self.desks[index].pool.release(now, owner, ticket, report, took);
             }
+            Note::Pass { from, to, kind, took } => {
+                self.desks[index].pool.pass(now, owner, from, to, kind, took);
+            }
             Note::Holds { age, held } => self.restore(now, index, owner, age, &held),
             Note::Grant { .. } | Note::Refuse { .. } | Note::Recall => {}
         }
@@ -298,6 +348,7 @@
             return;
         }
         self.desks[index].fence = term;
+        self.end_tenures(index);
         let held = self.holds(now, index);
         let age = now - self.born.unwrap_or(now);
         self.outbox.push(broker.clone(), index, Note::Holds { age, held });
@@ -374,7 +425,7 @@
         effects: &mut Vec<Effect>,
     ) {
         if owner == Owners::SELF {
-            return self.start(now, index, ticket, instance, effects);
+            return self.start(now, index, ticket, instance, None, effects);
         }
         let note = Note::Grant { ticket, instance };
         self.outbox.push(self.owners.name(owner).clone(), index, note);
@@ -387,6 +438,7 @@
         index: usize,
         ticket: Ticket,
         instance: Name,
+        tenure: Option<Time>,
         effects: &mut Vec<Effect>,
     ) {
         let pending = self.pending.get_mut(&ticket.request);
@@ -412,9 +464,11 @@
             kind: pending.request.kind.clone(),
             started: now,
             deadline: pending.deadline,
+            tenure: tenure.unwrap_or(pending.deadline + TENURE),
         };
         pending.phase = Phase::Running(attempt.id);
         self.desks[index].waiting.remove(&ticket.request);
+        self.desks[index].pool.withdraw(Owners::SELF, ticket);
         self.flights.insert(attempt.id, flight);
         effects.push(Effect::Attempt(attempt));
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -88,7 +88,7 @@
     owners::Owners,
     pending::Pending,
     phase::Phase,
-    pool::{LEASE_MARGIN, Pool},
+    pool::{LEASE_MARGIN, Pool, TENURE},
     queue::Queue,
     refusal::Refusal,
     settled::Settled,
--- a/crates/route/src/note.rs
+++ b/crates/route/src/note.rs
@@ -16,6 +16,17 @@
         /// How long it took.
         took: Duration,
     },
+    /// To the broker: a slot was passed on after an answer.
+    Pass {
+        /// Who held it.
+        from: Ticket,
+        /// Who holds it now.
+        to: Ticket,
+        /// Kind of the latter.
+        kind: Name,
+        /// How long the answered attempt took.
+        took: Duration,
+    },
     /// To the broker: every slot that the daemon holds.
     Holds {
         /// Time since the daemon started.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -30,6 +30,9 @@
 /// Added to the deadline of a request, for the drift between two clocks.
 pub(crate) const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
+/// Added to the deadline of a request for the tenure of its slot.
+pub(crate) const TENURE: Duration = Duration::from_secs(2);
+
 /// Failures in a row after which an upstream is ejected.
 const MAX_FAILURES: u32 = 5;
 
@@ -45,6 +48,9 @@
 /// Rest of an upstream that refused because it was full.
 const FULL_REST: Duration = Duration::from_millis(10);
 
+/// Longest time for which the slot of a late attempt is taken to be in use.
+const MAX_HOLD: Duration = Duration::from_secs(5);
+
 /// Free upstreams looked at for one that suits a request.
 const MAX_LOOKS: usize = 16;
 
@@ -52,7 +58,7 @@
 const MAX_PASSED: usize = 8;
 
 /// Scale of ranks, so that slow kinds differ.
-const RANK_SCALE: u64 = 1 << 32;
+const RANK_SCALE: u64 = 1 << 24;
 
 impl Pool {
     pub(crate) fn new(policy: Policy, config: Arc<Config>, seed: u64) -> Self {
@@ -141,40 +147,20 @@
         if self.queue.contains(owner, want.ticket) {
             return Ok(());
         }
-        let estimate = self.estimates.get(&want.kind);
-        let mean = estimate.map_or(Duration::ZERO, Estimate::mean);
-        let quantile = estimate.map_or(Duration::ZERO, Estimate::quantile);
-        let work = mean.as_micros().max(1) as u64;
-        let worth = self.config.kinds.get(&want.kind).map_or(1, |kind| u64::from(kind.weight));
-        let rank = worth * RANK_SCALE / work;
-        let (tenant, weight) = self.tenant(&want.tenant);
-        let wait = self.queue.wait(&tenant, weight, rank, self.capacity);
-        if wait + quantile > want.left {
-            let retry_after = (wait + quantile).saturating_sub(want.left);
+        let (waiting, weight) = self.waiting(now, owner, want);
+        let wait = self.queue.wait(&waiting.tenant, weight, waiting.rank, self.capacity);
+        if now + wait > waiting.last_chance {
+            let retry_after = (now + wait).saturating_sub(waiting.last_chance);
             return Err(Refusal { reason: Reason::Overloaded, retry_after });
         }
-        let deadline = now + want.left;
-        let waiting = Waiting {
-            owner,
-            ticket: want.ticket,
-            kind: want.kind,
-            tenant,
-            deadline,
-            avoid: want.avoid,
-            work,
-            rank,
-            last_chance: deadline - quantile,
-        };
         self.queue.push(waiting, weight);
         Ok(())
     }
 
     /// Takes requests that now wait in vain, after one of `tenant` and `kind` was queued.
     pub(crate) fn displaced(&mut self, now: Time, tenant: &Name, kind: &Name) -> Vec<Waiting> {
-        let work = self.estimates.get(kind).map_or(1, |it| it.mean().as_micros().max(1) as u64);
-        let worth = self.config.kinds.get(kind).map_or(1, |kind| u64::from(kind.weight));
         let (tenant, _) = self.tenant(tenant);
-        self.queue.displaced(now, &tenant, worth * RANK_SCALE / work, self.capacity)
+        self.queue.displaced(now, &tenant, self.value(kind).1, self.capacity)
     }
 
     /// Takes a request whose last chance has passed.
@@ -213,11 +199,53 @@
             self.queue.push(waiting, weight);
         }
         let (waiting, index) = granted?;
-        let until = waiting.deadline.max(now) + LEASE_MARGIN;
+        let until = waiting.deadline.max(now) + self.tenure() + LEASE_MARGIN;
         self.occupy(index, waiting.owner, waiting.ticket, waiting.kind.clone(), until);
         Some((waiting, index))
     }
 
+    /// Time by which slots may be passed on among the requests of the daemon that holds them.
+    pub(crate) fn tenure(&self) -> Duration {
+        if self.policy == Policy::Broker { TENURE } else { Duration::ZERO }
+    }
+
+    /// Lines a request up behind those of this daemon, for slots that are passed on.
+    pub(crate) fn line_up(&mut self, now: Time, want: Want) {
+        if !self.queue.contains(Owners::SELF, want.ticket) {
+            let (waiting, weight) = self.waiting(now, Owners::SELF, want);
+            self.queue.push(waiting, weight);
+        }
+    }
+
+    /// The request of this daemon to which a slot after one of `kind` is passed on.
+    pub(crate) fn successor(&mut self, now: Time, kind: &Name) -> Option<Ticket> {
+        while self.queue.pop_hopeless(now).is_some() {}
+        let waiting = self.queue.peek()?;
+        let suits = waiting.kind == *kind || waiting.rank >= self.value(kind).1;
+        suits.then_some(waiting.ticket)
+    }
+
+    /// Follows a slot that was passed on.
+    pub(crate) fn pass(
+        &mut self,
+        now: Time,
+        owner: Owner,
+        from: Ticket,
+        to: Ticket,
+        kind: Name,
+        took: Duration,
+    ) {
+        let Some(Busy { upstream, until, .. }) = self.busy.get(&(owner, from)).cloned() else {
+            return;
+        };
+        self.release(now, owner, from, Report::Answered, took);
+        if let Some(other) = self.vacate(owner, to) {
+            self.reindex(other.upstream);
+        }
+        self.queue.withdraw(owner, to);
+        self.occupy(upstream, owner, to, kind, until);
+    }
+
     /// Marks a slot as granted.
     pub(crate) fn occupy(
         &mut self,
@@ -251,21 +279,31 @@
         report: Report,
         took: Duration,
     ) {
-        let Some(busy) = self.vacate(owner, ticket) else { return };
+        let Some(busy) = self.busy.get(&(owner, ticket)) else { return };
         let index = busy.upstream;
+        if let Some(hold) = self.hold(index, report, took) {
+            return self.extend(owner, ticket, now + hold);
+        }
+        let Some(busy) = self.vacate(owner, ticket) else { return };
         match report {
             Report::Answered => {
                 self.estimates.entry(busy.kind).or_default().add(took);
                 self.forgive(index);
             }
-            Report::Late => self.estimates.entry(busy.kind).or_default().add(took),
-            Report::Refused if self.policy.overcommits() => self.rest(index, now + FULL_REST),
-            Report::Refused | Report::Broken | Report::NotSent => self.blame(now, index),
-            Report::Unused => {}
+            Report::Refused => self.rest(index, now + FULL_REST),
+            Report::Broken | Report::NotSent => self.blame(now, index),
+            Report::Late | Report::Unused => {}
         }
         self.reindex(index);
     }
 
+    /// Learns from an attempt whose slot another daemon grants.
+    pub(crate) fn learn(&mut self, kind: &Name, report: Report, took: Duration) {
+        if report == Report::Answered {
+            self.estimates.entry(kind.clone()).or_default().add(took);
+        }
+    }
+
     /// Frees slots whose lease has run out, and ends rests that are over.
     pub(crate) fn wake(&mut self, now: Time) {
         while let Some((until, owner, ticket)) = self.leases.first().copied()
@@ -311,6 +349,54 @@
         self.count();
     }
 
+    /// How long the slot of an attempt that ended may still be in use at its upstream.
+    fn hold(&mut self, index: usize, report: Report, took: Duration) -> Option<Duration> {
+        match report {
+            Report::Late => Some(took.min(MAX_HOLD)),
+            Report::Refused if !self.policy.overcommits() => {
+                let upstream = &mut self.upstreams[index];
+                upstream.refusals += 1;
+                Some(FULL_REST * (1 << upstream.refusals.min(MAX_DOUBLINGS)))
+            }
+            _ => None,
+        }
+    }
+
+    /// Keeps a slot busy until another time.
+    fn extend(&mut self, owner: Owner, ticket: Ticket, until: Time) {
+        let Some(busy) = self.busy.get_mut(&(owner, ticket)) else { return };
+        self.leases.remove(&(busy.until, owner, ticket));
+        busy.until = until;
+        self.leases.insert((until, owner, ticket));
+    }
+
+    /// A want as it queues, with the weight of its tenant.
+    fn waiting(&self, now: Time, owner: Owner, want: Want) -> (Waiting, u64) {
+        let quantile = self.estimates.get(&want.kind).map_or(Duration::ZERO, Estimate::quantile);
+        let (work, rank) = self.value(&want.kind);
+        let (tenant, weight) = self.tenant(&want.tenant);
+        let deadline = now + want.left;
+        let waiting = Waiting {
+            owner,
+            ticket: want.ticket,
+            kind: want.kind,
+            tenant,
+            deadline,
+            avoid: want.avoid,
+            work,
+            rank,
+            last_chance: deadline.saturating_sub(quantile.min(want.left / 2)),
+        };
+        (waiting, weight)
+    }
+
+    /// Expected run time of a kind, in microseconds, and its rank.
+    fn value(&self, kind: &Name) -> (u64, u64) {
+        let work = self.estimates.get(kind).map_or(1, |it| it.mean().as_micros().max(1) as u64);
+        let worth = self.config.kinds.get(kind).map_or(1, |kind| u64::from(kind.weight));
+        (work, rank(worth, work))
+    }
+
     fn vacate(&mut self, owner: Owner, ticket: Ticket) -> Option<Busy> {
         let busy = self.busy.remove(&(owner, ticket))?;
         self.leases.remove(&(busy.until, owner, ticket));
@@ -387,6 +473,7 @@
     fn forgive(&mut self, index: usize) {
         self.end_rest(index);
         self.upstreams[index].failures = 0;
+        self.upstreams[index].refusals = 0;
         self.upstreams[index].ejections = 0;
     }
 
@@ -424,3 +511,8 @@
             serving.map(|upstream| upstream.slots.saturating_sub(upstream.reserved)).sum();
     }
 }
+
+/// Rank of requests with a worth and an expected run time, in steps of at most a quarter.
+fn rank(worth: u64, work: u64) -> u64 {
+    Estimate::bucket(worth * RANK_SCALE / work) as u64
+}
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -50,6 +50,13 @@
         Some(waiting)
     }
 
+    /// The request whose turn it is.
+    pub(crate) fn peek(&self) -> Option<&Waiting> {
+        let (_, line) = self.turns.first()?;
+        let (_, _, sequence) = self.lines[*line].order.first()?;
+        self.waiting.get(sequence)
+    }
+
     /// Takes a request whose last chance has passed.
     pub(crate) fn pop_hopeless(&mut self, now: Time) -> Option<Waiting> {
         let (chance, sequence) = *self.chances.first()?;
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -163,7 +163,9 @@
     fn done(&mut self, now: Time, id: AttemptId, report: Report, effects: &mut Vec<Effect>) {
         let Some(flight) = self.flights.remove(&id) else { return };
         let took = now - flight.started;
-        self.give_back(now, flight.desk, flight.ticket, report, took);
+        if !self.pass(now, &flight, report, took, effects) {
+            self.give_back(now, flight.desk, flight.ticket, report, took);
+        }
         self.conclude(now, id, &flight, report, effects);
         self.pump(now, flight.desk, effects);
     }
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -13,6 +13,8 @@
     pub(crate) reserved: u32,
     /// Failures since the last success.
     pub(crate) failures: u32,
+    /// Refusals since the last success.
+    pub(crate) refusals: u32,
     /// Ejections since the last success.
     pub(crate) ejections: u32,
     /// Whether it rests because it was ejected.
@@ -32,6 +34,7 @@
             slots,
             reserved: 0,
             failures: 0,
+            refusals: 0,
             ejections: 0,
             ejected: false,
             rest: None,
