--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -9,6 +9,7 @@
     pub(crate) disk: Disk,
     pub(crate) callers: Callers,
     pub(crate) operators: Tickets<node::operator::Reply>,
+    pub(crate) platform: Sender<node::platform::Call>,
     pub(crate) upstreams: Tickets<node::upstream::Reply>,
 }
 
@@ -40,13 +41,18 @@
     fn step(&mut self, event: Event, timers: &mut timer::Queue<node::Timer>) -> bool {
         let now = self.clock.now();
         let mut stopped = false;
-        for effect in self.state.reduce(now, event) {
+        let effects = self.state.reduce(now, event);
+        self.callers.set_view_until(self.state.view_until());
+        for effect in effects {
             match effect {
                 Effect::Persist(record) => self.disk.persist(record),
                 Effect::Send { to, message } => self.send(to, &message),
                 Effect::Subscribe { timer, after } => timers.subscribe(timer, now + after),
                 Effect::Operator { ticket, reply } => self.operators.resolve(ticket, reply),
                 Effect::Upstream { ticket, reply } => self.upstreams.resolve(ticket, reply),
+                Effect::Platform(call) => {
+                    self.platform.send(call).ok();
+                }
                 Effect::Attempt(attempt) => self.callers.attempt(attempt),
                 Effect::Answer { request, outcome } => self.callers.answer(request, outcome),
                 Effect::Keep { request, attempt } => self.callers.keep(request, attempt),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,8 +11,8 @@
     std::{
         collections::{BTreeMap, VecDeque},
         fs,
-        io::Read,
-        net::SocketAddr,
+        io::{Cursor, ErrorKind, Read, Write},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         path::{Path, PathBuf},
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -23,32 +23,40 @@
     },
 };
 
-mod answer;
+mod acceptor;
 mod arguments;
 mod call;
 mod callers;
 mod clock;
+mod connections;
 mod disk;
 mod engine;
+mod files;
 mod header;
 mod held;
 mod http;
 mod kept;
+mod limits;
 mod logging;
 mod operators;
 mod outbound;
+mod platform;
 mod pool;
+mod refused;
 mod renewal;
+mod response;
 mod run;
 mod signals;
 mod tickets;
 mod tokens;
 mod upstreams;
 
+use route::Answer;
 pub use run::run;
 use {
-    answer::Answer, arguments::Arguments, call::Call, callers::Callers, clock::Clock, disk::Disk,
-    engine::Engine, held::Held, kept::Kept, pool::Pool, tickets::Tickets, tokens::Tokens,
+    acceptor::Acceptor, arguments::Arguments, call::Call, callers::Callers, clock::Clock,
+    disk::Disk, engine::Engine, held::Held, kept::Kept, limits::Limits, pool::Pool,
+    refused::Refused, tickets::Tickets, tokens::Tokens,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -415,20 +415,23 @@
         if self.policy == Policy::TwoChoices {
             return self.better_of_two();
         }
-        let mut fallback = None;
+        let mut best: Option<(u8, usize)> = None;
         for (_, index) in self.free.iter().take(MAX_LOOKS) {
             let upstream = &self.upstreams[*index];
             let held = self.held.get(&(*index, waiting.owner)).copied().unwrap_or_default();
             if held >= self.share(upstream.slots) {
                 continue;
             }
-            let avoided = waiting.avoid.as_ref() == Some(&upstream.announcement.location.rack);
-            if !avoided {
+            let avoid = waiting.avoid.as_ref();
+            let shared = avoid.map_or(0, |avoid| avoid.shared(&upstream.announcement));
+            if shared == 0 {
                 return Some(*index);
             }
-            fallback = fallback.or(Some(*index));
+            if best.is_none_or(|(least, _)| shared < least) {
+                best = Some((shared, *index));
+            }
         }
-        fallback
+        best.map(|(_, index)| index)
     }
 
     fn better_of_two(&mut self) -> Option<usize> {
