--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,11 +4,17 @@
 use {
     clap::{Args, Parser, Subcommand},
     eyre::{WrapErr, bail, ensure},
+    hdrhistogram::Histogram,
+    model::{Announcement, Config, Kind, Labels, Location, Map, Name, Service},
+    rand::Rng,
+    rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
     serde::Serialize,
     std::{
-        collections::BTreeMap,
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
         env, fs, io,
         net::{SocketAddr, TcpListener, UdpSocket},
+        ops::RangeInclusive,
         path::{Path, PathBuf},
         process::{Child, Command, ExitCode, Output, Stdio},
         sync::{
@@ -21,8 +27,10 @@
 };
 
 mod arguments;
+mod arrival;
 mod changes;
 mod daemon;
+mod dispatch;
 mod first_fit;
 mod first_fleet;
 mod fleet;
@@ -35,14 +43,25 @@
 mod port;
 mod program;
 mod quantiles;
+mod route_throughput;
 mod run;
+mod simulation;
+mod tally;
 mod trace;
 mod usage;
 mod wait;
 mod workshop;
 
 use arguments::{Arguments, Experiment};
+use {
+    arrival::{Arrival, CLASSES, Class},
+    simulation::{DATA_CENTERS, Runner, Simulation, service},
+    tally::Tally,
+};
 pub use {
     daemon::Daemon, fleet::Fleet, network::Network, program::Program, run::run, wait::wait_until,
 };
 use {link::Link, port::Port, quantiles::Quantiles, usage::Usage};
+
+/// Services of the dispatch experiment.
+const SERVICES: usize = 5;
