--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -18,6 +18,7 @@
     view_until: Arc<AtomicU64>,
     next: Arc<AtomicU64>,
     held: Arc<Mutex<Map<route::RequestId, Held>>>,
+    kept: Arc<Mutex<Kept>>,
     answering: Arc<AtomicU64>,
 }
 
@@ -52,6 +53,7 @@
             view_until: Arc::default(),
             next: Arc::default(),
             held: Arc::default(),
+            kept: Arc::default(),
             answering: Arc::default(),
         };
         let handler = edge.clone();
@@ -81,12 +83,30 @@
         let Some(held) = lock(&self.edge.held).remove(&request) else { return };
         let answering = self.edge.answering.clone();
         answering.fetch_add(1, Ordering::AcqRel);
+        let kept = self.edge.kept.clone();
         self.edge.pool.run(move || {
-            response::answer(held, &outcome);
+            response::answer(held, outcome, &kept);
             answering.fetch_sub(1, Ordering::AcqRel);
         });
     }
 
+    /// Keeps the answer of `attempt` for resends of `request`.
+    pub(crate) fn keep(&self, request: route::RequestId, attempt: route::AttemptId) {
+        let held = lock(&self.edge.held);
+        let answer = held.get(&request).and_then(|held| held.answers.get(&attempt));
+        let answer = answer.map(Answer::to_route);
+        drop(held);
+        if let Some(answer) = answer {
+            lock(&self.edge.kept).insert(request, answer);
+        }
+    }
+
+    /// What a daemon that asks for the answer of `request` is told.
+    pub(crate) fn fate(&self, request: route::RequestId) -> route::Fate {
+        let unknown = route::Fate::Unknown(route::Reason::AnswerNotKept);
+        lock(&self.edge.kept).get(request).map_or(unknown, route::Fate::Run)
+    }
+
     /// Waits until the last answers have gone out.
     pub(crate) fn finish(&self) {
         while self.edge.answering.load(Ordering::Acquire) > 0 {
@@ -141,13 +161,14 @@
         let headers = header::passed(headers, connection);
         let method = request.method().to_string();
         let call = Call { id, method, path, kind, tenant, headers, body };
+        let fingerprint = route::Fingerprint::new(&call.method, &service, &call.path, &call.body);
         let arrival = route::Request {
             id: number,
             service,
             kind: call.kind.as_str().into(),
             tenant: call.tenant.as_str().into(),
             key: header::get(request, header::KEY).map(Into::into),
-            fingerprint: 0,
+            fingerprint,
             patience,
         };
         Ok((call, arrival))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,6 +36,7 @@
 mod header;
 mod held;
 mod http;
+mod kept;
 mod limits;
 mod logging;
 mod operators;
@@ -51,7 +52,7 @@
 pub use run::run;
 use {
     acceptor::Acceptor, answer::Answer, arguments::Arguments, call::Call, callers::Callers,
-    clock::Clock, disk::Disk, engine::Engine, held::Held, limits::Limits, pool::Pool,
+    clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept, limits::Limits, pool::Pool,
     refused::Refused, tickets::Tickets,
 };
 
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -3,21 +3,35 @@
 use super::*;
 
 /// Answers a request that was held, as its outcome says.
-pub(crate) fn answer(mut held: Held, outcome: &route::Outcome) {
+pub(crate) fn answer(mut held: Held, outcome: route::Outcome, kept: &Mutex<Kept>) {
     let id = held.call.id.clone();
-    match outcome {
-        route::Outcome::Run(attempt) => match held.answers.remove(attempt) {
-            Some(answer) => pass_on(held.request, &id, answer),
-            None => unknown(held.request, &id, route::Reason::Broken),
-        },
+    let answer = match outcome {
+        route::Outcome::Run(attempt) => held.answers.remove(&attempt),
+        route::Outcome::Kept(first) => lock(kept).get(first).map(Answer::from),
+        route::Outcome::Passed(answer) => Some(answer.into()),
         route::Outcome::NotRun { reason, retry_after } => {
-            let failure = http::failure(reason.to_string()).with_status(503);
-            fail(held.request, &id, header::NOT_RUN, Some(*retry_after), &failure);
+            let failure = http::failure(reason.to_string()).with_status(refusal_status(reason));
+            let after = (!is_mistake(reason)).then_some(retry_after);
+            return fail(held.request, &id, header::NOT_RUN, after, &failure);
         }
-        route::Outcome::Unknown(reason) => unknown(held.request, &id, *reason),
+        route::Outcome::Unknown(reason) => return unknown(held.request, &id, reason),
+    };
+    match answer {
+        Some(answer) => pass_on(held.request, &id, answer),
+        None => unknown(held.request, &id, route::Reason::AnswerNotKept),
     }
 }
 
+/// Whether the caller must change its request before another try.
+fn is_mistake(reason: route::Reason) -> bool {
+    use route::Reason;
+    matches!(reason, Reason::KeyOfOtherBody | Reason::KeyOfOtherPath | Reason::KeyOfOtherTenant)
+}
+
+fn refusal_status(reason: route::Reason) -> u16 {
+    if is_mistake(reason) { 422 } else { 503 }
+}
+
 /// Refuses a request before the reducer has seen it.
 pub(crate) fn refuse(request: tiny_http::Request, id: &str, failure: &http::Failure) {
     fail(request, id, header::NOT_RUN, None, failure);
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -40,7 +40,12 @@
         /// Leader's clock when it sent this.
         sent: Time,
         /// Member's clock as it last reported, present while the leader may grant leases.
-        echo: Option<Time>,
+        echo: Option<Stamp>,
+    },
+    /// Answers a message of a leader whose term is over.
+    Refused {
+        /// Term of the member.
+        term: Term,
     },
     /// Answers `Append`.
     Appended {
@@ -55,6 +60,6 @@
         /// `sent` of the message answered.
         sent: Time,
         /// Member's clock.
-        stamp: Time,
+        stamp: Stamp,
     },
 }
