Graceful shutdown: health fails first, answers go out, a second signal names what it cuts off

Cause: a stop refused requests in the moment in which it failed the health check, so that the balancer had no time to send callers elsewhere, and the process could end between the arrival of a request and its refusal.

Change: the first signal fails the health check and still takes requests for `stop-grace-ms` (3 s unless the settings say otherwise); then requests are refused as not run, those in flight complete, and the process ends once every request that was taken, from its first byte handed out to the end of its answer, is accounted for.

--- a/crates/bench/src/daemon.rs
+++ b/crates/bench/src/daemon.rs
@@ -37,6 +37,11 @@
         self.program.as_mut()
     }
 
+    /// Takes the running process, so that it can be stopped while others call the daemon.
+    pub fn take_program(&mut self) -> Option<Program> {
+        self.program.take()
+    }
+
     /// Whether the balancer would send callers here.
     pub fn healthy(&self) -> bool {
         let url = format!("http://{}/health", self.callers);
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -19,7 +19,8 @@
     next: Arc<AtomicU64>,
     held: Arc<Mutex<Map<route::RequestId, Held>>>,
     kept: Arc<Mutex<Kept>>,
-    answering: Arc<AtomicU64>,
+    /// Requests that were taken and whose answers have not gone out.
+    busy: Arc<AtomicU64>,
 }
 
 /// Largest body of a request, in bytes.
@@ -28,9 +29,6 @@
 /// Tenant of a caller that names none.
 const NO_TENANT: &str = "none";
 
-/// Between two looks at whether the last answers have gone out.
-const FINISH_POLL: Duration = Duration::from_millis(5);
-
 /// Methods that are passed on.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"];
 
@@ -54,7 +52,7 @@
             next: Arc::default(),
             held: Arc::default(),
             kept: Arc::default(),
-            answering: Arc::default(),
+            busy: Arc::default(),
         };
         let handler = edge.clone();
         Acceptor::start(settings.listen.callers, Limits::CALLERS, move |request| {
@@ -81,13 +79,14 @@
     /// Answers a caller.
     pub(crate) fn answer(&self, request: route::RequestId, outcome: route::Outcome) {
         let Some(held) = lock(&self.edge.held).remove(&request) else { return };
-        let answering = self.edge.answering.clone();
-        answering.fetch_add(1, Ordering::AcqRel);
         let kept = self.edge.kept.clone();
-        self.edge.pool.run(move || {
-            response::answer(held, outcome, &kept);
-            answering.fetch_sub(1, Ordering::AcqRel);
-        });
+        self.edge.pool.run(move || response::answer(held, outcome, &kept));
+    }
+
+    /// Ids of the requests that have no answer yet.
+    pub(crate) fn in_flight(&self) -> impl Fn() -> Vec<String> + use<> {
+        let held = self.edge.held.clone();
+        move || lock(&held).values().map(|held| held.call.id.clone()).collect()
     }
 
     /// Keeps the answer of `attempt` for resends of `request`.
@@ -107,35 +106,35 @@
         lock(&self.edge.kept).get(request).map_or(unknown, route::Fate::Run)
     }
 
-    /// Waits until the last answers have gone out.
-    pub(crate) fn finish(&self) {
-        while self.edge.answering.load(Ordering::Acquire) > 0 {
-            thread::sleep(FINISH_POLL);
-        }
+    /// Whether every request that was taken has its answer.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.edge.busy.load(Ordering::Acquire) == 0
     }
 }
 
 impl Edge {
     /// Takes a request from the edge; whatever may wait for its client happens on another thread.
     fn take(&self, request: tiny_http::Request) {
+        let busy = Busy::enter(&self.busy);
         if request.url().starts_with("/call/") && http::is_read_ahead(&request) {
-            return self.handle(request);
+            return self.handle(request, busy);
         }
         let edge = self.clone();
-        self.pool.run(move || edge.handle(request));
+        self.pool.run(move || edge.handle(request, busy));
     }
 
-    fn handle(&self, mut request: tiny_http::Request) {
+    fn handle(&self, mut request: tiny_http::Request, busy: Busy) {
         if request.url() == "/health" {
             return self.health(request);
         }
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}-{number}", self.prefix);
         match self.read(&mut request, number, id.clone()) {
-            Ok((call, arrival)) => self.hold(request, call, arrival),
-            Err(failure) => {
-                self.pool.run(move || response::refuse(request, &id, &failure));
-            }
+            Ok((call, arrival)) => self.hold(request, call, arrival, busy),
+            Err(failure) => self.pool.run(move || {
+                response::refuse(request, &id, &failure);
+                drop(busy);
+            }),
         }
     }
 
@@ -174,8 +173,8 @@
         Ok((call, arrival))
     }
 
-    fn hold(&self, request: tiny_http::Request, call: Call, arrival: route::Request) {
-        let held = Held { request, call: Arc::new(call), answers: BTreeMap::new() };
+    fn hold(&self, request: tiny_http::Request, call: Call, arrival: route::Request, busy: Busy) {
+        let held = Held { request, call: Arc::new(call), answers: BTreeMap::new(), _busy: busy };
         lock(&self.held).insert(arrival.id, held);
         self.events.send(Event::Route(route::Event::Arrive(arrival))).ok();
     }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -15,25 +15,45 @@
 /// Longest wait for an event.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
+/// Between two looks at whether the last answers have gone out.
+const FINISH_POLL: Duration = Duration::from_millis(5);
+
+/// Shortest time for which requests are refused before the daemon ends, so that callers whose last
+/// request was just answered find out on the same connection.
+const MIN_REFUSAL: Duration = Duration::from_millis(500);
+
+/// Longest wait for clients to take the last answers.
+const MAX_FINISH: Duration = Duration::from_secs(30);
+
 impl Engine {
-    /// Runs until the daemon has stopped.
+    /// Runs until the daemon has stopped and every answer has gone out.
     pub(crate) fn run(mut self) {
         let mut timers = timer::Queue::default();
-        let mut stopped = self.step(Event::Start, &mut timers);
-        while !stopped {
+        let mut stopped = self.step(Event::Start, &mut timers).then(Instant::now);
+        while !stopped.is_some_and(|since| self.is_finished(since)) {
+            let longest = if stopped.is_some() { FINISH_POLL } else { MAX_WAIT };
             let now = self.clock.now();
-            let wait =
-                timers.next_due().map_or(MAX_WAIT, |at| at.saturating_sub(now)).min(MAX_WAIT);
-            stopped = match self.inbox.recv_timeout(wait) {
+            let due = timers.next_due().map(|at| at.saturating_sub(now));
+            let ends = match self.inbox.recv_timeout(due.unwrap_or(longest).min(longest)) {
                 Ok(event) => self.step(event, &mut timers),
                 Err(RecvTimeoutError::Timeout) => false,
-                Err(RecvTimeoutError::Disconnected) => true,
+                Err(RecvTimeoutError::Disconnected) => return,
             };
+            stopped = stopped.or_else(|| ends.then(Instant::now));
             while let Some(timer) = timers.pop(self.clock.now()) {
-                stopped |= self.step(Event::Timer(timer), &mut timers);
+                let ends = self.step(Event::Timer(timer), &mut timers);
+                stopped = stopped.or_else(|| ends.then(Instant::now));
             }
         }
-        self.callers.finish();
+    }
+
+    /// Whether nothing is left to do for a daemon that stopped at `since`.
+    fn is_finished(&self, since: Instant) -> bool {
+        if since.elapsed() > MAX_FINISH {
+            log::error!("clients did not take their answers in time");
+            return true;
+        }
+        since.elapsed() > MIN_REFUSAL && self.inbox.is_empty() && self.callers.is_idle()
     }
 
     /// Reduces one event; whether the daemon has stopped.
--- a/crates/daemon/src/held.rs
+++ b/crates/daemon/src/held.rs
@@ -5,4 +5,6 @@
     pub(crate) request: tiny_http::Request,
     pub(crate) call: Arc<Call>,
     pub(crate) answers: BTreeMap<route::AttemptId, Answer>,
+    /// Lasts until the answer has gone out.
+    pub(crate) _busy: Busy,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod acceptor;
 mod answer;
 mod arguments;
+mod busy;
 mod call;
 mod callers;
 mod clock;
@@ -51,9 +52,9 @@
 
 pub use run::run;
 use {
-    acceptor::Acceptor, answer::Answer, arguments::Arguments, call::Call, callers::Callers,
-    clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept, limits::Limits, pool::Pool,
-    refused::Refused, tickets::Tickets,
+    acceptor::Acceptor, answer::Answer, arguments::Arguments, busy::Busy, call::Call,
+    callers::Callers, clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept,
+    limits::Limits, pool::Pool, refused::Refused, tickets::Tickets,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -47,11 +47,11 @@
     let transport = Arc::new(connect(&settings, boot, &identity, events.clone())?);
     let disk = Disk::start(store, transport.clone(), events.clone());
     let quorum = quorum::State::new(settings.id.clone(), members(&settings), restored, boot);
-    let state = node::State::new(quorum, boot);
+    let state = node::State::new(quorum, boot).with_stop_grace(settings.stop_grace);
     let callers = Callers::start(&settings, boot, clock, events.clone())?;
     let operators = operators::start(settings.listen.operators, events.clone())?;
     let upstreams = upstreams::start(settings.listen.upstreams, events.clone())?;
-    signals::start(events.clone())?;
+    signals::start(events.clone(), callers.in_flight())?;
     log::info!(daemon = &*settings.id; "started");
     Engine { state, clock, inbox, transport, disk, callers, operators, upstreams }.run();
     log::info!(daemon = &*settings.id; "stopped");
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -21,6 +21,9 @@
     ticked: Time,
     view: bool,
     stopping: bool,
+    /// How long requests are still taken once the health check fails on purpose.
+    stop_grace: Duration,
+    draining: bool,
 }
 
 impl State {
@@ -38,9 +41,16 @@
             ticked: Duration::ZERO,
             view: false,
             stopping: false,
+            stop_grace: Duration::ZERO,
+            draining: false,
         }
     }
 
+    /// Takes requests for `grace` after the health check began to fail for a stop.
+    pub fn with_stop_grace(self, grace: Duration) -> Self {
+        Self { stop_grace: grace, ..self }
+    }
+
     /// Until when the daemon may act on its configuration.
     pub fn view_until(&self) -> Time {
         self.quorum.view_until()
@@ -60,10 +70,10 @@
             Event::Operator { ticket, call } => self.on_operator(now, ticket, call, &mut effects),
             Event::Upstream { ticket, call } => self.on_upstream(now, ticket, call, &mut effects),
             Event::Route(event) => self.route(now, event, &mut effects),
-            Event::Stop => self.stop(now, &mut effects),
+            Event::Stop => self.stop(&mut effects),
         }
         self.look_at_view(now, &mut effects);
-        if self.stopping && self.route.pending() == 0 {
+        if self.draining && self.route.pending() == 0 {
             effects.push(Effect::Stopped);
         }
         effects
@@ -75,9 +85,18 @@
         self.agree(now, quorum::Event::Start, effects);
     }
 
-    fn stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Fails the health check first, so that the balancer has time to send callers elsewhere.
+    fn stop(&mut self, effects: &mut Vec<Effect>) {
+        if self.stopping {
+            return;
+        }
         self.stopping = true;
         effects.push(Effect::Health(false));
+        effects.push(Effect::Subscribe { timer: Timer::Grace, after: self.stop_grace });
+    }
+
+    fn drain(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.draining = true;
         self.route(now, route::Event::Stop, effects);
     }
 
@@ -95,6 +114,7 @@
             Timer::Quorum(timer) => self.agree(now, quorum::Event::Timer(timer), effects),
             Timer::Route(timer) => self.route(now, route::Event::Timer(timer), effects),
             Timer::Beat => self.beat(now, effects),
+            Timer::Grace => self.drain(now, effects),
         }
     }
 
--- a/crates/node/src/timer.rs
+++ b/crates/node/src/timer.rs
@@ -11,4 +11,6 @@
     Route(route::Timer),
     /// Proposals are due to be repeated, leases to be looked at.
     Beat,
+    /// The daemon has failed its health check for long enough to stop.
+    Grace,
 }
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Grace of a daemon whose settings name none.
+const STOP_GRACE: Duration = Duration::from_secs(3);
+
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Daemon {
@@ -9,6 +12,8 @@
     pub location: Location,
     /// Folder for state that must survive; voters only.
     pub data: Option<PathBuf>,
+    /// How long requests are still taken once the health check fails for a stop.
+    pub stop_grace: Duration,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Key files.
@@ -46,6 +51,7 @@
     id: Option<Name>,
     location: Option<Location>,
     data: Option<PathBuf>,
+    stop_grace: Option<Duration>,
     listen: Option<Listen>,
     keys: Option<Keys>,
     peers: BTreeMap<Name, Peer>,
@@ -69,6 +75,7 @@
         self.seen.push("daemon");
         self.id = reader.required::<String>("id").map(Into::into);
         self.data = reader.optional("data");
+        self.stop_grace = reader.milliseconds("stop-grace-ms");
         let region = reader.required::<String>("region");
         let data_center = reader.required::<String>("data-center");
         let rack = reader.optional::<String>("rack").unwrap_or_else(|| "none".into());
@@ -137,6 +144,7 @@
             id: self.id?,
             location: self.location?,
             data: self.data,
+            stop_grace: self.stop_grace.unwrap_or(STOP_GRACE),
             listen: self.listen?,
             keys: self.keys?,
             peers: self.peers,
