--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -27,6 +27,10 @@
         #[arg(long, default_value_t = 100)]
         kills: u32,
     },
+    /// Requests at a given rate, through daemons and straight to the upstreams
+    Load(load::Load),
+    /// Many requests, with daemons, upstreams and connections killed meanwhile
+    Chaos(Chaos),
     /// Many changes under faults: when each is in force, whether any is reverted or lost
     Changes(changes::Changes),
     /// What daemons spend on control while nobody calls
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -18,6 +18,12 @@
 impl Fleet {
     /// Prepares `count` daemons, the first `voters` of which vote; none is started.
     pub fn new(count: usize, voters: usize) -> eyre::Result<Self> {
+        Self::with_settings(count, voters, "")
+    }
+
+    /// Prepares daemons as [`Fleet::new`] does, each with `settings` added to its own; `FOLDER`
+    /// there stands for the folder of the fleet.
+    pub fn with_settings(count: usize, voters: usize, settings: &str) -> eyre::Result<Self> {
         let folder = tempfile::Builder::new().prefix("sardinevalve-").tempdir()?;
         let network = Network::default();
         let mut fleet = Self { folder, daemons: Vec::new(), network, fakes: Vec::new() };
@@ -26,7 +32,8 @@
         fleet.network = Network::start(&peers)?;
         fleet.make_keys()?;
         for i in 0..count {
-            fs::write(&fleet.daemons[i].settings, fleet.settings(i, voters))?;
+            let added = settings.replace("FOLDER", &fleet.folder().display().to_string());
+            fs::write(&fleet.daemons[i].settings, fleet.settings(i, voters) + &added)?;
         }
         Ok(fleet)
     }
@@ -68,18 +75,29 @@
         count: usize,
         arguments: &[&str],
     ) -> eyre::Result<()> {
+        let before = serving(&self.daemons[0], service);
+        let program = self.start_upstreams(service, count, arguments)?;
+        self.fakes.push(program);
+        wait_until("every daemon knows the upstreams", || {
+            self.daemons.iter().all(|daemon| serving(daemon, service) == before + count)
+        })
+    }
+
+    /// Starts fake upstreams of `service` without a wait.
+    pub fn start_upstreams(
+        &self,
+        service: &str,
+        count: usize,
+        arguments: &[&str],
+    ) -> eyre::Result<Program> {
         let number = count.to_string();
         let mut all = vec!["upstreams", "--service", service, "--count", &number];
         for daemon in &self.daemons {
             all.extend(["--daemon", daemon.upstreams.as_str()]);
         }
         all.extend(arguments);
-        let before = serving(&self.daemons[0], service);
         let log = self.folder.path().join(format!("fake-{service}.log"));
-        self.fakes.push(Program::start("sardinevalve-fake", &all, &log)?);
-        wait_until("every daemon knows the upstreams", || {
-            self.daemons.iter().all(|daemon| serving(daemon, service) == before + count)
-        })
+        Program::start("sardinevalve-fake", &all, &log)
     }
 
     /// Applies the configuration `text` through the first daemon, and waits until it is in force.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -22,12 +22,16 @@
 
 mod arguments;
 mod changes;
+mod chaos;
 mod daemon;
+mod ending;
 mod first_fleet;
 mod fleet;
 mod idle;
 mod leader_kills;
 mod link;
+mod load;
+mod machine;
 mod network;
 mod port;
 mod program;
@@ -38,6 +42,14 @@
 
 use arguments::{Arguments, Experiment};
 pub use {
-    daemon::Daemon, fleet::Fleet, network::Network, program::Program, run::run, wait::wait_until,
+    chaos::{Chaos, Findings},
+    daemon::Daemon,
+    fleet::Fleet,
+    network::Network,
+    program::Program,
+    run::run,
+    wait::wait_until,
+};
+use {
+    ending::Ending, link::Link, machine::Machine, port::Port, quantiles::Quantiles, usage::Usage,
 };
-use {link::Link, port::Port, quantiles::Quantiles, usage::Usage};
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -24,12 +24,20 @@
         match self {
             Self::FirstFleet => first_fleet::run(),
             Self::LeaderKills { kills } => leader_kills::run(*kills),
+            Self::Load(load) => load.run(),
+            Self::Chaos(chaos) => report(&chaos.run()?),
             Self::Changes(settings) => changes::run(settings),
             Self::Idle { daemons, upstreams, seconds } => idle::run(*daemons, *upstreams, *seconds),
         }
     }
 }
 
+fn report(findings: &Findings) -> eyre::Result<()> {
+    println!("{}", serde_json::to_string(findings)?);
+    ensure!(findings.violations() == 0, "a promise was broken, see the figures");
+    Ok(())
+}
+
 fn list() {
     let command = Experiment::augment_subcommands(clap::Command::new("run"));
     for experiment in command.get_subcommands() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -44,17 +44,19 @@
 mod outbound;
 mod pool;
 mod refused;
+mod renewal;
 mod response;
 mod run;
 mod signals;
 mod tickets;
+mod tokens;
 mod upstreams;
 
 pub use run::run;
 use {
     acceptor::Acceptor, answer::Answer, arguments::Arguments, busy::Busy, call::Call,
     callers::Callers, clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept,
-    limits::Limits, pool::Pool, refused::Refused, tickets::Tickets,
+    limits::Limits, pool::Pool, refused::Refused, tickets::Tickets, tokens::Tokens,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -7,8 +7,8 @@
     pub applied: Index,
     /// The fleet.
     pub fleet: fleet::State,
-    /// Claims of non-idempotent requests.
-    pub claims: route::Claims,
+    /// Dispatch.
+    pub route: route::Ledger,
 }
 
 impl Replica {
@@ -17,9 +17,16 @@
         self.applied = index;
         match command {
             Command::Fleet(command) => into_outcomes(self.fleet.apply(command)),
-            Command::Route(command) => into_outcomes(self.claims.apply(command)),
+            Command::Route(command) => into_outcomes(self.route.apply(command)),
         }
     }
+
+    /// Everything that follows from the state as a whole, for a daemon that starts from it.
+    pub fn outcomes(&self) -> Vec<Outcome> {
+        let configured = fleet::Effect::Configured(self.fleet.config().clone());
+        let upstreams = self.fleet.upstreams().values().cloned().map(fleet::Effect::Upstream);
+        into_outcomes(std::iter::once(configured).chain(upstreams))
+    }
 }
 
 fn into_outcomes<T: Into<Outcome>>(effects: impl IntoIterator<Item = T>) -> Vec<Outcome> {
