Metrics of callers' requests at /metrics, and log lines for those that failed

Counters by outcome and reason; histograms of end-to-end, queueing and upstream time by tenant and by kind and service; gauges of what is in flight, pending, the view, the leader, the revision, the log and the threads. A request whose outcome is unknown and an attempt that failed are logged with their ids; others leave no line at info.

--- a/crates/daemon/src/call.rs
+++ b/crates/daemon/src/call.rs
@@ -4,6 +4,7 @@
     /// Identity of the request in logs, at the caller and at the upstream.
     pub(crate) id: String,
     pub(crate) method: String,
+    pub(crate) service: String,
     pub(crate) path: String,
     pub(crate) kind: String,
     pub(crate) tenant: String,
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -21,6 +21,7 @@
     kept: Arc<Mutex<Kept>>,
     /// Requests that were taken and whose answers have not gone out.
     busy: Arc<AtomicU64>,
+    metrics: Arc<metric::Metrics>,
 }
 
 /// Largest body of a request, in bytes.
@@ -29,6 +30,9 @@
 /// Tenant of a caller that names none.
 const NO_TENANT: &str = "none";
 
+/// Reason of a request that was refused before it was looked at.
+const INVALID: &str = "request is not valid";
+
 /// Methods that are passed on.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"];
 
@@ -53,6 +57,7 @@
             held: Arc::default(),
             kept: Arc::default(),
             busy: Arc::default(),
+            metrics: Arc::default(),
         };
         let handler = edge.clone();
         Acceptor::start(settings.listen.callers, Limits::CALLERS, move |request| {
@@ -80,7 +85,13 @@
     pub(crate) fn answer(&self, request: route::RequestId, outcome: route::Outcome) {
         let Some(held) = lock(&self.edge.held).remove(&request) else { return };
         let kept = self.edge.kept.clone();
-        self.edge.pool.run(move || response::answer(held, outcome, &kept));
+        let metrics = self.edge.metrics.clone();
+        self.edge.pool.run(move || response::answer(held, outcome, &kept, &metrics));
+    }
+
+    /// What the metrics are made from.
+    pub(crate) fn scrape(&self) -> Scrape {
+        Scrape { metrics: self.edge.metrics.clone(), busy: self.edge.busy.clone() }
     }
 
     /// Ids of the requests that have no answer yet.
@@ -131,10 +142,13 @@
         let id = format!("{}-{number}", self.prefix);
         match self.read(&mut request, number, id.clone()) {
             Ok((call, arrival)) => self.hold(request, call, arrival, busy),
-            Err(failure) => self.pool.run(move || {
-                response::refuse(request, &id, &failure);
-                drop(busy);
-            }),
+            Err(failure) => {
+                self.metrics.count(header::NOT_RUN, INVALID);
+                self.pool.run(move || {
+                    response::refuse(request, &id, &failure);
+                    drop(busy);
+                });
+            }
         }
     }
 
@@ -159,7 +173,8 @@
         let headers = headers.map(|h| (h.field.as_str().as_str(), h.value.as_str()));
         let headers = header::passed(headers, connection);
         let method = request.method().to_string();
-        let call = Call { id, method, path, kind, tenant, headers, body };
+        let service_name = service.to_string();
+        let call = Call { id, method, service: service_name, path, kind, tenant, headers, body };
         let fingerprint = route::Fingerprint::new(&call.method, &service, &call.path, &call.body);
         let arrival = route::Request {
             id: number,
@@ -174,7 +189,13 @@
     }
 
     fn hold(&self, request: tiny_http::Request, call: Call, arrival: route::Request, busy: Busy) {
-        let held = Held { request, call: Arc::new(call), answers: BTreeMap::new(), _busy: busy };
+        let held = Held {
+            request,
+            call: Arc::new(call),
+            answers: BTreeMap::new(),
+            trace: Trace::start(),
+            _busy: busy,
+        };
         lock(&self.held).insert(arrival.id, held);
         self.events.send(Event::Route(route::Event::Arrive(arrival))).ok();
     }
@@ -187,13 +208,21 @@
     }
 
     fn attempt(&self, attempt: &route::Attempt) {
-        let call = lock(&self.held).get(&attempt.request).map(|held| held.call.clone());
-        let (report, answer) = match call {
-            Some(call) if self.may_send() => outbound::send(attempt, &call, self.clock),
+        let call = lock(&self.held).get_mut(&attempt.request).map(|held| {
+            held.trace.attempt();
+            held.call.clone()
+        });
+        let started = Instant::now();
+        let (report, answer) = match &call {
+            Some(call) if self.may_send() => outbound::send(attempt, call, self.clock),
             _ => (route::Report::NotSent, None),
         };
+        if let Some(call) = &call {
+            note(attempt, call, report);
+        }
         let mut held = lock(&self.held);
         if let (Some(held), Some(answer)) = (held.get_mut(&attempt.request), answer) {
+            held.trace.answer(started.elapsed());
             held.answers.insert(attempt.id, answer);
         }
         drop(held);
@@ -208,6 +237,17 @@
     }
 }
 
+/// Logs an attempt that may have run and was not answered.
+fn note(attempt: &route::Attempt, call: &Call, report: route::Report) {
+    if matches!(report, route::Report::Broken | route::Report::Late) {
+        log::warn!(
+            request = &*call.id, attempt = attempt.id, instance = &*attempt.instance,
+            report = report.to_string();
+            "attempt failed"
+        );
+    }
+}
+
 fn check_head(request: &tiny_http::Request) -> Result<(), http::Failure> {
     let headers = request.headers();
     let bytes = headers.iter().map(|h| h.field.as_str().as_str().len() + h.value.as_str().len());
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -47,16 +47,19 @@
 mod renewal;
 mod response;
 mod run;
+mod scrape;
 mod signals;
 mod tickets;
 mod tokens;
+mod trace;
 mod upstreams;
 
 pub use run::run;
 use {
     acceptor::Acceptor, answer::Answer, arguments::Arguments, busy::Busy, call::Call,
     callers::Callers, clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept,
-    limits::Limits, pool::Pool, refused::Refused, tickets::Tickets, tokens::Tokens,
+    limits::Limits, pool::Pool, refused::Refused, scrape::Scrape, tickets::Tickets, tokens::Tokens,
+    trace::Trace,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -9,9 +9,10 @@
     address: SocketAddr,
     tokens: Tokens,
     events: Sender<Event>,
+    scrape: Scrape,
 ) -> eyre::Result<Tickets<node::operator::Reply>> {
     let tickets = Tickets::default();
-    let edge = Edge { tickets: tickets.clone(), tokens, events };
+    let edge = Edge { tickets: tickets.clone(), tokens, events, scrape };
     http::serve(address, Limits::OPERATORS, move |request| edge.handle(request))?;
     Ok(tickets)
 }
@@ -21,6 +22,7 @@
     tickets: Tickets<node::operator::Reply>,
     tokens: Tokens,
     events: Sender<Event>,
+    scrape: Scrape,
 }
 
 /// Findings in a configuration.
@@ -44,11 +46,23 @@
             (tiny_http::Method::Get, "/v1/status") => {
                 self.ask(request, node::operator::Call::Status);
             }
+            (tiny_http::Method::Get, "/metrics") => self.metrics(request),
             (tiny_http::Method::Post, "/v1/changes") => self.apply(request, operator),
             _ => http::respond(request, 404, &http::failure(format!("no such call `{path}`"))),
         }
     }
 
+    fn metrics(&self, request: tiny_http::Request) {
+        let call = node::operator::Call::Status;
+        let reply = self.tickets.ask(&self.events, |ticket| Event::Operator { ticket, call });
+        let Some(node::operator::Reply::Status(status)) = reply else {
+            return http::respond(request, 504, &http::failure("daemon gave no status in time"));
+        };
+        let response = tiny_http::Response::from_data(self.scrape.text(&status))
+            .with_header(header::make("Content-Type", scrape::CONTENT_TYPE));
+        http::send(request, response);
+    }
+
     fn apply(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let body = match http::body(&mut request, MAX_BODY_BYTES) {
             Ok(body) => body,
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -3,23 +3,48 @@
 use super::*;
 
 /// Answers a request that was held, as its outcome says.
-pub(crate) fn answer(mut held: Held, outcome: route::Outcome, kept: &Mutex<Kept>) {
-    let id = held.call.id.clone();
+pub(crate) fn answer(
+    mut held: Held,
+    outcome: route::Outcome,
+    kept: &Mutex<Kept>,
+    metrics: &metric::Metrics,
+) {
     let answer = match outcome {
         route::Outcome::Run(attempt) => held.answers.remove(&attempt),
         route::Outcome::Kept(first) => lock(kept).get(first).map(Answer::from),
         route::Outcome::Passed(answer) => Some(answer.into()),
         route::Outcome::NotRun { reason, retry_after } => {
-            let failure = http::failure(reason.to_string()).with_status(refusal_status(reason));
-            let after = (!is_mistake(reason)).then_some(retry_after);
-            return fail(held.request, &id, header::NOT_RUN, after, &failure);
+            return not_run(held, reason, retry_after, metrics);
         }
-        route::Outcome::Unknown(reason) => return unknown(held.request, &id, reason),
+        route::Outcome::Unknown(reason) => return unknown(held, reason, metrics),
     };
-    match answer {
-        Some(answer) => pass_on(held.request, &id, answer),
-        None => unknown(held.request, &id, route::Reason::AnswerNotKept),
-    }
+    let Some(answer) = answer else {
+        return unknown(held, route::Reason::AnswerNotKept, metrics);
+    };
+    let Held { request, call, trace, _busy, .. } = held;
+    pass_on(request, &call.id, answer);
+    metrics.observe(&trace.observe(&call, "run", ""));
+}
+
+fn not_run(held: Held, reason: route::Reason, retry_after: Duration, metrics: &metric::Metrics) {
+    let Held { request, call, trace, _busy, .. } = held;
+    let failure = http::failure(reason.to_string()).with_status(refusal_status(reason));
+    let after = (!is_mistake(reason)).then_some(retry_after);
+    log::debug!(request = &*call.id; "not run: {reason}");
+    fail(request, &call.id, header::NOT_RUN, after, &failure);
+    metrics.observe(&trace.observe(&call, header::NOT_RUN, &failure.error));
+}
+
+fn unknown(held: Held, reason: route::Reason, metrics: &metric::Metrics) {
+    let Held { request, call, trace, _busy, .. } = held;
+    let status = if reason == route::Reason::Late { 504 } else { 502 };
+    let failure = http::failure(reason.to_string()).with_status(status);
+    log::warn!(
+        request = &*call.id, tenant = &*call.tenant, kind = &*call.kind, service = &*call.service;
+        "outcome unknown: {reason}"
+    );
+    fail(request, &call.id, "unknown", None, &failure);
+    metrics.observe(&trace.observe(&call, "unknown", &failure.error));
 }
 
 /// Whether the caller must change its request before another try.
@@ -50,12 +75,6 @@
     http::send(request, response);
 }
 
-fn unknown(request: tiny_http::Request, id: &str, reason: route::Reason) {
-    let status = if reason == route::Reason::Late { 504 } else { 502 };
-    let failure = http::failure(reason.to_string()).with_status(status);
-    fail(request, id, "unknown", None, &failure);
-}
-
 fn fail(
     request: tiny_http::Request,
     id: &str,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -45,8 +45,12 @@
     let quorum = quorum::State::new(settings.id.clone(), members(&settings), restored, boot);
     let state = node::State::new(quorum, boot).with_stop_grace(settings.stop_grace);
     let callers = Callers::start(&settings, boot, clock, events.clone())?;
-    let operators =
-        operators::start(settings.listen.operators, tokens(&settings)?, events.clone())?;
+    let operators = operators::start(
+        settings.listen.operators,
+        tokens(&settings)?,
+        events.clone(),
+        callers.scrape(),
+    )?;
     let upstreams = upstreams::start(settings.listen.upstreams, events.clone())?;
     renewal::start(settings.keys.clone(), transport.clone());
     signals::start(events.clone(), callers.in_flight())?;
