--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -104,7 +104,7 @@
     pub(crate) fn keep(&self, request: route::RequestId, attempt: route::AttemptId) {
         let held = lock(&self.edge.held);
         let answer = held.get(&request).and_then(|held| held.answers.get(&attempt));
-        let answer = answer.map(Answer::to_route);
+        let answer = answer.cloned();
         drop(held);
         if let Some(answer) = answer {
             lock(&self.edge.kept).insert(request, answer);
@@ -174,8 +174,8 @@
         let headers = header::passed(headers, connection);
         let method = request.method().to_string();
         let service_name = service.to_string();
+        let fingerprint = route::Fingerprint::new(&method, &service, &path, &body);
         let call = Call { id, method, service: service_name, path, kind, tenant, headers, body };
-        let fingerprint = route::Fingerprint::new(&call.method, &service, &call.path, &call.body);
         let arrival = route::Request {
             id: number,
             service,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,7 +24,6 @@
 };
 
 mod acceptor;
-mod answer;
 mod arguments;
 mod busy;
 mod call;
@@ -42,6 +41,7 @@
 mod logging;
 mod operators;
 mod outbound;
+mod platform;
 mod pool;
 mod refused;
 mod renewal;
@@ -54,12 +54,12 @@
 mod trace;
 mod upstreams;
 
+use route::Answer;
 pub use run::run;
 use {
-    acceptor::Acceptor, answer::Answer, arguments::Arguments, busy::Busy, call::Call,
-    callers::Callers, clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept,
-    limits::Limits, pool::Pool, refused::Refused, scrape::Scrape, tickets::Tickets, tokens::Tokens,
-    trace::Trace,
+    acceptor::Acceptor, arguments::Arguments, busy::Busy, call::Call, callers::Callers,
+    clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept, limits::Limits, pool::Pool,
+    refused::Refused, scrape::Scrape, tickets::Tickets, tokens::Tokens, trace::Trace,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -11,8 +11,8 @@
 ) {
     let answer = match outcome {
         route::Outcome::Run(attempt) => held.answers.remove(&attempt),
-        route::Outcome::Kept(first) => lock(kept).get(first).map(Answer::from),
-        route::Outcome::Passed(answer) => Some(answer.into()),
+        route::Outcome::Kept(first) => lock(kept).get(first),
+        route::Outcome::Passed(answer) => Some(answer),
         route::Outcome::NotRun { reason, retry_after } => {
             return not_run(held, reason, retry_after, metrics);
         }
--- a/crates/model/src/selector.rs
+++ b/crates/model/src/selector.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Conditions that must all hold; the empty selector matches nothing.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Selector(Vec<Requirement>);
 
 impl Selector {
@@ -37,3 +37,9 @@
         Ok(Self(terms.map(|term| Self::term(term, text)).collect::<Result<_>>()?))
     }
 }
+
+impl fmt::Display for Selector {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        labels::join(f, &self.0)
+    }
+}
--- a/crates/route/src/pending.rs
+++ b/crates/route/src/pending.rs
@@ -11,7 +11,7 @@
     /// Slots that it had before.
     pub(crate) turn: u32,
     /// Rack where the last attempt failed.
-    pub(crate) avoid: Option<Name>,
+    pub(crate) avoid: Option<Avoid>,
     /// When it last asked for a slot.
     pub(crate) sought: Time,
     pub(crate) phase: Phase,
--- a/crates/route/src/waiting.rs
+++ b/crates/route/src/waiting.rs
@@ -8,7 +8,7 @@
     pub(crate) kind: Name,
     pub(crate) tenant: Name,
     pub(crate) deadline: Time,
-    pub(crate) avoid: Option<Name>,
+    pub(crate) avoid: Option<Avoid>,
     /// Expected run time, in microseconds.
     pub(crate) work: u64,
     /// Worth of a microsecond of run time; higher goes first.
--- a/crates/route/src/want.rs
+++ b/crates/route/src/want.rs
@@ -11,6 +11,6 @@
     pub tenant: Name,
     /// Time left until the deadline.
     pub left: Duration,
-    /// Rack where a former attempt failed.
-    pub avoid: Option<Name>,
+    /// Where a former attempt failed.
+    pub avoid: Option<Avoid>,
 }
--- a/crates/route/tests/world/mod.rs
+++ b/crates/route/tests/world/mod.rs
@@ -228,7 +228,7 @@
             return;
         }
         if report == Report::Answered {
-            let answer = Answer { status: 200, content_type: None, body: body.into_bytes() };
+            let answer = Answer { status: 200, headers: Vec::new(), body: body.into_bytes() };
             daemon.answers.insert(flight.attempt.id, answer);
         }
         self.reduce(flight.daemon, Event::Done { attempt: flight.attempt.id, report });
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -16,6 +16,8 @@
     pub stop_grace: Duration,
     /// Addresses to listen on.
     pub listen: Listen,
+    /// Where the platform listens; without it no instance is rebooted.
+    pub platform: Option<SocketAddr>,
     /// Key files.
     pub keys: Keys,
     /// Who may use the operators' interface; anybody on this machine where it is absent.
@@ -55,6 +57,7 @@
     data: Option<PathBuf>,
     stop_grace: Option<Duration>,
     listen: Option<Listen>,
+    platform: Option<SocketAddr>,
     keys: Option<Keys>,
     operators: Option<Operators>,
     peers: BTreeMap<Name, Peer>,
@@ -69,6 +72,7 @@
             "listen" => self.read_listen(&mut reader),
             "keys" => self.read_keys(&mut reader),
             "operators" => self.read_operators(&mut reader),
+            "platform" => self.platform = reader.required("address"),
             "peer" => self.read_peer(&mut reader),
             _ => return reader.unknown(),
         }
@@ -160,6 +164,7 @@
             data: self.data,
             stop_grace: self.stop_grace.unwrap_or(STOP_GRACE),
             listen: self.listen?,
+            platform: self.platform,
             keys: self.keys?,
             operators: self.operators,
             peers: self.peers,
