--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -42,6 +42,10 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Requests at a given rate, through daemons and straight to the upstreams
+    Load(load::Load),
+    /// Many requests, with daemons, upstreams and connections killed meanwhile
+    Chaos(Chaos),
     /// Many changes under faults: when each is in force, whether any is reverted or lost
     Changes(changes::Changes),
     /// Jobs on workers on seeded traces, against first fit by declared size
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -107,18 +107,39 @@
         count: usize,
         arguments: &[&str],
     ) -> eyre::Result<()> {
+        let before = serving(&self.daemons[0], service);
+        let program = self.start_fake(kind, service, count, arguments)?;
+        self.fakes.push(program);
+        wait_until("every daemon knows the upstreams", || {
+            self.daemons.iter().all(|daemon| serving(daemon, service) == before + count)
+        })
+    }
+
+    /// Starts fake upstreams of `service` without a wait.
+    pub fn start_upstreams(
+        &self,
+        service: &str,
+        count: usize,
+        arguments: &[&str],
+    ) -> eyre::Result<Program> {
+        self.start_fake("upstreams", service, count, arguments)
+    }
+
+    fn start_fake(
+        &self,
+        kind: &str,
+        service: &str,
+        count: usize,
+        arguments: &[&str],
+    ) -> eyre::Result<Program> {
         let number = count.to_string();
         let mut all = vec![kind, "--service", service, "--count", &number];
         for daemon in &self.daemons {
             all.extend(["--daemon", daemon.upstreams.as_str()]);
         }
         all.extend(arguments);
-        let before = serving(&self.daemons[0], service);
         let log = self.folder.path().join(format!("fake-{service}.log"));
-        self.fakes.push(Program::start("sardinevalve-fake", &all, &log)?);
-        wait_until("every daemon knows the upstreams", || {
-            self.daemons.iter().all(|daemon| serving(daemon, service) == before + count)
-        })
+        Program::start("sardinevalve-fake", &all, &log)
     }
 
     /// Applies the configuration `text` through the first daemon, and waits until it is in force.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -29,14 +29,18 @@
 mod arguments;
 mod arrival;
 mod changes;
+mod chaos;
 mod daemon;
 mod dispatch;
+mod ending;
 mod first_fit;
 mod first_fleet;
 mod fleet;
 mod idle;
 mod leader_kills;
 mod link;
+mod load;
+mod machine;
 mod network;
 mod placement;
 mod planned;
@@ -59,9 +63,17 @@
     tally::Tally,
 };
 pub use {
-    daemon::Daemon, fleet::Fleet, network::Network, program::Program, run::run, wait::wait_until,
+    chaos::{Chaos, Findings},
+    daemon::Daemon,
+    fleet::Fleet,
+    network::Network,
+    program::Program,
+    run::run,
+    wait::wait_until,
+};
+use {
+    ending::Ending, link::Link, machine::Machine, port::Port, quantiles::Quantiles, usage::Usage,
 };
-use {link::Link, port::Port, quantiles::Quantiles, usage::Usage};
 
 /// Services of the dispatch experiment.
 const SERVICES: usize = 5;
