--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -124,6 +124,19 @@
         }
     }
 
+    /// Everything that follows from the state as a whole, for a daemon that had `former` before.
+    pub fn effects(&self, former: &Self) -> Vec<Effect> {
+        let forgotten = former.upstreams.keys().filter(|name| !self.upstreams.contains_key(*name));
+        let forgotten = forgotten.cloned().map(Effect::Gone);
+        let upstreams = self.upstreams.values().cloned().map(Effect::Upstream);
+        let routed = self.upstreams.iter().map(|(name, upstream)| match self.routed(upstream) {
+            Some(announcement) => Effect::Serving(announcement),
+            None => Effect::Gone(name.clone()),
+        });
+        let configured = Effect::Configured(self.config.clone());
+        std::iter::once(configured).chain(forgotten).chain(upstreams).chain(routed).collect()
+    }
+
     /// Says whether an instance takes new work, where that is another than `before`.
     pub(crate) fn reroute(
         &self,
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -21,11 +21,9 @@
         }
     }
 
-    /// Everything that follows from the state as a whole, for a daemon that starts from it.
-    pub fn outcomes(&self) -> Vec<Outcome> {
-        let configured = fleet::Effect::Configured(self.fleet.config().clone());
-        let upstreams = self.fleet.upstreams().values().cloned().map(fleet::Effect::Upstream);
-        let mut outcomes = into_outcomes(std::iter::once(configured).chain(upstreams));
+    /// Everything that follows from the state as a whole, for a daemon that had `former` before.
+    pub fn outcomes(&self, former: &Self) -> Vec<Outcome> {
+        let mut outcomes = into_outcomes(self.fleet.effects(&former.fleet));
         outcomes.push(route::Decision::Roster(self.route.roster.clone()).into());
         outcomes
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -320,9 +320,10 @@
 
     fn install(&mut self, now: Time, snapshot: &quorum::Snapshot, effects: &mut Vec<Effect>) {
         let replica = postcard::from_bytes::<Replica>(&snapshot.state);
-        self.replica = replica.expect("snapshots decode: a daemon encoded them");
+        let replica = replica.expect("snapshots decode: a daemon encoded them");
+        let former = std::mem::replace(&mut self.replica, replica);
         self.ticked = now;
-        for outcome in self.replica.outcomes() {
+        for outcome in self.replica.outcomes(&former) {
             self.on_outcome(now, outcome, effects);
         }
     }
