--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -31,12 +31,15 @@
 mod changes;
 mod daemon;
 mod dispatch;
+mod first_fit;
 mod first_fleet;
 mod fleet;
 mod idle;
 mod leader_kills;
 mod link;
 mod network;
+mod placement;
+mod planned;
 mod port;
 mod program;
 mod quantiles;
@@ -44,8 +47,10 @@
 mod run;
 mod simulation;
 mod tally;
+mod trace;
 mod usage;
 mod wait;
+mod workshop;
 
 use arguments::{Arguments, Experiment};
 use {
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -32,6 +32,7 @@
                 Ok(())
             }
             Self::Changes(settings) => changes::run(settings),
+            Self::Placement { seed } => placement::run(*seed),
             Self::Idle { daemons, upstreams, seconds } => idle::run(*daemons, *upstreams, *seconds),
         }
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,7 +3,7 @@
 use {
     clap::{Args, Parser, Subcommand, ValueEnum},
     eyre::{WrapErr, bail},
-    model::{Config, Index, Revision},
+    model::{Config, Index, Name, Revision},
     node::operator::{Reply, Status},
     std::{
         fs,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -124,7 +124,7 @@
     ) {
         let reply = match call {
             operator::Call::Apply(change) => {
-                let command = fleet::Command::Change(change).into();
+                let command = fleet::Command::Change(*change).into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
             operator::Call::Maintain(order) => {
@@ -135,6 +135,7 @@
                 let command = fleet::Command::Forget { request, author, instance }.into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
+            operator::Call::Member(change) => self.change_member(now, change, effects),
             operator::Call::Status => operator::Reply::Status(self.status(now)),
             call => view::reply(&self.replica.fleet, call),
         };
@@ -145,6 +146,8 @@
         operator::Status {
             daemon: self.id.clone(),
             leader: self.quorum.leader().cloned(),
+            members: self.quorum.members().iter().map(|(n, m)| (n.clone(), m)).collect(),
+            lost_disk: self.quorum.lost_disk(),
             term: self.quorum.term(),
             view: self.quorum.has_view(now),
             revision: self.replica.fleet.revision(),
@@ -217,19 +220,44 @@
 
     fn agree(&mut self, now: Time, event: quorum::Event, effects: &mut Vec<Effect>) {
         for effect in self.quorum.reduce(now, event) {
+            self.on_quorum(now, effect, effects);
+        }
+    }
+
+    fn change_member(
+        &mut self,
+        now: Time,
+        change: quorum::Change,
+        effects: &mut Vec<Effect>,
+    ) -> operator::Reply {
+        let mut reply = operator::Reply::Unknown;
+        for effect in self.quorum.reduce(now, quorum::Event::Change(change)) {
             match effect {
-                quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
-                quorum::Effect::Send { to, message } => {
-                    effects.push(Effect::Send { to, message: Message::Quorum(message) });
-                }
-                quorum::Effect::Subscribe { timer, after } => {
-                    effects.push(Effect::Subscribe { timer: timer.into(), after });
+                quorum::Effect::Changed(Ok(index)) => reply = operator::Reply::Changing { index },
+                quorum::Effect::Changed(Err(refusal)) => {
+                    let leader = self.quorum.leader().cloned();
+                    reply = operator::Reply::Unchanged { refusal, leader };
                 }
-                quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
-                quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
-                quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
-                quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
+                effect => self.on_quorum(now, effect, effects),
+            }
+        }
+        reply
+    }
+
+    fn on_quorum(&mut self, now: Time, effect: quorum::Effect, effects: &mut Vec<Effect>) {
+        match effect {
+            quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
+            quorum::Effect::Send { to, message } => {
+                effects.push(Effect::Send { to, message: Message::Quorum(message) });
+            }
+            quorum::Effect::Subscribe { timer, after } => {
+                effects.push(Effect::Subscribe { timer: timer.into(), after });
             }
+            quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
+            quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
+            quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
+            quorum::Effect::Changed(_) => {}
+            quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
         }
     }
 
@@ -399,7 +427,7 @@
         if !self.quorum.leads() || self.proposals.awaits_step() {
             return;
         }
-        let members = self.quorum.members().keys().cloned().collect();
+        let members = self.quorum.members().iter().map(|(name, _)| name.clone()).collect();
         for command in self.steward.commands(now, &self.replica.fleet, &members) {
             self.propose(now, command.into(), None, effects);
         }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -9,16 +9,18 @@
 //! may act on the configuration it has.
 
 use {
+    derive_more::Display,
     model::{Index, Name, Time},
     rand::Rng,
     rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
+        collections::{BTreeMap, VecDeque},
         time::Duration,
     },
 };
 
+mod change;
 mod effect;
 mod election;
 mod entry;
@@ -27,9 +29,13 @@
 mod leading;
 mod limits;
 mod log;
+mod member;
+mod members;
+mod membership;
 mod message;
 mod progress;
 mod record;
+mod refusal;
 mod restored;
 mod role;
 mod snapshot;
@@ -42,11 +48,14 @@
 mod transfer;
 
 pub use {
-    effect::Effect, entry::Entry, event::Event, limits::Limits, log::Log, message::Message,
-    progress::Progress, record::Record, restored::Restored, role::Role, snapshot::Snapshot,
-    stamp::Stamp, standing::Standing, state::State, timer::Timer, timing::Timing,
-    transfer::Transfer,
+    change::Change, effect::Effect, entry::Entry, event::Event, limits::Limits, log::Log,
+    member::Member, members::Members, message::Message, progress::Progress, record::Record,
+    refusal::Refusal, restored::Restored, role::Role, snapshot::Snapshot, stamp::Stamp,
+    standing::Standing, state::State, timer::Timer, timing::Timing, transfer::Transfer,
 };
 
 /// Number of an election.
 pub type Term = u64;
+
+/// Identity of a disk.
+pub type Disk = u64;
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -22,6 +22,8 @@
         pre: bool,
         /// Whether the vote is given.
         granted: bool,
+        /// Disk that keeps the vote.
+        disk: Disk,
     },
     /// Appends entries, and serves as heartbeat.
     Append {
@@ -61,6 +63,8 @@
         sent: Time,
         /// Member's clock.
         stamp: Stamp,
+        /// Disk that the member has.
+        disk: Option<Disk>,
     },
     /// Part of a snapshot, for a member that lags behind the log; serves as heartbeat.
     Chunk {
@@ -70,6 +74,8 @@
         index: Index,
         /// Term of the entry at `index`.
         last_term: Term,
+        /// Members after that entry.
+        members: Members,
         /// Bytes of the whole snapshot.
         size: usize,
         /// Bytes before `data`.
@@ -92,5 +98,7 @@
         sent: Time,
         /// Member's clock.
         stamp: Stamp,
+        /// Disk that the member has.
+        disk: Option<Disk>,
     },
 }
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -3,6 +3,8 @@
 /// What the leader knows of another member.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Progress {
+    /// Disk that the member has.
+    pub disk: Option<Disk>,
     /// Highest index known to match.
     pub matched: Index,
     /// Next index to send.
@@ -25,6 +27,7 @@
 impl Progress {
     pub(crate) fn new(next: Index, granted_until: Time) -> Self {
         Self {
+            disk: None,
             matched: 0,
             next,
             applied: 0,
--- a/crates/quorum/src/snapshots.rs
+++ b/crates/quorum/src/snapshots.rs
@@ -10,7 +10,9 @@
         let Some(term) = self.log.term(index).filter(|_| newer && index <= self.applied) else {
             return;
         };
-        self.keep(Snapshot { index, term, state }, effects);
+        let Some((_, members)) = self.log.members_at(index) else { return };
+        let members = members.clone();
+        self.keep(Snapshot { index, term, members, state }, effects);
     }
 
     fn keep(&mut self, snapshot: Snapshot, effects: &mut Vec<Effect>) {
@@ -39,6 +41,7 @@
             term: self.term,
             index,
             last_term: snapshot.term,
+            members: snapshot.members.clone(),
             size: snapshot.state.len(),
             offset,
             data: rest[..length].to_vec(),
@@ -54,7 +57,8 @@
         message: Message,
         effects: &mut Vec<Effect>,
     ) {
-        let Message::Chunk { term, index, last_term, size, offset, data, sent } = message else {
+        let Message::Chunk { term, index, last_term, members, size, offset, data, sent } = message
+        else {
             return;
         };
         self.follow(now, from.clone(), term, effects);
@@ -63,26 +67,28 @@
         }
         let known =
             self.incoming.take().filter(|known| (known.index, known.term) == (index, last_term));
-        let mut incoming = known.unwrap_or(Snapshot { index, term: last_term, state: Vec::new() });
+        let mut incoming =
+            known.unwrap_or(Snapshot { index, term: last_term, members, state: Vec::new() });
         if offset == incoming.state.len() {
             incoming.state.extend(data);
         }
         if incoming.state.len() == size {
-            self.install(incoming, effects);
+            self.install(now, incoming, effects);
             return self.answer_append(now, from, true, index, sent, effects);
         }
         let offset = incoming.state.len();
         self.incoming = Some(incoming);
-        let message =
-            Message::Received { term: self.term, index, offset, sent, stamp: self.stamp(now) };
+        let (term, stamp, disk) = (self.term, self.stamp(now), self.disk);
+        let message = Message::Received { term, index, offset, sent, stamp, disk };
         effects.push(Effect::Send { to: from, message });
     }
 
-    fn install(&mut self, snapshot: Snapshot, effects: &mut Vec<Effect>) {
+    fn install(&mut self, now: Time, snapshot: Snapshot, effects: &mut Vec<Effect>) {
         let (index, term) = (snapshot.index, snapshot.term);
         if self.log.term(index) != Some(term) {
-            self.log = Log::new(index, term, Vec::new());
+            self.log = Log::new(Some(&snapshot), Vec::new());
         }
+        self.refresh_members(now);
         self.commit = index;
         self.applied = index;
         self.applied_bytes = 0;
@@ -98,7 +104,9 @@
         message: Message,
         effects: &mut Vec<Effect>,
     ) {
-        let Message::Received { term, index, offset, sent, stamp } = message else { return };
+        let Message::Received { term, index, offset, sent, stamp, disk } = message else {
+            return;
+        };
         if term > self.term {
             return self.enter(term, None, effects);
         }
@@ -107,6 +115,7 @@
         peer.answered = peer.answered.max(Some(sent));
         let restarted = peer.stamp.is_some_and(|last| last.boot != stamp.boot);
         peer.stamp = Some(stamp);
+        peer.disk = disk;
         peer.granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
         let Some(transfer) = peer.transfer.filter(|transfer| transfer.index == index) else {
             return;
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -6,7 +6,15 @@
     pub(crate) id: Name,
     /// Differs between any two starts.
     pub(crate) boot: u64,
-    pub(crate) members: BTreeMap<Name, Role>,
+    pub(crate) disk: Option<Disk>,
+    /// Members according to the settings, until the log is founded.
+    pub(crate) founders: Members,
+    /// Members according to the log, committed or not.
+    pub(crate) members: Members,
+    /// Index of the entry that made them so.
+    pub(crate) members_index: Index,
+    /// Until when a member that has left may hold a view lease.
+    pub(crate) hold_until: Time,
     pub(crate) term: Term,
     pub(crate) vote: Option<Name>,
     pub(crate) log: Log,
@@ -32,18 +40,26 @@
 impl State {
     /// A member that has just started with what its disk held; `boot` differs between any two
     /// starts.
-    pub fn new(id: Name, members: BTreeMap<Name, Role>, restored: Restored, boot: u64) -> Self {
-        let Restored { term, vote, snapshot, entries } = restored;
-        let (offset, offset_term) =
-            snapshot.as_ref().map_or((0, 0), |snapshot| (snapshot.index, snapshot.term));
-        let log = Log::new(offset, offset_term, entries);
+    ///
+    /// `founders` are the members that found the log; later the log says who the members are.
+    pub fn new(id: Name, founders: BTreeMap<Name, Role>, restored: Restored, boot: u64) -> Self {
+        let Restored { disk, term, vote, snapshot, entries } = restored;
+        let log = Log::new(snapshot.as_ref(), entries);
+        let founders = Members::from(founders);
+        let (members_index, members) = log.members().unwrap_or((0, &founders));
         Self {
             id,
             boot,
-            members,
+            disk,
+            members: members.clone(),
+            members_index,
+            hold_until: Time::ZERO,
+            founders,
             term,
             vote,
             synced: log.last_index(),
+            commit: log.offset(),
+            applied: log.offset(),
             log,
             limits: Limits::default(),
             snapshot,
@@ -51,8 +67,6 @@
             applied_bytes: 0,
             standing: Standing::Follower,
             leader: None,
-            commit: offset,
-            applied: offset,
             forced: 0,
             heard: Time::ZERO,
             view_until: Time::ZERO,
@@ -76,6 +90,7 @@
             Event::Timer(Timer::Heartbeat) => self.on_heartbeat(now, &mut effects),
             Event::Message { from, message } => self.on_message(now, from, message, &mut effects),
             Event::Propose(command) => self.on_propose(now, command, &mut effects),
+            Event::Change(change) => self.on_change(now, change, &mut effects),
             Event::Synced { term, index } => self.on_synced(now, term, index, &mut effects),
             Event::Snapshot { index, state } => self.on_snapshot(index, state, &mut effects),
         }
@@ -90,8 +105,8 @@
         &self.id
     }
 
-    /// Every member with its role.
-    pub fn members(&self) -> &BTreeMap<Name, Role> {
+    /// Every member, as the log says.
+    pub fn members(&self) -> &Members {
         &self.members
     }
 
@@ -145,12 +160,13 @@
 
     pub(crate) fn start(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.heard = now;
+        self.hold_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
         effects.extend(self.snapshot.clone().map(Effect::Install));
         self.await_leader(effects);
     }
 
     pub(crate) fn await_leader(&mut self, effects: &mut Vec<Effect>) {
-        if self.is_voter(&self.id) {
+        if self.stands() {
             let range =
                 Timing::ELECTION_MIN.as_millis() as u64..Timing::ELECTION_MAX.as_millis() as u64;
             let after = Duration::from_millis(self.rng.random_range(range));
@@ -162,20 +178,13 @@
         Stamp { boot: self.boot, at: now }
     }
 
-    pub(crate) fn is_voter(&self, name: &Name) -> bool {
-        self.members.get(name) == Some(&Role::Voter)
-    }
-
-    pub(crate) fn majority(&self) -> usize {
-        self.members.values().filter(|role| **role == Role::Voter).count() / 2 + 1
-    }
-
     pub(crate) fn others(&self) -> Vec<Name> {
-        self.members.keys().filter(|name| **name != self.id).cloned().collect()
+        let names = self.members.iter().map(|(name, _)| name);
+        names.filter(|name| **name != self.id).cloned().collect()
     }
 
     pub(crate) fn voters_besides(&self) -> Vec<Name> {
-        self.others().into_iter().filter(|name| self.is_voter(name)).collect()
+        self.members.voters().filter(|name| **name != self.id).cloned().collect()
     }
 
     pub(crate) fn persist_vote(&self, effects: &mut Vec<Effect>) {
@@ -196,16 +205,11 @@
         message: Message,
         effects: &mut Vec<Effect>,
     ) {
-        if !self.members.contains_key(&from) {
-            return;
-        }
         match message {
             Message::Ask { term, pre, last_index, last_term } => {
                 self.on_ask(now, from, term, pre, (last_term, last_index), effects);
             }
-            Message::Vote { term, pre, granted } => {
-                self.on_vote(now, from, term, pre, granted, effects);
-            }
+            Message::Vote { .. } => self.on_vote(now, from, message, effects),
             Message::Append { term, .. } | Message::Chunk { term, .. } if term < self.term => {
                 let message = Message::Refused { term: self.term };
                 effects.push(Effect::Send { to: from, message });
--- a/crates/quorum/tests/fuzz.rs
+++ b/crates/quorum/tests/fuzz.rs
@@ -47,6 +47,8 @@
     assert!(leader.state.forced() > 0, "nothing is in force");
     for (name, host) in &world.hosts {
         assert!(host.has_view(world.now), "`{name}` has no view");
+        let role = leader.state.members().get(name).map(|member| member.role);
+        assert_eq!(role, Some(host.role), "`{name}` has another role");
         assert!(host.applied + 20 > world.oracle.accepted(), "`{name}` lags");
     }
 }
--- a/crates/quorum/tests/simulator/fault.rs
+++ b/crates/quorum/tests/simulator/fault.rs
@@ -10,11 +10,12 @@
     IsolateLeader,
     Split,
     OneWay,
+    LoseDisk,
     Heal,
 }
 
 impl Fault {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::Crash,
         Self::CrashLeader,
         Self::Freeze,
@@ -22,6 +23,7 @@
         Self::IsolateLeader,
         Self::Split,
         Self::OneWay,
+        Self::LoseDisk,
         Self::Heal,
     ];
 
@@ -50,6 +52,7 @@
                 let pair = (any, names.choose(&mut self.rng).expect("there are members").clone());
                 self.cut.insert(pair);
             }
+            Fault::LoseDisk => self.lose_disk(&any),
             Fault::Heal => self.cut.clear(),
         }
     }
@@ -64,6 +67,22 @@
         self.schedule(after, world::Happening::Start(name.clone()));
     }
 
+    /// Takes the disk of a voter while every other voter still has its own.
+    fn lose_disk(&mut self, name: &Name) {
+        let whole = self.hosts.values().all(|host| host.up && self.is_whole(host));
+        if whole && self.hosts[name].role == Role::Voter {
+            self.crash(name);
+            let disk = self.rng.random();
+            self.host(name).lose_disk(disk);
+        }
+    }
+
+    /// Whether `host` knows every voter with the disk that it has.
+    fn is_whole(&self, host: &Host) -> bool {
+        let mut voters = self.hosts.iter().filter(|(_, voter)| voter.role == Role::Voter);
+        voters.all(|(name, voter)| host.state.members().counts(name, Some(voter.disk)))
+    }
+
     fn isolate(&mut self, names: &[Name], lone: &Name) {
         for name in names {
             self.cut.insert((lone.clone(), name.clone()));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,8 +5,8 @@
 use {
     derive_more::Display,
     model::{
-        Budget, Config, Instance, Kind, Labels, Location, Name, Policy, Pool, Selector, Service,
-        Tenant,
+        Budget, Config, Instance, Job, Kind, Labels, Location, Name, Policy, Pool, Resources,
+        Selector, Service, Spread, Team, Tenant,
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -33,6 +33,7 @@
 mod reader;
 mod role;
 mod section;
+mod teams;
 mod text;
 
 use reader::Reader;
@@ -57,5 +58,22 @@
 
 /// Reads the fleet's configuration from `text`; `file` names it in findings.
 pub fn config(file: &str, text: &str) -> Result<Config> {
-    fleet::read(&Document::parse(file, text)?)
+    fleet::read(&Document::parse(file, text))
+}
+
+/// Reads jobs to submit from `text`; `file` names it in findings.
+pub fn jobs(file: &str, text: &str) -> Result<BTreeMap<Name, Job>> {
+    let document = Document::parse(file, text);
+    let mut jobs = BTreeMap::new();
+    let mut findings = document.findings.clone();
+    for section in &document.sections {
+        let mut reader = Reader::new(&document, section, &mut findings);
+        if section.kind != "job" {
+            reader.unknown();
+            continue;
+        }
+        fleet::insert(&mut jobs, reader.name(), teams::job(&mut reader));
+        reader.finish();
+    }
+    Findings::none_or(findings, Some(jobs))
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -26,11 +26,6 @@
         }
     }
 
-    /// Identity of the disk.
-    pub fn disk(&self) -> u64 {
-        self.header.disk
-    }
-
     /// Takes `record`; it is kept once [`Store::sync`] has returned.
     pub fn append(&mut self, record: Record) {
         self.batch.push(record);
@@ -54,7 +49,7 @@
         let file = folder.create(number, &bytes)?;
         let store =
             Self { folder, header, number, file, batch: Vec::new(), vote: None, failed: false };
-        Ok((store, Restored::default()))
+        Ok((store, Restored { disk: Some(disk), ..Restored::default() }))
     }
 
     fn reopen(folder: Folder, daemon: &Name, number: u64) -> Result<(Self, Restored)> {
@@ -64,7 +59,7 @@
         let first = Frame::split(&bytes, Header::SALT).ok_or_else(|| damaged(0))?;
         let header = Header::read(&path, first.body, daemon)?;
         let salt = header.salt(number);
-        let mut restored = Restored::default();
+        let mut restored = Restored { disk: Some(header.disk), ..Restored::default() };
         let mut rest = first.rest;
         while let Some(frame) = Frame::split(rest, salt) {
             let offset = (bytes.len() - rest.len()) as u64;
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -20,7 +20,7 @@
 }
 
 fn entry(term: u64, text: &str) -> Entry {
-    Entry { term, command: text.into() }
+    Entry { term, command: text.into(), members: None }
 }
 
 fn entries(first: u64, texts: &[&str]) -> Record {
@@ -33,7 +33,11 @@
 }
 
 fn snapshot(index: u64, entries: Vec<Entry>) -> Record {
-    Record::Snapshot { snapshot: Snapshot { index, term: 1, state: b"state".into() }, entries }
+    let members = quorum::Members::default();
+    Record::Snapshot {
+        snapshot: Snapshot { index, term: 1, members, state: b"state".into() },
+        entries,
+    }
 }
 
 /// Writes each record with a sync of its own.
@@ -67,10 +71,10 @@
 fn what_was_synced_is_there_again() {
     let folder = folder();
     write(&folder, [vote(3), entries(1, &["x", "y", "z"]), entries(2, &["w"])]);
-    let (store, restored) = open(&folder).expect("the folder opens");
+    let (_, restored) = open(&folder).expect("the folder opens");
     assert_eq!((restored.term, restored.vote.as_deref()), (3, Some("b")));
     assert_eq!(commands(&restored), ["x", "w"]);
-    assert_eq!(store.disk(), 7);
+    assert_eq!(restored.disk, Some(7));
 }
 
 #[test]
@@ -153,7 +157,7 @@
     let forgery = fs::read(log(&forged)).expect("the log can be read");
     let folder = folder();
     let (mut store, _) = Store::open(folder.path(), &"a".into(), 8).expect("the folder opens");
-    let entries = vec![Entry { term: 1, command: forgery }];
+    let entries = vec![Entry { term: 1, command: forgery, members: None }];
     store.append(Record::Entries { first: 1, entries });
     store.sync().expect("the record is kept");
     drop(store);
