Record and replay the events of a daemon

Shown on the recording of a daemon of three that took a configuration, announcements, calls with answers cut short, and a stop; and on a recording that was changed.

--- a/crates/bench/src/daemon.rs
+++ b/crates/bench/src/daemon.rs
@@ -14,6 +14,8 @@
     pub(crate) peers: String,
     pub(crate) settings: PathBuf,
     pub(crate) log: PathBuf,
+    /// Arguments beyond the settings.
+    pub arguments: Vec<String>,
     pub(crate) program: Option<Program>,
 }
 
@@ -22,7 +24,9 @@
     pub fn start(&mut self) -> eyre::Result<()> {
         if self.program.is_none() {
             let settings = self.settings.display().to_string();
-            self.program = Some(Program::start("sardinevalved", &[&settings], &self.log)?);
+            let mut arguments = vec![settings.as_str()];
+            arguments.extend(self.arguments.iter().map(String::as_str));
+            self.program = Some(Program::start("sardinevalved", &arguments, &self.log)?);
         }
         Ok(())
     }
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -165,6 +165,7 @@
                 peers,
                 settings,
                 log,
+                arguments: Vec::new(),
                 program,
             });
         }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -3,6 +3,7 @@
 /// The loop that reduces events and hands out effects.
 pub(crate) struct Engine {
     pub(crate) state: node::State,
+    pub(crate) recording: Option<Recording>,
     pub(crate) clock: Clock,
     pub(crate) inbox: Receiver<Event>,
     pub(crate) transport: Arc<wire::Transport>,
@@ -48,6 +49,18 @@
         }
     }
 
+    /// Reduces one event, and records it where that is asked for.
+    fn reduce(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let Some(recording) = &mut self.recording else { return self.state.reduce(now, event) };
+        let effects = self.state.reduce(now, event.clone());
+        let step = Step { now, event, effects: Step::hash(&effects) };
+        if let Err(error) = recording.push(&step).and_then(|()| recording.flush()) {
+            log::error!("recording failed, and ends: {error}");
+            self.recording = None;
+        }
+        effects
+    }
+
     /// Whether nothing is left to do for a daemon that stopped at `since`.
     fn is_finished(&self, since: Instant) -> bool {
         if since.elapsed() > MAX_FINISH {
@@ -61,7 +74,7 @@
     fn step(&mut self, event: Event, timers: &mut timer::Queue<node::Timer>) -> bool {
         let now = self.clock.now();
         let mut stopped = false;
-        let effects = self.state.reduce(now, event);
+        let effects = self.reduce(now, event);
         self.callers.set_view_until(self.state.view_until());
         for effect in effects {
             match effect {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,16 +2,16 @@
 //! reduces them and hands the effects out. Nothing here decides anything.
 
 use {
-    clap::Parser,
+    clap::{Parser, Subcommand},
     crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded},
     eyre::WrapErr,
     model::{Map, Name, Time},
     node::{Effect, Event, Ticket},
-    serde::{Serialize, de::DeserializeOwned},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         collections::{BTreeMap, VecDeque},
         fs,
-        io::{Cursor, ErrorKind, Read, Write},
+        io::{BufReader, BufWriter, Cursor, ErrorKind, Read, Write},
         net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         path::{Path, PathBuf},
         sync::{
@@ -40,15 +40,19 @@
 mod limits;
 mod logging;
 mod operators;
+mod origin;
 mod outbound;
 mod platform;
 mod pool;
+mod recording;
 mod refused;
 mod renewal;
+mod replay;
 mod response;
 mod run;
 mod scrape;
 mod signals;
+mod step;
 mod tickets;
 mod tokens;
 mod trace;
@@ -58,8 +62,9 @@
 pub use run::run;
 use {
     acceptor::Acceptor, arguments::Arguments, busy::Busy, call::Call, callers::Callers,
-    clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept, limits::Limits, pool::Pool,
-    refused::Refused, scrape::Scrape, tickets::Tickets, tokens::Tokens, trace::Trace,
+    clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept, limits::Limits,
+    origin::Origin, pool::Pool, recording::Recording, refused::Refused, scrape::Scrape, step::Step,
+    tickets::Tickets, tokens::Tokens, trace::Trace,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- /dev/null
+++ b/crates/daemon/src/recording.rs
@@ -0,0 +1,27 @@
+use super::*;
+
+/// Writes the events of a daemon to a file: an [`Origin`], then a [`Step`] for each event, each
+/// after its length.
+pub(crate) struct Recording(BufWriter<fs::File>);
+
+impl Recording {
+    pub(crate) fn create(path: &Path, origin: &Origin) -> eyre::Result<Self> {
+        let file = fs::File::create(path)
+            .wrap_err_with(|| format!("cannot create recording `{}`", path.display()))?;
+        let mut recording = Self(BufWriter::new(file));
+        recording.push(origin)?;
+        Ok(recording)
+    }
+
+    pub(crate) fn push<T: Serialize>(&mut self, item: &T) -> eyre::Result<()> {
+        let bytes = postcard::to_stdvec(item)?;
+        self.0.write_all(&(bytes.len() as u32).to_le_bytes())?;
+        self.0.write_all(&bytes)?;
+        Ok(())
+    }
+
+    /// Writes out what is buffered.
+    pub(crate) fn flush(&mut self) -> eyre::Result<()> {
+        Ok(self.0.flush()?)
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -6,7 +6,11 @@
 /// Runs the daemon until it is told to stop.
 pub fn run() -> ExitCode {
     let arguments = Arguments::parse();
-    let settings = match read(&arguments.settings) {
+    if let Some(arguments::Action::Replay { file }) = &arguments.action {
+        return finish(replay::run(file).map(|events| println!("{events} events, same effects")));
+    }
+    let path = arguments.settings.as_deref().expect("the settings file is required");
+    let settings = match read(path) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error:#}");
@@ -17,7 +21,11 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    match serve(settings) {
+    finish(serve(settings, arguments.record.as_deref()))
+}
+
+fn finish(result: eyre::Result<()>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
@@ -32,7 +40,7 @@
     Ok(settings::Daemon::parse(&path.display().to_string(), &text)?)
 }
 
-fn serve(settings: settings::Daemon) -> eyre::Result<()> {
+fn serve(settings: settings::Daemon, record: Option<&Path>) -> eyre::Result<()> {
     logging::start()?;
     files::raise();
     let (store, restored) = open_store(&settings)?;
@@ -42,8 +50,15 @@
     let (events, inbox) = unbounded();
     let transport = Arc::new(connect(&settings, boot, &identity, events.clone())?);
     let disk = Disk::start(store, transport.clone(), events.clone());
-    let quorum = quorum::State::new(settings.id.clone(), members(&settings), restored, boot);
-    let state = node::State::new(quorum, boot).with_stop_grace(settings.stop_grace);
+    let origin = Origin {
+        id: settings.id.clone(),
+        boot,
+        members: members(&settings),
+        restored,
+        stop_grace: settings.stop_grace,
+    };
+    let recording = record.map(|path| Recording::create(path, &origin)).transpose()?;
+    let state = origin.state();
     let callers = Callers::start(&settings, boot, clock, events.clone())?;
     let operators = operators::start(
         settings.listen.operators,
@@ -56,7 +71,19 @@
     let platform = platform::start(settings.platform, events.clone());
     signals::start(events.clone(), callers.in_flight())?;
     log::info!(daemon = &*settings.id; "started");
-    Engine { state, clock, inbox, transport, disk, callers, operators, platform, upstreams }.run();
+    Engine {
+        state,
+        recording,
+        clock,
+        inbox,
+        transport,
+        disk,
+        callers,
+        operators,
+        platform,
+        upstreams,
+    }
+    .run();
     log::info!(daemon = &*settings.id; "stopped");
     Ok(())
 }
--- a/crates/quorum/src/restored.rs
+++ b/crates/quorum/src/restored.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// What a member finds on its disk at start.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Restored {
     /// Highest term seen.
     pub term: Term,
