An edge that filled up again serves connections that its former server left queued

Cause: threads were woken for connections beyond the number at the last look, but a new server begins with threads of its own, and a number that fell and rose between two looks went unseen. Ruled out: a lost acceptor (it was in `accept`), ports taken by others. Change: the number starts from 0 with each server, and is looked at again until it stands still before the edge stops accepting.

Open: connections that arrive between that last look and the stop of accepting may still be queued until another connection of the same server ends.

--- a/crates/daemon/src/acceptor.rs
+++ b/crates/daemon/src/acceptor.rs
@@ -17,6 +17,8 @@
     listener: TcpListener,
     port: u16,
     limits: Limits,
+    /// Open connections for which the present server has been made to start threads.
+    woken: AtomicUsize,
     handle: Box<dyn Fn(tiny_http::Request) + Send + Sync>,
 }
 
@@ -42,7 +44,13 @@
         socket.set_read_timeout(Some(limits.read_timeout))?;
         socket.set_write_timeout(Some(limits.write_timeout))?;
         let port = listener.local_addr()?.port();
-        let acceptor = Arc::new(Self { listener, port, limits, handle: Box::new(handle) });
+        let acceptor = Arc::new(Self {
+            listener,
+            port,
+            limits,
+            woken: AtomicUsize::new(0),
+            handle: Box::new(handle),
+        });
         let server = acceptor.server()?;
         thread::spawn({
             let acceptor = acceptor.clone();
@@ -52,7 +60,9 @@
         Ok(())
     }
 
+    /// Another server, with threads of its own.
     fn server(&self) -> eyre::Result<tiny_http::Server> {
+        self.woken.store(0, Ordering::Release);
         let server = tiny_http::Server::from_listener(self.listener.try_clone()?, None);
         server.map_err(|error| eyre::eyre!("cannot listen on port {}: {error}", self.port))
     }
@@ -88,13 +98,8 @@
 
     /// Stops accepting while the edge is full.
     fn watch(&self) {
-        let mut before = 0;
         loop {
-            let count = connections::count(self.port);
-            for _ in before..count {
-                self.wake_thread();
-            }
-            before = count;
+            let count = self.wake_threads();
             if count >= self.limits.connections {
                 self.block(false);
             }
@@ -102,6 +107,20 @@
         }
     }
 
+    /// Wakes a thread for every connection since the last look, and returns how many are open.
+    fn wake_threads(&self) -> usize {
+        loop {
+            let count = connections::count(self.port);
+            let before = self.woken.swap(count, Ordering::AcqRel);
+            if count <= before {
+                return count;
+            }
+            for _ in before..count {
+                self.wake_thread();
+            }
+        }
+    }
+
     /// Makes a connection that ends at once, so that a queued one gets a thread.
     fn wake_thread(&self) {
         let Ok(address) = self.listener.local_addr() else { return };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,7 +16,7 @@
         path::{Path, PathBuf},
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         thread,
         time::{Duration, Instant},
