--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -59,6 +59,10 @@
         self.call(attohttpc::get(self.url("status")))
     }
 
+    pub(crate) fn change_member(&self, change: &quorum::Change) -> eyre::Result<Reply> {
+        self.call(attohttpc::post(self.url("members")).json(change)?)
+    }
+
     pub(crate) fn apply(
         &self,
         text: &str,
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -35,6 +35,9 @@
             maintain::explain(&client, *kind, name.as_deref(), arguments.json)
         }
         Command::Status => show::reply(&client.status()?, arguments.json),
+        Command::Member(member) => {
+            show::reply(&client.change_member(&member.change())?, arguments.json)
+        }
         Command::Keys(command) => keys::run(command),
     }
 }
--- a/crates/quorum/tests/simulator/world.rs
+++ b/crates/quorum/tests/simulator/world.rs
@@ -9,6 +9,7 @@
     Sync { host: Name, boot: u64 },
     Fault,
     Propose,
+    Operate,
 }
 
 /// Members with all that is between them.
@@ -21,7 +22,7 @@
     members: BTreeMap<Name, Role>,
     agenda: BTreeMap<(Time, u64), Happening>,
     count: u64,
-    faulty: bool,
+    pub(super) faulty: bool,
 }
 
 impl World {
@@ -33,8 +34,11 @@
         let role = |i| if i < voters { Role::Voter } else { Role::Observer };
         let members: BTreeMap<_, _> =
             (0..voters + observers).map(|i| (Name::from(format!("d{i}")), role(i))).collect();
-        let host = |name: &Name| Host::new(name, members.clone(), rng.random_range(Self::RATES));
-        let hosts = members.keys().cloned().zip(members.keys().map(host)).collect();
+        let mut host = |name: &Name| {
+            let (rate, disk) = (rng.random_range(Self::RATES), rng.random());
+            Host::new(name, members.clone(), rate, disk)
+        };
+        let hosts = members.keys().cloned().zip(members.keys().map(&mut host)).collect();
         let mut world = Self {
             now: Time::ZERO,
             hosts,
@@ -51,6 +55,7 @@
         }
         world.schedule(Duration::ZERO, Happening::Fault);
         world.schedule(Duration::ZERO, Happening::Propose);
+        world.schedule(Duration::ZERO, Happening::Operate);
         world
     }
 
@@ -99,6 +104,7 @@
             Happening::Sync { host, boot } => self.sync(&host, boot),
             Happening::Fault => self.fault(),
             Happening::Propose => self.propose(),
+            Happening::Operate => self.operate(),
         }
     }
 
@@ -170,7 +176,7 @@
         self.schedule(after, Happening::Propose);
     }
 
-    fn step(&mut self, name: &Name, event: Event) {
+    pub(super) fn step(&mut self, name: &Name, event: Event) {
         let now = self.now;
         let host = self.hosts.get_mut(name).expect("the host exists");
         for effect in host.state.reduce(host.clock(now), event) {
@@ -202,7 +208,7 @@
                 self.oracle.install(host, snapshot);
             }
             Effect::Subscribe { timer, after } => self.subscribe(name, timer, after),
-            Effect::Leader(_) => {}
+            Effect::Leader(_) | Effect::Changed(_) => {}
         }
     }
 
