--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -85,11 +85,33 @@
     },
     /// Show the state of the fleet
     Status,
+    /// Submit, cancel and show jobs
+    #[command(subcommand)]
+    Job(JobCommand),
     /// Make the keys of daemons
     #[command(subcommand)]
     Keys(Keys),
 }
 
+#[derive(Debug, Subcommand)]
+pub(crate) enum JobCommand {
+    /// Submit the jobs of a file; a resend gets the first answers
+    Submit {
+        /// File with a section `[job ID]` for each job
+        file: PathBuf,
+    },
+    /// Cancel a job, also ahead of its submission
+    Cancel {
+        /// Id of the job
+        id: String,
+    },
+    /// Show where a job stands, and why
+    Show {
+        /// Id of the job
+        id: String,
+    },
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum Keys {
     /// Make the fleet's authority in a new folder
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -55,6 +55,15 @@
         }
     }
 
+    /// Submits a job; its id identifies the request.
+    pub(crate) fn submit(&self, body: &serde_json::Value) -> eyre::Result<Reply> {
+        self.call(attohttpc::post(self.url("jobs")).json(body)?)
+    }
+
+    pub(crate) fn cancel_job(&self, id: &str) -> eyre::Result<Reply> {
+        self.call(attohttpc::delete(self.url(&format!("jobs/{id}"))))
+    }
+
     pub(crate) fn status(&self) -> eyre::Result<Reply> {
         self.call(attohttpc::get(self.url("status")))
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -18,13 +18,14 @@
 mod arguments;
 mod client;
 mod edit;
+mod job;
 mod keys;
 mod maintain;
 mod run;
 mod show;
 
 use {
-    arguments::{Arguments, Command, Keys, Kind, Maintain, Signature},
+    arguments::{Arguments, Command, JobCommand, Keys, Kind, Maintain, Signature},
     client::Client,
 };
 pub use {run::run, show::text};
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -35,6 +35,7 @@
             maintain::explain(&client, *kind, name.as_deref(), arguments.json)
         }
         Command::Status => show::reply(&client.status()?, arguments.json),
+        Command::Job(command) => job::run(&client, command, arguments.json),
         Command::Keys(command) => keys::run(command),
     }
 }
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -16,6 +16,9 @@
     }
     Ok(match reply {
         Reply::Applied { verdict, .. } if verdict.refused() => ExitCode::from(EXIT_REFUSED),
+        Reply::Submitted { verdict, .. } if *verdict != place::Verdict::Accepted => {
+            ExitCode::from(EXIT_REFUSED)
+        }
         Reply::Unknown | Reply::NoRevision { .. } => ExitCode::FAILURE,
         _ => ExitCode::SUCCESS,
     })
@@ -40,6 +43,9 @@
         Reply::History { now, past } => {
             past.iter().rev().map(|past| past_text(*now, past)).collect()
         }
+        Reply::Submitted { job, verdict } => format!("{job}: {verdict}\n"),
+        Reply::Cancelled { job } => format!("{job}: cancelled\n"),
+        Reply::Job { job, standing } => format!("{job}: {standing}\n"),
         Reply::NoRevision { revision } => format!("revision {revision} is not kept\n"),
     }
 }
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -64,6 +64,13 @@
     }
 }
 
+/// A job that a team submits.
+#[derive(serde::Deserialize)]
+struct Submission {
+    id: Name,
+    job: model::Job,
+}
+
 impl Edge {
     fn handle(&self, request: tiny_http::Request) {
         let path = request.url().to_owned();
@@ -86,6 +93,11 @@
             (tiny_http::Method::Post, "/v1/changes") => self.apply(request, operator),
             (tiny_http::Method::Post, "/v1/waves") => self.maintain(request, operator),
             (tiny_http::Method::Post, "/v1/forget") => self.forget(request, operator),
+            (tiny_http::Method::Post, "/v1/jobs") => self.submit(request),
+            (tiny_http::Method::Delete, path) => match path.strip_prefix("/v1/jobs/") {
+                Some(id) => self.ask(request, node::operator::Call::CancelJob(id.into())),
+                None => unknown(request, path),
+            },
             _ => unknown(request, &path),
         }
     }
@@ -94,6 +106,9 @@
         if let Some(revision) = path.strip_prefix("/v1/config/").and_then(|r| r.parse().ok()) {
             return self.ask(request, node::operator::Call::Past(revision));
         }
+        if let Some(id) = path.strip_prefix("/v1/jobs/") {
+            return self.ask(request, node::operator::Call::Job(id.into()));
+        }
         match path.strip_prefix("/v1/explain?").and_then(subject) {
             Some(subject) => self.ask(request, node::operator::Call::Explain(subject)),
             None => unknown(request, path),
@@ -115,6 +130,15 @@
         }
     }
 
+    fn submit(&self, mut request: tiny_http::Request) {
+        match http::json::<Submission>(&mut request, MAX_BODY_BYTES) {
+            Ok(Submission { id, job }) => {
+                self.ask(request, node::operator::Call::Submit { id, job: Box::new(job) });
+            }
+            Err(failure) => http::respond(request, failure.status, &failure),
+        }
+    }
+
     fn forget(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let Some((id, author)) = sender(&request, operator) else { return unsigned(request) };
         match http::json::<Lost>(&mut request, MAX_BODY_BYTES) {
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -5,6 +5,8 @@
 pub enum Command {
     /// Concerns the fleet.
     Fleet(fleet::Command),
+    /// Concerns jobs on workers.
+    Place(place::Command),
     /// Concerns dispatch.
     Route(route::Command),
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -30,6 +30,17 @@
     History,
     /// Show an earlier configuration.
     Past(Revision),
+    /// Submit a job.
+    Submit {
+        /// Id of the job; a resend carries the same.
+        id: Name,
+        /// The job.
+        job: Box<model::Job>,
+    },
+    /// Cancel a job, which may be yet unknown.
+    CancelJob(Name),
+    /// Show where a job stands, and why.
+    Job(Name),
 }
 
 /// Reply to an operator.
@@ -75,6 +86,25 @@
         /// Configurations.
         past: Vec<fleet::Past>,
     },
+    /// A job was judged.
+    Submitted {
+        /// Id of the job.
+        job: Name,
+        /// What became of it.
+        verdict: place::Verdict,
+    },
+    /// A cancellation is noted.
+    Cancelled {
+        /// Id of the job.
+        job: Name,
+    },
+    /// Where a job stands.
+    Job {
+        /// Id of the job.
+        job: Name,
+        /// Where it stands.
+        standing: place::Standing,
+    },
     /// No such revision is kept.
     NoRevision {
         /// The revision.
@@ -82,6 +112,22 @@
     },
 }
 
+impl Reply {
+    /// The reply to a request that led to `outcome`, which stands at `index` in the log.
+    pub(crate) fn to(outcome: &Outcome, index: Index) -> Option<Self> {
+        match outcome.clone() {
+            Outcome::Fleet(fleet::Effect::Verdict { verdict, .. }) => {
+                Some(Self::Applied { verdict, index })
+            }
+            Outcome::Place(place::Effect::Verdict { job, verdict }) => {
+                Some(Self::Submitted { job, verdict })
+            }
+            Outcome::Place(place::Effect::Cancelled { job }) => Some(Self::Cancelled { job }),
+            _ => None,
+        }
+    }
+}
+
 /// State of the fleet as one daemon sees it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
--- a/crates/node/src/outcome.rs
+++ b/crates/node/src/outcome.rs
@@ -5,6 +5,8 @@
 pub enum Outcome {
     /// Concerns the fleet.
     Fleet(fleet::Effect),
+    /// Concerns jobs on workers.
+    Place(place::Effect),
     /// Concerns dispatch.
     Route(route::Decision),
 }
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -7,6 +7,8 @@
     pub applied: Index,
     /// The fleet.
     pub fleet: fleet::State,
+    /// Jobs on workers.
+    pub place: place::State,
     /// Dispatch.
     pub route: route::Ledger,
 }
@@ -16,11 +18,26 @@
     pub fn apply(&mut self, index: Index, command: Command) -> Vec<Outcome> {
         self.applied = index;
         match command {
-            Command::Fleet(command) => into_outcomes(self.fleet.apply(command)),
+            Command::Fleet(command) => self.apply_fleet(command),
+            Command::Place(command) => into_outcomes(self.place.apply(command)),
             Command::Route(command) => into_outcomes(self.route.apply(command)),
         }
     }
 
+    /// Applies a command of the fleet; quotas of a new configuration bind placement at once.
+    fn apply_fleet(&mut self, command: fleet::Command) -> Vec<Outcome> {
+        let effects = self.fleet.apply(command);
+        let mut placed = Vec::new();
+        for effect in &effects {
+            if let fleet::Effect::Configured(config) = effect {
+                placed.extend(self.place.configure(&config.teams));
+            }
+        }
+        let mut outcomes = into_outcomes(effects);
+        outcomes.extend(into_outcomes(placed));
+        outcomes
+    }
+
     /// Everything that follows from the state as a whole, for a daemon that starts from it.
     pub fn outcomes(&self) -> Vec<Outcome> {
         let configured = fleet::Effect::Configured(self.fleet.config().clone());
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -135,6 +135,18 @@
                 let command = fleet::Command::Forget { request, author, instance }.into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
+            operator::Call::Submit { id, job } => {
+                let command = place::Command::Submit { id, job: *job }.into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
+            operator::Call::CancelJob(id) => {
+                let command = place::Command::Cancel { id }.into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
+            operator::Call::Job(job) => {
+                let standing = self.replica.place.explain(&job);
+                operator::Reply::Job { job, standing }
+            }
             operator::Call::Status => operator::Reply::Status(self.status(now)),
             call => view::reply(&self.replica.fleet, call),
         };
@@ -282,6 +294,7 @@
     fn on_outcome(&mut self, now: Time, outcome: Outcome, effects: &mut Vec<Effect>) {
         match outcome {
             Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
+            Outcome::Place(_) => {}
             Outcome::Route(verdict) => self.route(now, route::Event::Decided(verdict), effects),
         }
     }
@@ -298,12 +311,8 @@
                 effects.push(Effect::Upstream { ticket, reply: upstream::Reply::Done });
             }
             Some(Caller::Operator(ticket)) => {
-                let verdict = outcomes.iter().find_map(|outcome| match outcome {
-                    Outcome::Fleet(fleet::Effect::Verdict { verdict, .. }) => Some(verdict.clone()),
-                    _ => None,
-                });
-                let Some(verdict) = verdict else { return };
-                let reply = operator::Reply::Applied { verdict, index };
+                let reply = outcomes.iter().find_map(|outcome| operator::Reply::to(outcome, index));
+                let Some(reply) = reply else { return };
                 effects.push(Effect::Operator { ticket, reply });
             }
             None => {}
--- a/crates/place/src/feasibility.rs
+++ b/crates/place/src/feasibility.rs
@@ -118,6 +118,9 @@
         .filter(unmet)
         .map(|condition| lack(condition.to_string(), "no worker"))
         .collect();
+    if conditions.is_empty() {
+        return vec![lack("a worker".into(), "none")];
+    }
     if lacks.is_empty() {
         let all: Vec<_> = conditions.iter().map(ToString::to_string).collect();
         return vec![lack(all.join(", "), "no worker meets all")];
--- a/crates/place/src/lack.rs
+++ b/crates/place/src/lack.rs
@@ -41,3 +41,9 @@
     #[display("spread")]
     Spread,
 }
+
+/// Lacks in one line.
+pub(crate) fn list(lacks: &[Lack]) -> String {
+    let lacks: Vec<_> = lacks.iter().map(ToString::to_string).collect();
+    lacks.join("; ")
+}
--- a/crates/place/src/placement.rs
+++ b/crates/place/src/placement.rs
@@ -1,7 +1,8 @@
 use super::*;
 
 /// A job on a worker.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
+#[display("on `{worker}` since {} s, placement {epoch}", since.as_secs())]
 pub struct Placement {
     /// The worker.
     pub worker: Name,
--- a/crates/place/tests/replica.rs
+++ b/crates/place/tests/replica.rs
@@ -1,7 +1,7 @@
 //! What the replicated state accepts and refuses.
 
 use {
-    model::{Job, Location, Name, Resources, Team, Time, Urgency, Worker},
+    model::{Job, Location, Name, Resources, Spread, Team, Time, Urgency, Worker},
     place::{
         Cause, Command, Effect, End, Outcome, Plan, Refusal, Release, Standing, State, Step,
         Verdict, Wait,
@@ -212,3 +212,14 @@
     assert_eq!(plan(&mut state, 15, place("j", 2, "w2")), Some(Refusal::Wait(wait)));
     assert_eq!(plan(&mut state, 16, place("j", 2, "w2")), None);
 }
+
+#[test]
+fn the_state_survives_a_snapshot() {
+    let mut state = state();
+    let spread = Some(Spread { group: "g".into(), per_rack: 1 });
+    submit(&mut state, "j", Job { spread, ..job() });
+    submit(&mut state, "huge", Job { size: size(99, 99), ..job() });
+    plan(&mut state, 1, place("j", 0, "w0"));
+    let bytes = postcard::to_stdvec(&state).expect("state is encoded");
+    assert_eq!(postcard::from_bytes::<State>(&bytes).expect("state is decoded"), state);
+}
--- a/crates/settings/src/teams.rs
+++ b/crates/settings/src/teams.rs
@@ -36,12 +36,45 @@
 
 /// Reads `processors`, `memory-gb` and `accelerators`.
 fn resources(reader: &mut Reader) -> Option<Resources> {
-    let processors = reader.required::<f64>("processors");
-    let memory = reader.required::<f64>("memory-gb");
+    let processors = reader.required::<Amount>("processors");
+    let memory = reader.required::<Amount>("memory-gb");
     let accelerators = reader.optional("accelerators").unwrap_or(0);
     Some(Resources {
-        millicores: (processors? * MILLICORES) as u64,
-        memory_mb: (memory? * GIGABYTE_MB) as u64,
+        millicores: processors?.times(MILLICORES),
+        memory_mb: memory?.times(GIGABYTE_MB),
         accelerators,
     })
 }
+
+/// Writes what [`resources`] reads.
+pub(crate) fn body(resources: Resources) -> String {
+    let processors = resources.millicores as f64 / MILLICORES;
+    let memory = resources.memory_mb as f64 / GIGABYTE_MB;
+    let accelerators = resources.accelerators;
+    format!("processors = {processors}\nmemory-gb = {memory}\naccelerators = {accelerators}\n")
+}
+
+/// A number that is neither negative nor beyond bounds.
+#[derive(Debug, Clone, Copy)]
+struct Amount(f64);
+
+impl Amount {
+    /// Greatest amount that can be written.
+    const MAX: f64 = 1e9;
+
+    fn times(self, unit: f64) -> u64 {
+        (self.0 * unit).round() as u64
+    }
+}
+
+impl FromStr for Amount {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let valid = |amount: &f64| (0.0..=Self::MAX).contains(amount);
+        let amount = text.parse().ok().filter(valid);
+        amount
+            .map(Self)
+            .ok_or_else(|| format!("invalid amount `{text}`: use a number such as `1.5`"))
+    }
+}
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -66,6 +66,9 @@
     for (name, instance) in &config.instances {
         add(format!("instance {name}"), format!("labels = {}\n", instance.labels));
     }
+    for (name, team) in &config.teams {
+        add(format!("team {name}"), teams::body(team.quota));
+    }
     if config.policy != Policy::default() {
         add("policy".into(), policy_body(&config.policy));
     }
