--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -25,6 +25,15 @@
             Self::Agreement => agreement::run(),
             Self::FirstFleet => first_fleet::run(),
             Self::LeaderKills { kills } => leader_kills::run(*kills),
+            Self::Dispatch { seeds, delay_us } => {
+                dispatch::run(seeds, Duration::from_micros(*delay_us))
+            }
+            Self::RouteThroughput { seed } => {
+                route_throughput::run(*seed);
+                Ok(())
+            }
+            Self::Load(load) => load.run(),
+            Self::Chaos(chaos) => report(&chaos.run()?),
             Self::Changes(settings) => changes::run(settings),
             Self::Placement { seed } => placement::run(*seed),
             Self::Idle { daemons, upstreams, seconds } => idle::run(*daemons, *upstreams, *seconds),
@@ -32,6 +41,12 @@
     }
 }
 
+fn report(findings: &Findings) -> eyre::Result<()> {
+    println!("{}", serde_json::to_string(findings)?);
+    ensure!(findings.violations() == 0, "a promise was broken, see the figures");
+    Ok(())
+}
+
 fn list() {
     let command = Experiment::augment_subcommands(clap::Command::new("run"));
     for experiment in command.get_subcommands() {
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -88,6 +88,9 @@
     /// Change a member of the agreement; call the daemon that leads
     #[command(subcommand)]
     Member(Member),
+    /// Submit, cancel and show jobs
+    #[command(subcommand)]
+    Job(JobCommand),
     /// Make the keys of daemons
     #[command(subcommand)]
     Keys(Keys),
@@ -122,6 +125,25 @@
     }
 }
 
+#[derive(Debug, Subcommand)]
+pub(crate) enum JobCommand {
+    /// Submit the jobs of a file; a resend gets the first answers
+    Submit {
+        /// File with a section `[job ID]` for each job
+        file: PathBuf,
+    },
+    /// Cancel a job, also ahead of its submission
+    Cancel {
+        /// Id of the job
+        id: String,
+    },
+    /// Show where a job stands, and why
+    Show {
+        /// Id of the job
+        id: String,
+    },
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum Keys {
     /// Make the fleet's authority in a new folder
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -38,6 +38,7 @@
         Command::Member(member) => {
             show::reply(&client.change_member(&member.change())?, arguments.json)
         }
+        Command::Job(command) => job::run(&client, command, arguments.json),
         Command::Keys(command) => keys::run(command),
     }
 }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -3,6 +3,7 @@
 /// The loop that reduces events and hands out effects.
 pub(crate) struct Engine {
     pub(crate) state: node::State,
+    pub(crate) recording: Option<Recording>,
     pub(crate) clock: Clock,
     pub(crate) inbox: Receiver<Event>,
     pub(crate) transport: Arc<wire::Transport>,
@@ -16,32 +17,64 @@
 /// Longest wait for an event.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
+/// Between two looks at whether the last answers have gone out.
+const FINISH_POLL: Duration = Duration::from_millis(5);
+
+/// Shortest time for which requests are refused before the daemon ends, so that callers whose last
+/// request was just answered find out on the same connection.
+const MIN_REFUSAL: Duration = Duration::from_millis(500);
+
+/// Longest wait for clients to take the last answers.
+const MAX_FINISH: Duration = Duration::from_secs(30);
+
 impl Engine {
-    /// Runs until the daemon has stopped.
+    /// Runs until the daemon has stopped and every answer has gone out.
     pub(crate) fn run(mut self) {
         let mut timers = timer::Queue::default();
-        let mut stopped = self.step(Event::Start, &mut timers);
-        while !stopped {
+        let mut stopped = self.step(Event::Start, &mut timers).then(Instant::now);
+        while !stopped.is_some_and(|since| self.is_finished(since)) {
+            let longest = if stopped.is_some() { FINISH_POLL } else { MAX_WAIT };
             let now = self.clock.now();
-            let wait =
-                timers.next_due().map_or(MAX_WAIT, |at| at.saturating_sub(now)).min(MAX_WAIT);
-            stopped = match self.inbox.recv_timeout(wait) {
+            let due = timers.next_due().map(|at| at.saturating_sub(now));
+            let ends = match self.inbox.recv_timeout(due.unwrap_or(longest).min(longest)) {
                 Ok(event) => self.step(event, &mut timers),
                 Err(RecvTimeoutError::Timeout) => false,
-                Err(RecvTimeoutError::Disconnected) => true,
+                Err(RecvTimeoutError::Disconnected) => return,
             };
+            stopped = stopped.or_else(|| ends.then(Instant::now));
             while let Some(timer) = timers.pop(self.clock.now()) {
-                stopped |= self.step(Event::Timer(timer), &mut timers);
+                let ends = self.step(Event::Timer(timer), &mut timers);
+                stopped = stopped.or_else(|| ends.then(Instant::now));
             }
         }
-        self.callers.finish();
+    }
+
+    /// Reduces one event, and records it where that is asked for.
+    fn reduce(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let Some(recording) = &mut self.recording else { return self.state.reduce(now, event) };
+        let effects = self.state.reduce(now, event.clone());
+        let step = Step { now, event, effects: Step::hash(&effects) };
+        if let Err(error) = recording.push(&step).and_then(|()| recording.flush()) {
+            log::error!("recording failed, and ends: {error}");
+            self.recording = None;
+        }
+        effects
+    }
+
+    /// Whether nothing is left to do for a daemon that stopped at `since`.
+    fn is_finished(&self, since: Instant) -> bool {
+        if since.elapsed() > MAX_FINISH {
+            log::error!("clients did not take their answers in time");
+            return true;
+        }
+        since.elapsed() > MIN_REFUSAL && self.inbox.is_empty() && self.callers.is_idle()
     }
 
     /// Reduces one event; whether the daemon has stopped.
     fn step(&mut self, event: Event, timers: &mut timer::Queue<node::Timer>) -> bool {
         let now = self.clock.now();
         let mut stopped = false;
-        let effects = self.state.reduce(now, event);
+        let effects = self.reduce(now, event);
         self.callers.set_view_until(self.state.view_until());
         for effect in effects {
             match effect {
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -9,9 +9,10 @@
     address: SocketAddr,
     tokens: Tokens,
     events: Sender<Event>,
+    scrape: Scrape,
 ) -> eyre::Result<Tickets<node::operator::Reply>> {
     let tickets = Tickets::default();
-    let edge = Edge { tickets: tickets.clone(), tokens, events };
+    let edge = Edge { tickets: tickets.clone(), tokens, events, scrape };
     http::serve(address, Limits::OPERATORS, move |request| edge.handle(request))?;
     Ok(tickets)
 }
@@ -21,6 +22,7 @@
     tickets: Tickets<node::operator::Reply>,
     tokens: Tokens,
     events: Sender<Event>,
+    scrape: Scrape,
 }
 
 /// Findings in a configuration.
@@ -64,6 +66,13 @@
     }
 }
 
+/// A job that a team submits.
+#[derive(serde::Deserialize)]
+struct Submission {
+    id: Name,
+    job: model::Job,
+}
+
 impl Edge {
     fn handle(&self, request: tiny_http::Request) {
         let path = request.url().to_owned();
@@ -78,6 +87,7 @@
             (tiny_http::Method::Get, "/v1/status") => {
                 self.ask(request, node::operator::Call::Status);
             }
+            (tiny_http::Method::Get, "/metrics") => self.metrics(request),
             (tiny_http::Method::Get, "/v1/waves") => self.ask(request, node::operator::Call::Waves),
             (tiny_http::Method::Get, "/v1/history") => {
                 self.ask(request, node::operator::Call::History);
@@ -87,6 +97,11 @@
             (tiny_http::Method::Post, "/v1/waves") => self.maintain(request, operator),
             (tiny_http::Method::Post, "/v1/forget") => self.forget(request, operator),
             (tiny_http::Method::Post, "/v1/members") => self.change_member(request),
+            (tiny_http::Method::Post, "/v1/jobs") => self.submit(request),
+            (tiny_http::Method::Delete, path) => match path.strip_prefix("/v1/jobs/") {
+                Some(id) => self.ask(request, node::operator::Call::CancelJob(id.into())),
+                None => unknown(request, path),
+            },
             _ => unknown(request, &path),
         }
     }
@@ -95,6 +110,9 @@
         if let Some(revision) = path.strip_prefix("/v1/config/").and_then(|r| r.parse().ok()) {
             return self.ask(request, node::operator::Call::Past(revision));
         }
+        if let Some(id) = path.strip_prefix("/v1/jobs/") {
+            return self.ask(request, node::operator::Call::Job(id.into()));
+        }
         match path.strip_prefix("/v1/explain?").and_then(subject) {
             Some(subject) => self.ask(request, node::operator::Call::Explain(subject)),
             None => unknown(request, path),
@@ -116,6 +134,15 @@
         }
     }
 
+    fn submit(&self, mut request: tiny_http::Request) {
+        match http::json::<Submission>(&mut request, MAX_BODY_BYTES) {
+            Ok(Submission { id, job }) => {
+                self.ask(request, node::operator::Call::Submit { id, job: Box::new(job) });
+            }
+            Err(failure) => http::respond(request, failure.status, &failure),
+        }
+    }
+
     fn forget(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let Some((id, author)) = sender(&request, operator) else { return unsigned(request) };
         match http::json::<Lost>(&mut request, MAX_BODY_BYTES) {
@@ -127,6 +154,17 @@
         }
     }
 
+    fn metrics(&self, request: tiny_http::Request) {
+        let call = node::operator::Call::Status;
+        let reply = self.tickets.ask(&self.events, |ticket| Event::Operator { ticket, call });
+        let Some(node::operator::Reply::Status(status)) = reply else {
+            return http::respond(request, 504, &http::failure("daemon gave no status in time"));
+        };
+        let response = tiny_http::Response::from_data(self.scrape.text(&status))
+            .with_header(header::make("Content-Type", scrape::CONTENT_TYPE));
+        http::send(request, response);
+    }
+
     fn apply(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let body = match http::body(&mut request, MAX_BODY_BYTES) {
             Ok(body) => body,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,6 +22,9 @@
     ticked: Time,
     view: bool,
     stopping: bool,
+    /// How long requests are still taken once the health check fails on purpose.
+    stop_grace: Duration,
+    draining: bool,
 }
 
 impl State {
@@ -40,9 +43,16 @@
             ticked: Duration::ZERO,
             view: false,
             stopping: false,
+            stop_grace: Duration::ZERO,
+            draining: false,
         }
     }
 
+    /// Takes requests for `grace` after the health check began to fail for a stop.
+    pub fn with_stop_grace(self, grace: Duration) -> Self {
+        Self { stop_grace: grace, ..self }
+    }
+
     /// Until when the daemon may act on its configuration.
     pub fn view_until(&self) -> Time {
         self.quorum.view_until()
@@ -63,10 +73,10 @@
             Event::Upstream { ticket, call } => self.on_upstream(now, ticket, call, &mut effects),
             Event::Platform(report) => self.on_platform(now, report, &mut effects),
             Event::Route(event) => self.route(now, event, &mut effects),
-            Event::Stop => self.stop(now, &mut effects),
+            Event::Stop => self.stop(&mut effects),
         }
         self.look_at_view(now, &mut effects);
-        if self.stopping && self.route.pending() == 0 {
+        if self.draining && self.route.pending() == 0 {
             effects.push(Effect::Stopped);
         }
         effects
@@ -78,9 +88,18 @@
         self.agree(now, quorum::Event::Start, effects);
     }
 
-    fn stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Fails the health check first, so that the balancer has time to send callers elsewhere.
+    fn stop(&mut self, effects: &mut Vec<Effect>) {
+        if self.stopping {
+            return;
+        }
         self.stopping = true;
         effects.push(Effect::Health(false));
+        effects.push(Effect::Subscribe { timer: Timer::Grace, after: self.stop_grace });
+    }
+
+    fn drain(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.draining = true;
         self.route(now, route::Event::Stop, effects);
     }
 
@@ -98,6 +117,7 @@
             Timer::Quorum(timer) => self.agree(now, quorum::Event::Timer(timer), effects),
             Timer::Route(timer) => self.route(now, route::Event::Timer(timer), effects),
             Timer::Beat => self.beat(now, effects),
+            Timer::Grace => self.drain(now, effects),
         }
     }
 
@@ -136,6 +156,18 @@
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
             operator::Call::Member(change) => self.change_member(now, change, effects),
+            operator::Call::Submit { id, job } => {
+                let command = place::Command::Submit { id, job: *job }.into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
+            operator::Call::CancelJob(id) => {
+                let command = place::Command::Cancel { id }.into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
+            operator::Call::Job(job) => {
+                let standing = self.replica.place.explain(&job);
+                operator::Reply::Job { job, standing }
+            }
             operator::Call::Status => operator::Reply::Status(self.status(now)),
             call => view::reply(&self.replica.fleet, call),
         };
@@ -311,6 +343,7 @@
     fn on_outcome(&mut self, now: Time, outcome: Outcome, effects: &mut Vec<Effect>) {
         match outcome {
             Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
+            Outcome::Place(_) => {}
             Outcome::Route(verdict) => self.route(now, route::Event::Decided(verdict), effects),
         }
     }
@@ -327,12 +360,8 @@
                 effects.push(Effect::Upstream { ticket, reply: upstream::Reply::Done });
             }
             Some(Caller::Operator(ticket)) => {
-                let verdict = outcomes.iter().find_map(|outcome| match outcome {
-                    Outcome::Fleet(fleet::Effect::Verdict { verdict, .. }) => Some(verdict.clone()),
-                    _ => None,
-                });
-                let Some(verdict) = verdict else { return };
-                let reply = operator::Reply::Applied { verdict, index };
+                let reply = outcomes.iter().find_map(|outcome| operator::Reply::to(outcome, index));
+                let Some(reply) = reply else { return };
                 effects.push(Effect::Operator { ticket, reply });
             }
             None => {}
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -67,7 +67,7 @@
         add(format!("instance {name}"), format!("labels = {}\n", instance.labels));
     }
     for (name, team) in &config.teams {
-        add(format!("team {name}"), teams::text(&team.quota));
+        add(format!("team {name}"), teams::body(team.quota));
     }
     if config.policy != Policy::default() {
         add("policy".into(), policy_body(&config.policy));
