--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -36,6 +36,9 @@
         }
         Command::Status => show::reply(&client.status()?, arguments.json),
         Command::Job(command) => job::run(&client, command, arguments.json),
+        Command::Member(member) => {
+            show::reply(&client.change_member(&member.change())?, arguments.json)
+        }
         Command::Keys(command) => keys::run(command),
     }
 }
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -19,7 +19,9 @@
     next: Arc<AtomicU64>,
     held: Arc<Mutex<Map<route::RequestId, Held>>>,
     kept: Arc<Mutex<Kept>>,
-    answering: Arc<AtomicU64>,
+    /// Requests that were taken and whose answers have not gone out.
+    busy: Arc<AtomicU64>,
+    metrics: Arc<metric::Metrics>,
 }
 
 /// Largest body of a request, in bytes.
@@ -28,8 +30,8 @@
 /// Tenant of a caller that names none.
 const NO_TENANT: &str = "none";
 
-/// Between two looks at whether the last answers have gone out.
-const FINISH_POLL: Duration = Duration::from_millis(5);
+/// Reason of a request that was refused before it was looked at.
+const INVALID: &str = "request is not valid";
 
 /// Methods that are passed on.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"];
@@ -54,7 +56,8 @@
             next: Arc::default(),
             held: Arc::default(),
             kept: Arc::default(),
-            answering: Arc::default(),
+            busy: Arc::default(),
+            metrics: Arc::default(),
         };
         let handler = edge.clone();
         Acceptor::start(settings.listen.callers, Limits::CALLERS, move |request| {
@@ -81,13 +84,20 @@
     /// Answers a caller.
     pub(crate) fn answer(&self, request: route::RequestId, outcome: route::Outcome) {
         let Some(held) = lock(&self.edge.held).remove(&request) else { return };
-        let answering = self.edge.answering.clone();
-        answering.fetch_add(1, Ordering::AcqRel);
         let kept = self.edge.kept.clone();
-        self.edge.pool.run(move || {
-            response::answer(held, outcome, &kept);
-            answering.fetch_sub(1, Ordering::AcqRel);
-        });
+        let metrics = self.edge.metrics.clone();
+        self.edge.pool.run(move || response::answer(held, outcome, &kept, &metrics));
+    }
+
+    /// What the metrics are made from.
+    pub(crate) fn scrape(&self) -> Scrape {
+        Scrape { metrics: self.edge.metrics.clone(), busy: self.edge.busy.clone() }
+    }
+
+    /// Ids of the requests that have no answer yet.
+    pub(crate) fn in_flight(&self) -> impl Fn() -> Vec<String> + use<> {
+        let held = self.edge.held.clone();
+        move || lock(&held).values().map(|held| held.call.id.clone()).collect()
     }
 
     /// Keeps the answer of `attempt` for resends of `request`.
@@ -107,34 +117,37 @@
         lock(&self.edge.kept).get(request).map_or(unknown, route::Fate::Run)
     }
 
-    /// Waits until the last answers have gone out.
-    pub(crate) fn finish(&self) {
-        while self.edge.answering.load(Ordering::Acquire) > 0 {
-            thread::sleep(FINISH_POLL);
-        }
+    /// Whether every request that was taken has its answer.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.edge.busy.load(Ordering::Acquire) == 0
     }
 }
 
 impl Edge {
     /// Takes a request from the edge; whatever may wait for its client happens on another thread.
     fn take(&self, request: tiny_http::Request) {
+        let busy = Busy::enter(&self.busy);
         if request.url().starts_with("/call/") && http::is_read_ahead(&request) {
-            return self.handle(request);
+            return self.handle(request, busy);
         }
         let edge = self.clone();
-        self.pool.run(move || edge.handle(request));
+        self.pool.run(move || edge.handle(request, busy));
     }
 
-    fn handle(&self, mut request: tiny_http::Request) {
+    fn handle(&self, mut request: tiny_http::Request, busy: Busy) {
         if request.url() == "/health" {
             return self.health(request);
         }
         let number = self.next.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}-{number}", self.prefix);
         match self.read(&mut request, number, id.clone()) {
-            Ok((call, arrival)) => self.hold(request, call, arrival),
+            Ok((call, arrival)) => self.hold(request, call, arrival, busy),
             Err(failure) => {
-                self.pool.run(move || response::refuse(request, &id, &failure));
+                self.metrics.count(header::NOT_RUN, INVALID);
+                self.pool.run(move || {
+                    response::refuse(request, &id, &failure);
+                    drop(busy);
+                });
             }
         }
     }
@@ -160,8 +173,9 @@
         let headers = headers.map(|h| (h.field.as_str().as_str(), h.value.as_str()));
         let headers = header::passed(headers, connection);
         let method = request.method().to_string();
+        let service_name = service.to_string();
         let fingerprint = route::Fingerprint::new(&method, &service, &path, &body);
-        let call = Call { id, method, path, kind, tenant, headers, body };
+        let call = Call { id, method, service: service_name, path, kind, tenant, headers, body };
         let arrival = route::Request {
             id: number,
             service,
@@ -174,8 +188,14 @@
         Ok((call, arrival))
     }
 
-    fn hold(&self, request: tiny_http::Request, call: Call, arrival: route::Request) {
-        let held = Held { request, call: Arc::new(call), answers: BTreeMap::new() };
+    fn hold(&self, request: tiny_http::Request, call: Call, arrival: route::Request, busy: Busy) {
+        let held = Held {
+            request,
+            call: Arc::new(call),
+            answers: BTreeMap::new(),
+            trace: Trace::start(),
+            _busy: busy,
+        };
         lock(&self.held).insert(arrival.id, held);
         self.events.send(Event::Route(route::Event::Arrive(arrival))).ok();
     }
@@ -188,13 +208,21 @@
     }
 
     fn attempt(&self, attempt: &route::Attempt) {
-        let call = lock(&self.held).get(&attempt.request).map(|held| held.call.clone());
-        let (report, answer) = match call {
-            Some(call) if self.may_send() => outbound::send(attempt, &call, self.clock),
+        let call = lock(&self.held).get_mut(&attempt.request).map(|held| {
+            held.trace.attempt();
+            held.call.clone()
+        });
+        let started = Instant::now();
+        let (report, answer) = match &call {
+            Some(call) if self.may_send() => outbound::send(attempt, call, self.clock),
             _ => (route::Report::NotSent, None),
         };
+        if let Some(call) = &call {
+            note(attempt, call, report);
+        }
         let mut held = lock(&self.held);
         if let (Some(held), Some(answer)) = (held.get_mut(&attempt.request), answer) {
+            held.trace.answer(started.elapsed());
             held.answers.insert(attempt.id, answer);
         }
         drop(held);
@@ -209,6 +237,17 @@
     }
 }
 
+/// Logs an attempt that may have run and was not answered.
+fn note(attempt: &route::Attempt, call: &Call, report: route::Report) {
+    if matches!(report, route::Report::Broken | route::Report::Late) {
+        log::warn!(
+            request = &*call.id, attempt = attempt.id, instance = &*attempt.instance,
+            report = report.to_string();
+            "attempt failed"
+        );
+    }
+}
+
 fn check_head(request: &tiny_http::Request) -> Result<(), http::Failure> {
     let headers = request.headers();
     let bytes = headers.iter().map(|h| h.field.as_str().as_str().len() + h.value.as_str().len());
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod acceptor;
 mod arguments;
+mod busy;
 mod call;
 mod callers;
 mod clock;
@@ -46,17 +47,19 @@
 mod renewal;
 mod response;
 mod run;
+mod scrape;
 mod signals;
 mod tickets;
 mod tokens;
+mod trace;
 mod upstreams;
 
 use route::Answer;
 pub use run::run;
 use {
-    acceptor::Acceptor, arguments::Arguments, call::Call, callers::Callers, clock::Clock,
-    disk::Disk, engine::Engine, held::Held, kept::Kept, limits::Limits, pool::Pool,
-    refused::Refused, tickets::Tickets, tokens::Tokens,
+    acceptor::Acceptor, arguments::Arguments, busy::Busy, call::Call, callers::Callers,
+    clock::Clock, disk::Disk, engine::Engine, held::Held, kept::Kept, limits::Limits, pool::Pool,
+    refused::Refused, scrape::Scrape, tickets::Tickets, tokens::Tokens, trace::Trace,
 };
 
 /// Locks `mutex`; a thread that panicked while it held the lock left whole data behind.
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -9,9 +9,10 @@
     address: SocketAddr,
     tokens: Tokens,
     events: Sender<Event>,
+    scrape: Scrape,
 ) -> eyre::Result<Tickets<node::operator::Reply>> {
     let tickets = Tickets::default();
-    let edge = Edge { tickets: tickets.clone(), tokens, events };
+    let edge = Edge { tickets: tickets.clone(), tokens, events, scrape };
     http::serve(address, Limits::OPERATORS, move |request| edge.handle(request))?;
     Ok(tickets)
 }
@@ -21,6 +22,7 @@
     tickets: Tickets<node::operator::Reply>,
     tokens: Tokens,
     events: Sender<Event>,
+    scrape: Scrape,
 }
 
 /// Findings in a configuration.
@@ -85,6 +87,7 @@
             (tiny_http::Method::Get, "/v1/status") => {
                 self.ask(request, node::operator::Call::Status);
             }
+            (tiny_http::Method::Get, "/metrics") => self.metrics(request),
             (tiny_http::Method::Get, "/v1/waves") => self.ask(request, node::operator::Call::Waves),
             (tiny_http::Method::Get, "/v1/history") => {
                 self.ask(request, node::operator::Call::History);
@@ -98,6 +101,7 @@
                 Some(id) => self.ask(request, node::operator::Call::CancelJob(id.into())),
                 None => unknown(request, path),
             },
+            (tiny_http::Method::Post, "/v1/members") => self.change_member(request),
             _ => unknown(request, &path),
         }
     }
@@ -150,6 +154,17 @@
         }
     }
 
+    fn metrics(&self, request: tiny_http::Request) {
+        let call = node::operator::Call::Status;
+        let reply = self.tickets.ask(&self.events, |ticket| Event::Operator { ticket, call });
+        let Some(node::operator::Reply::Status(status)) = reply else {
+            return http::respond(request, 504, &http::failure("daemon gave no status in time"));
+        };
+        let response = tiny_http::Response::from_data(self.scrape.text(&status))
+            .with_header(header::make("Content-Type", scrape::CONTENT_TYPE));
+        http::send(request, response);
+    }
+
     fn apply(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let body = match http::body(&mut request, MAX_BODY_BYTES) {
             Ok(body) => body,
@@ -172,6 +187,13 @@
         }
     }
 
+    fn change_member(&self, mut request: tiny_http::Request) {
+        match http::json(&mut request, MAX_BODY_BYTES) {
+            Ok(change) => self.ask(request, node::operator::Call::Member(change)),
+            Err(failure) => http::respond(request, failure.status, &failure),
+        }
+    }
+
     fn ask(&self, request: tiny_http::Request, call: node::operator::Call) {
         let reply = self.tickets.ask(&self.events, |ticket| Event::Operator { ticket, call });
         let reply = reply.unwrap_or(node::operator::Reply::Unknown);
@@ -183,12 +205,12 @@
     match reply {
         node::operator::Reply::Applied { verdict, .. } if verdict.refused() => 409,
         node::operator::Reply::NoRevision { .. } => 404,
+        node::operator::Reply::Unchanged { .. } => 409,
         node::operator::Reply::Unknown => 504,
         _ => 200,
     }
 }
 
-/// Id of a request and who asks.
 /// Id and author of a request that changes something; a token names the author where there is one.
 fn sender(request: &tiny_http::Request, operator: Option<Name>) -> Option<(Name, Name)> {
     let id = header::get(request, "Request-Id")?;
--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -56,7 +56,7 @@
             location: Location {
                 region: "local".into(),
                 data_center: "local-a".into(),
-                rack: format!("rack-{}", number / RUNNERS_PER_RACK).into(),
+                rack: format!("rack{}-{}", settings.suffix, number / RUNNERS_PER_RACK).into(),
             },
             labels: Labels::default(),
         };
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,6 +22,9 @@
     ticked: Time,
     view: bool,
     stopping: bool,
+    /// How long requests are still taken once the health check fails on purpose.
+    stop_grace: Duration,
+    draining: bool,
 }
 
 impl State {
@@ -40,9 +43,16 @@
             ticked: Duration::ZERO,
             view: false,
             stopping: false,
+            stop_grace: Duration::ZERO,
+            draining: false,
         }
     }
 
+    /// Takes requests for `grace` after the health check began to fail for a stop.
+    pub fn with_stop_grace(self, grace: Duration) -> Self {
+        Self { stop_grace: grace, ..self }
+    }
+
     /// Until when the daemon may act on its configuration.
     pub fn view_until(&self) -> Time {
         self.quorum.view_until()
@@ -63,10 +73,10 @@
             Event::Upstream { ticket, call } => self.on_upstream(now, ticket, call, &mut effects),
             Event::Platform(report) => self.on_platform(now, report, &mut effects),
             Event::Route(event) => self.route(now, event, &mut effects),
-            Event::Stop => self.stop(now, &mut effects),
+            Event::Stop => self.stop(&mut effects),
         }
         self.look_at_view(now, &mut effects);
-        if self.stopping && self.route.pending() == 0 {
+        if self.draining && self.route.pending() == 0 {
             effects.push(Effect::Stopped);
         }
         effects
@@ -78,9 +88,18 @@
         self.agree(now, quorum::Event::Start, effects);
     }
 
-    fn stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Fails the health check first, so that the balancer has time to send callers elsewhere.
+    fn stop(&mut self, effects: &mut Vec<Effect>) {
+        if self.stopping {
+            return;
+        }
         self.stopping = true;
         effects.push(Effect::Health(false));
+        effects.push(Effect::Subscribe { timer: Timer::Grace, after: self.stop_grace });
+    }
+
+    fn drain(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.draining = true;
         self.route(now, route::Event::Stop, effects);
     }
 
@@ -98,6 +117,7 @@
             Timer::Quorum(timer) => self.agree(now, quorum::Event::Timer(timer), effects),
             Timer::Route(timer) => self.route(now, route::Event::Timer(timer), effects),
             Timer::Beat => self.beat(now, effects),
+            Timer::Grace => self.drain(now, effects),
         }
     }
 
@@ -147,6 +167,7 @@
                 let standing = self.replica.place.explain(&job);
                 operator::Reply::Job { job, standing }
             }
+            operator::Call::Member(change) => self.change_member(now, change, effects),
             operator::Call::Status => operator::Reply::Status(self.status(now)),
             call => view::reply(&self.replica.fleet, call),
         };
@@ -157,6 +178,8 @@
         operator::Status {
             daemon: self.id.clone(),
             leader: self.quorum.leader().cloned(),
+            members: self.quorum.members().iter().map(|(n, m)| (n.clone(), m)).collect(),
+            lost_disk: self.quorum.lost_disk(),
             term: self.quorum.term(),
             view: self.quorum.has_view(now),
             revision: self.replica.fleet.revision(),
@@ -229,19 +252,44 @@
 
     fn agree(&mut self, now: Time, event: quorum::Event, effects: &mut Vec<Effect>) {
         for effect in self.quorum.reduce(now, event) {
+            self.on_quorum(now, effect, effects);
+        }
+    }
+
+    fn change_member(
+        &mut self,
+        now: Time,
+        change: quorum::Change,
+        effects: &mut Vec<Effect>,
+    ) -> operator::Reply {
+        let mut reply = operator::Reply::Unknown;
+        for effect in self.quorum.reduce(now, quorum::Event::Change(change)) {
             match effect {
-                quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
-                quorum::Effect::Send { to, message } => {
-                    effects.push(Effect::Send { to, message: Message::Quorum(message) });
-                }
-                quorum::Effect::Subscribe { timer, after } => {
-                    effects.push(Effect::Subscribe { timer: timer.into(), after });
+                quorum::Effect::Changed(Ok(index)) => reply = operator::Reply::Changing { index },
+                quorum::Effect::Changed(Err(refusal)) => {
+                    let leader = self.quorum.leader().cloned();
+                    reply = operator::Reply::Unchanged { refusal, leader };
                 }
-                quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
-                quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
-                quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
-                quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
+                effect => self.on_quorum(now, effect, effects),
+            }
+        }
+        reply
+    }
+
+    fn on_quorum(&mut self, now: Time, effect: quorum::Effect, effects: &mut Vec<Effect>) {
+        match effect {
+            quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
+            quorum::Effect::Send { to, message } => {
+                effects.push(Effect::Send { to, message: Message::Quorum(message) });
+            }
+            quorum::Effect::Subscribe { timer, after } => {
+                effects.push(Effect::Subscribe { timer: timer.into(), after });
             }
+            quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
+            quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
+            quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
+            quorum::Effect::Changed(_) => {}
+            quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
         }
     }
 
@@ -408,7 +456,7 @@
         if !self.quorum.leads() || self.proposals.awaits_step() {
             return;
         }
-        let members = self.quorum.members().keys().cloned().collect();
+        let members = self.quorum.members().iter().map(|(name, _)| name.clone()).collect();
         for command in self.steward.commands(now, &self.replica.fleet, &members) {
             self.propose(now, command.into(), None, effects);
         }
--- a/crates/quorum/src/leading.rs
+++ b/crates/quorum/src/leading.rs
@@ -5,13 +5,15 @@
 impl State {
     pub(crate) fn on_propose(&mut self, now: Time, command: Vec<u8>, effects: &mut Vec<Effect>) {
         if self.leads() {
-            self.append(now, command, effects);
+            self.append(now, Entry { term: self.term, command, members: None }, effects);
         }
     }
 
-    pub(crate) fn append(&mut self, now: Time, command: Vec<u8>, effects: &mut Vec<Effect>) {
-        let entry = Entry { term: self.term, command };
+    pub(crate) fn append(&mut self, now: Time, entry: Entry, effects: &mut Vec<Effect>) {
         self.log.push(entry.clone());
+        if entry.members.is_some() {
+            self.refresh_members(now);
+        }
         let first = self.log.last_index();
         effects.push(Effect::Persist(Record::Entries { first, entries: vec![entry] }));
         self.replicate(now, effects);
@@ -50,18 +52,30 @@
 
     /// Latest time at which a majority is known to have followed this leader.
     pub(crate) fn led_at(&self, now: Time) -> Option<Time> {
+        self.majority_at(now, |progress| progress.answered)
+    }
+
+    /// Highest value that a majority has reached, given this member's own.
+    fn majority_at<T: Ord + Copy>(
+        &self,
+        own: T,
+        value: impl Fn(&Progress) -> Option<T>,
+    ) -> Option<T> {
         let Standing::Leader { progress, .. } = &self.standing else { return None };
-        let voters = progress.iter().filter(|(name, _)| self.is_voter(name));
-        let mut answered: Vec<_> = voters.filter_map(|(_, progress)| progress.answered).collect();
-        answered.push(now);
-        answered.sort_unstable_by(|a, b| b.cmp(a));
-        answered.get(self.majority() - 1).copied()
+        let voters = progress.iter().filter(|(name, peer)| self.members.counts(name, peer.disk));
+        let mut values: Vec<_> = voters.filter_map(|(_, progress)| value(progress)).collect();
+        values.extend(Some(own).filter(|_| self.members.counts(&self.id, self.disk)));
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.members.majority() - 1).copied()
     }
 
+    /// Whether this leader may grant view leases: a majority follows it, and whoever is elected next
+    /// knows the same members, since their entry is committed.
     pub(crate) fn may_grant(&self, now: Time) -> bool {
         let Standing::Leader { opened, .. } = self.standing else { return false };
         let Some(led_at) = self.led_at(now) else { return false };
-        self.commit >= opened && now < led_at + Timing::LEADER_LEASE
+        let known = self.commit >= opened.max(self.members_index);
+        known && now < led_at + Timing::LEADER_LEASE
     }
 
     pub(crate) fn on_heartbeat(&mut self, now: Time, effects: &mut Vec<Effect>) {
@@ -83,7 +97,7 @@
     fn beat_due(&self, now: Time) -> Vec<Name> {
         let Standing::Leader { progress, .. } = &self.standing else { return Vec::new() };
         let due = progress.iter().filter(|(name, progress)| {
-            self.is_voter(name) || progress.sent + Timing::OBSERVER_HEARTBEAT <= now
+            self.members.is_voter(name) || progress.sent + Timing::OBSERVER_HEARTBEAT <= now
         });
         due.map(|(name, _)| name.clone()).collect()
     }
@@ -95,7 +109,7 @@
         message: Message,
         effects: &mut Vec<Effect>,
     ) {
-        let Message::Appended { term, matched, index, applied, sent, stamp } = message else {
+        let Message::Appended { term, matched, index, applied, sent, stamp, disk } = message else {
             return;
         };
         if term > self.term {
@@ -106,6 +120,7 @@
         let Some(peer) = progress.get_mut(&from).filter(|_| term == self.term) else { return };
         peer.answered = peer.answered.max(Some(sent));
         peer.stamp = Some(stamp);
+        peer.disk = disk;
         peer.granted_until = now + Timing::VIEW_LEASE + Timing::DRIFT;
         peer.applied = applied;
         peer.transfer = peer.transfer.filter(|transfer| !matched || transfer.index > index);
@@ -138,15 +153,12 @@
     }
 
     pub(crate) fn commit_majority(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let Standing::Leader { progress, .. } = &self.standing else { return };
-        let voters = progress.iter().filter(|(name, _)| self.is_voter(name));
-        let mut matched: Vec<_> = voters.map(|(_, progress)| progress.matched).collect();
-        matched.push(self.synced);
-        matched.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(commit) = matched.get(self.majority() - 1).copied() else { return };
+        let commit = self.majority_at(self.synced, |progress| Some(progress.matched));
+        let Some(commit) = commit else { return };
         if commit > self.commit && self.log.term(commit) == Some(self.term) {
             self.advance_commit(commit, effects);
             self.replicate(now, effects);
+            self.retire(effects);
         }
     }
 
@@ -155,6 +167,9 @@
             self.view_until = self.view_until.max(led_at + Timing::VIEW_LEASE);
         }
         let Standing::Leader { progress, .. } = &self.standing else { return };
+        if now < self.hold_until {
+            return;
+        }
         let holders = progress.values().filter(|progress| now < progress.granted_until);
         let slowest = holders.map(|progress| progress.applied).min().unwrap_or(self.applied);
         self.forced = self.forced.max(slowest.min(self.applied));
--- a/crates/quorum/src/restored.rs
+++ b/crates/quorum/src/restored.rs
@@ -3,6 +3,8 @@
 /// What a member finds on its disk at start.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Restored {
+    /// Identity of the disk.
+    pub disk: Option<Disk>,
     /// Highest term seen.
     pub term: Term,
     /// Member voted for in that term.
--- a/crates/quorum/tests/leases.rs
+++ b/crates/quorum/tests/leases.rs
@@ -13,7 +13,8 @@
 fn member(id: &str, boot: u64) -> State {
     let roles = [("leader", Role::Voter), ("voter", Role::Voter), ("observer", Role::Observer)];
     let members = roles.map(|(name, role)| (Name::from(name), role)).into();
-    let mut state = State::new(id.into(), members, Restored::default(), boot);
+    let restored = Restored { disk: Some(1), ..Restored::default() };
+    let mut state = State::new(id.into(), members, restored, boot);
     state.reduce(Time::ZERO, Event::Start);
     state
 }
--- /dev/null
+++ b/crates/quorum/tests/membership.rs
@@ -0,0 +1,150 @@
+//! Changes of members, one case a test.
+
+use {
+    model::{Name, Time},
+    quorum::{
+        Change, Effect, Entry, Event, Member, Members, Message, Refusal, Restored, Role, State,
+        Timing,
+    },
+    std::collections::BTreeMap,
+};
+
+const OWN_DISK: u64 = 1;
+
+fn roles() -> BTreeMap<Name, Role> {
+    ["a", "b", "c"].map(|name| (Name::from(name), Role::Voter)).into()
+}
+
+/// Members called `a`, `b` and `c`; those with a disk are voters.
+fn members(disks: [Option<u64>; 3]) -> Members {
+    let entry = |(name, disk): (&str, Option<u64>)| {
+        let role = if disk.is_some() { Role::Voter } else { Role::Observer };
+        (Name::from(name), Member { role, disk })
+    };
+    ["a", "b", "c"].into_iter().zip(disks).map(entry).collect()
+}
+
+fn started(restored: Restored) -> State {
+    let mut state = State::new("a".into(), roles(), restored, 1);
+    state.reduce(Time::ZERO, Event::Start);
+    state
+}
+
+fn with_log(changes: &[Members]) -> State {
+    let entry = |members: &Members| {
+        let members = Some(members.clone());
+        Entry { term: 1, command: Vec::new(), members }
+    };
+    let entries = changes.iter().map(entry).collect();
+    started(Restored { disk: Some(OWN_DISK), term: 1, entries, ..Restored::default() })
+}
+
+fn asked(state: &mut State, last_index: u64, last_term: u64) -> Vec<Effect> {
+    let message = Message::Ask { term: 2, pre: false, last_index, last_term };
+    state.reduce(Timing::ELECTION_MAX, Event::Message { from: "b".into(), message })
+}
+
+fn granted(effects: &[Effect]) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send { message: Message::Vote { granted: true, disk, .. }, .. } => Some(*disk),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_member_votes_though_its_own_log_no_longer_counts_it() {
+    let founding = members([Some(OWN_DISK), Some(2), Some(3)]);
+    let without = members([None, Some(2), Some(3)]);
+    let mut state = with_log(&[founding, without]);
+    assert_eq!(granted(&asked(&mut state, 2, 1)), Some(OWN_DISK));
+}
+
+#[test]
+fn a_founded_voter_helps_no_second_founding() {
+    let mut state = with_log(&[members([Some(OWN_DISK), Some(2), Some(3)])]);
+    assert_eq!(granted(&asked(&mut state, 0, 0)), None);
+}
+
+#[test]
+fn two_voters_of_three_found_no_log() {
+    let mut state = started(Restored { disk: Some(OWN_DISK), ..Restored::default() });
+    state.reduce(Timing::ELECTION_MAX, Event::Timer(quorum::Timer::Election));
+    let vote = |term, pre| Message::Vote { term, pre, granted: true, disk: 2 };
+    for message in [vote(1, true), vote(1, false)] {
+        state.reduce(Timing::ELECTION_MAX, Event::Message { from: "b".into(), message });
+    }
+    assert!(!state.leads());
+    assert_eq!(state.term(), 0);
+}
+
+#[test]
+fn a_voter_with_another_disk_knows_it_and_stands_in_no_election() {
+    let mut state = with_log(&[members([Some(9), Some(2), Some(3)])]);
+    assert!(state.lost_disk());
+    let effects = state.reduce(Timing::ELECTION_MAX, Event::Timer(quorum::Timer::Election));
+    assert_eq!(effects, []);
+}
+
+#[test]
+fn only_the_leader_changes_members() {
+    let mut state = with_log(&[members([Some(OWN_DISK), Some(2), Some(3)])]);
+    let effects = state.reduce(Time::ZERO, Event::Change(Change::Remove("b".into())));
+    assert_eq!(effects, [Effect::Changed(Err(Refusal::NotLeader))]);
+}
+
+fn from_b(state: &mut State, now: Time, message: Message) {
+    state.reduce(now, Event::Message { from: "b".into(), message });
+}
+
+/// A leader that has just opened term 2 with entry 2, with `b` as the only other voter.
+fn leader(now: Time) -> State {
+    let mut state = with_log(&[members([Some(OWN_DISK), Some(2), None])]);
+    state.reduce(now, Event::Timer(quorum::Timer::Election));
+    for pre in [true, false] {
+        from_b(&mut state, now, Message::Vote { term: 2, pre, granted: true, disk: 2 });
+    }
+    state.reduce(now, Event::Synced { term: 2, index: 2 });
+    answer(&mut state, now, 2);
+    state
+}
+
+fn answer(state: &mut State, now: Time, index: u64) {
+    let stamp = quorum::Stamp { boot: 7, at: now };
+    let (term, matched, disk) = (2, true, Some(2));
+    let appended = Message::Appended { term, matched, index, applied: 0, sent: now, stamp, disk };
+    from_b(state, now, appended);
+}
+
+#[test]
+fn a_leader_that_removes_itself_renews_its_view_no_more() {
+    let (start, later) = (Timing::ELECTION_MAX, Timing::ELECTION_MAX + Timing::HEARTBEAT);
+    let mut state = leader(start);
+    assert!(state.has_view(start));
+    let effects = state.reduce(start, Event::Change(Change::Remove("a".into())));
+    assert!(effects.contains(&Effect::Changed(Ok(3))));
+    answer(&mut state, later, 2);
+    state.reduce(later, Event::Timer(quorum::Timer::Heartbeat));
+    assert!(state.leads());
+    assert!(!state.has_view(start + Timing::VIEW_LEASE));
+}
+
+#[test]
+fn a_member_gets_no_view_before_its_admission_is_committed() {
+    let (start, later) = (Timing::ELECTION_MAX, Timing::ELECTION_MAX + Timing::HEARTBEAT);
+    let mut state = leader(start);
+    let echoes = |effects: Vec<Effect>| {
+        let echo = |effect| match effect {
+            Effect::Send { message: Message::Append { echo, .. }, .. } => echo,
+            _ => None,
+        };
+        effects.into_iter().filter_map(echo).count()
+    };
+    let due = Event::Timer(quorum::Timer::Heartbeat);
+    assert_eq!(echoes(state.reduce(start, due.clone())), 1);
+    state.reduce(start, Event::Change(Change::Observer("d".into())));
+    answer(&mut state, later, 2);
+    assert_eq!(echoes(state.reduce(later, due.clone())), 0);
+    state.reduce(later, Event::Synced { term: 2, index: 3 });
+    answer(&mut state, later, 3);
+    assert_eq!(echoes(state.reduce(later, due)), 1);
+}
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -80,9 +80,13 @@
         self.pending.len()
     }
 
-    /// Requests that this daemon has in flight on `instance`.
+    /// Requests in flight on `instance`, and slots of it that this daemon has granted as broker,
+    /// or that a broker before it may have granted.
     pub fn in_flight(&self, instance: &Name) -> u32 {
-        self.flights.values().filter(|flight| flight.instance == *instance).count() as u32
+        let flights = self.flights.values().filter(|flight| flight.instance == *instance);
+        let granted = self.desks.iter().filter_map(|desk| desk.pool.find(instance));
+        flights.count() as u32
+            + granted.map(|upstream| upstream.in_flight + upstream.reserved).sum::<u32>()
     }
 
     /// Slots that this daemon has granted, for every service whose broker it is.
@@ -168,7 +172,9 @@
     fn done(&mut self, now: Time, id: AttemptId, report: Report, effects: &mut Vec<Effect>) {
         let Some(flight) = self.flights.remove(&id) else { return };
         let took = now - flight.started;
-        self.give_back(now, flight.desk, flight.ticket, report, took);
+        if !self.pass(now, &flight, report, took, effects) {
+            self.give_back(now, flight.desk, flight.ticket, report, took);
+        }
         self.conclude(now, id, &flight, report, effects);
         self.pump(now, flight.desk, effects);
     }
