--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -96,12 +96,12 @@
             (tiny_http::Method::Post, "/v1/changes") => self.apply(request, operator),
             (tiny_http::Method::Post, "/v1/waves") => self.maintain(request, operator),
             (tiny_http::Method::Post, "/v1/forget") => self.forget(request, operator),
+            (tiny_http::Method::Post, "/v1/members") => self.change_member(request),
             (tiny_http::Method::Post, "/v1/jobs") => self.submit(request),
             (tiny_http::Method::Delete, path) => match path.strip_prefix("/v1/jobs/") {
                 Some(id) => self.ask(request, node::operator::Call::CancelJob(id.into())),
                 None => unknown(request, path),
             },
-            (tiny_http::Method::Post, "/v1/members") => self.change_member(request),
             _ => unknown(request, &path),
         }
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -155,6 +155,7 @@
                 let command = fleet::Command::Forget { request, author, instance }.into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
+            operator::Call::Member(change) => self.change_member(now, change, effects),
             operator::Call::Submit { id, job } => {
                 let command = place::Command::Submit { id, job: *job }.into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
@@ -167,7 +168,6 @@
                 let standing = self.replica.place.explain(&job);
                 operator::Reply::Job { job, standing }
             }
-            operator::Call::Member(change) => self.change_member(now, change, effects),
             operator::Call::Status => operator::Reply::Status(self.status(now)),
             call => view::reply(&self.replica.fleet, call),
         };
@@ -332,9 +332,10 @@
 
     fn install(&mut self, now: Time, snapshot: &quorum::Snapshot, effects: &mut Vec<Effect>) {
         let replica = postcard::from_bytes::<Replica>(&snapshot.state);
-        self.replica = replica.expect("snapshots decode: a daemon encoded them");
+        let replica = replica.expect("snapshots decode: a daemon encoded them");
+        let former = std::mem::replace(&mut self.replica, replica);
         self.ticked = now;
-        for outcome in self.replica.outcomes() {
+        for outcome in self.replica.outcomes(&former) {
             self.on_outcome(now, outcome, effects);
         }
     }
--- a/crates/settings/src/teams.rs
+++ b/crates/settings/src/teams.rs
@@ -47,7 +47,7 @@
 }
 
 /// Writes what [`resources`] reads.
-pub(crate) fn text(resources: &Resources) -> String {
+pub(crate) fn body(resources: Resources) -> String {
     let processors = resources.millicores as f64 / MILLICORES;
     let memory = resources.memory_mb as f64 / GIGABYTE_MB;
     let accelerators = resources.accelerators;
