Tests of agreement check how their fleet was set up

Cause: on a machine at a load of 89 a test went on although its first change had not been accepted, and another took for granted that a daemon leads; both then failed for a reason they did not show. Change: the set-up is asserted, and a test waits until a daemon leads. What is asserted stays.

--- a/crates/bench/tests/agreement.rs
+++ b/crates/bench/tests/agreement.rs
@@ -9,10 +9,21 @@
 fn fleet(count: usize) -> Fleet {
     let mut fleet = Fleet::new(count, 3).unwrap();
     fleet.start().unwrap();
-    fleet.apply(CONFIG).unwrap();
+    let applied = fleet.apply(CONFIG).unwrap();
+    assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
     fleet
 }
 
+fn leader(fleet: &Fleet) -> usize {
+    let mut leader = None;
+    wait_until("a daemon leads", || {
+        leader = fleet.leader();
+        leader.is_some()
+    })
+    .unwrap();
+    leader.unwrap()
+}
+
 fn change(fleet: &Fleet, daemon: usize, arguments: &[&str]) -> (Option<i32>, String) {
     let path = fleet.folder().join("change.ini");
     std::fs::write(&path, format!("{CONFIG}[tenant shop]\n")).unwrap();
@@ -25,7 +36,7 @@
 #[test]
 fn change_is_accepted_after_the_leader_is_killed() {
     let mut fleet = fleet(4);
-    let leader = fleet.leader().unwrap();
+    let leader = leader(&fleet);
     fleet.daemons[leader].kill();
     let survivor = (leader + 1) % 3;
     assert_eq!(change(&fleet, survivor, &["--wait"]).1, "accepted as revision 2\n");
@@ -64,7 +75,7 @@
 #[test]
 fn leader_behind_a_partition_steps_down_and_accepts_nothing() {
     let fleet = fleet(3);
-    let leader = fleet.leader().unwrap();
+    let leader = leader(&fleet);
     fleet.network.partition(&[leader]);
     let (code, _) = change(&fleet, leader, &["--base", "1", "--request", "cut-off"]);
     assert_eq!(code, Some(1));
@@ -78,7 +89,7 @@
 #[test]
 fn paused_leader_resumes_without_reverting_a_change() {
     let mut fleet = fleet(3);
-    let leader = fleet.leader().unwrap();
+    let leader = leader(&fleet);
     fleet.daemons[leader].program().unwrap().signal("STOP").unwrap();
     let (_, verdict) = change(&fleet, (leader + 1) % 3, &["--wait"]);
     assert_eq!(verdict, "accepted as revision 2\n");
