Waves measured against a lower bound; fleet time moves each second while grants are out

Cause: the experiment showed waves below their lower bound: an announcement is applied at the fleet time of the last command, so that a soak could end up to 10 s early.

Ruled out: a wrong bound; with a tick in each pass the figures are above it.

Change: the leader writes fleet time each second while any instance is under a grant, each 10 s otherwise.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -29,6 +29,8 @@
     },
     /// Many changes under faults: when each is in force, whether any is reverted or lost
     Changes(changes::Changes),
+    /// Maintenance waves in-process: the planner against batches of a fixed size
+    Waves(waves::Waves),
     /// What daemons spend on control while nobody calls
     Idle {
         /// Number of daemons
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -35,6 +35,7 @@
 mod run;
 mod usage;
 mod wait;
+mod waves;
 
 use arguments::{Arguments, Experiment};
 pub use {
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -25,6 +25,7 @@
             Self::FirstFleet => first_fleet::run(),
             Self::LeaderKills { kills } => leader_kills::run(*kills),
             Self::Changes(settings) => changes::run(settings),
+            Self::Waves(settings) => waves::run(settings),
             Self::Idle { daemons, upstreams, seconds } => idle::run(*daemons, *upstreams, *seconds),
         }
     }
--- a/crates/node/src/steward.rs
+++ b/crates/node/src/steward.rs
@@ -5,6 +5,9 @@
 /// After which fleet time is written to the log though nothing else happens.
 const TICK: Duration = Duration::from_secs(10);
 
+/// The same while instances are under a grant, whose phases are counted in fleet time.
+const GRANT_TICK: Duration = Duration::from_secs(1);
+
 /// After which a call to the platform is repeated.
 const REPEAT_CALL: Duration = Duration::from_secs(2);
 
@@ -47,7 +50,9 @@
         });
         let mut commands: Vec<_> = drained.collect();
         commands.extend(fleet::Planner::plan(fleet, at));
-        if commands.is_empty() && at >= fleet.now() + TICK {
+        let granted = fleet.upstreams().values().any(|upstream| upstream.grant.is_some());
+        let tick = if granted { GRANT_TICK } else { TICK };
+        if commands.is_empty() && at >= fleet.now() + tick {
             commands.push(fleet::Command::Tick { at });
         }
         commands
