--- a/crates/bench/tests/keys.rs
+++ b/crates/bench/tests/keys.rs
@@ -57,6 +57,8 @@
 #[test]
 fn daemon_of_another_authority_is_refused() {
     let mut fleet = Fleet::new(3, 3).unwrap();
+    fleet.start().unwrap();
+    fleet.daemons[2].kill();
     let foreign = fleet.folder().join("foreign").display().to_string();
     run(&["keys", "init", &foreign]);
     run(&["keys", "issue", &foreign, "daemon-3"]);
@@ -70,9 +72,7 @@
             std::fs::copy(fleet.folder().join("foreign").join(file), keys.join(file)).unwrap();
         }
     }
-    for daemon in &mut fleet.daemons {
-        daemon.start().unwrap();
-    }
+    fleet.daemons[2].start().unwrap();
     wait_until("the others agree without it", || {
         fleet.daemons[..2].iter().all(bench::Daemon::healthy)
     })
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -85,11 +85,65 @@
     },
     /// Show the state of the fleet
     Status,
+    /// Change a member of the agreement; call the daemon that leads
+    #[command(subcommand)]
+    Member(Member),
+    /// Submit, cancel and show jobs
+    #[command(subcommand)]
+    Job(JobCommand),
     /// Make the keys of daemons
     #[command(subcommand)]
     Keys(Keys),
 }
 
+#[derive(Debug, Subcommand)]
+pub(crate) enum Member {
+    /// Make an observer with a data folder a voter
+    Voter {
+        /// Name of the daemon
+        name: Name,
+    },
+    /// Make a voter an observer, or let an observer join
+    Observer {
+        /// Name of the daemon
+        name: Name,
+    },
+    /// Let a member leave
+    Remove {
+        /// Name of the daemon
+        name: Name,
+    },
+}
+
+impl Member {
+    pub(crate) fn change(&self) -> quorum::Change {
+        match self {
+            Self::Voter { name } => quorum::Change::Voter(name.clone()),
+            Self::Observer { name } => quorum::Change::Observer(name.clone()),
+            Self::Remove { name } => quorum::Change::Remove(name.clone()),
+        }
+    }
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum JobCommand {
+    /// Submit the jobs of a file; a resend gets the first answers
+    Submit {
+        /// File with a section `[job ID]` for each job
+        file: PathBuf,
+    },
+    /// Cancel a job, also ahead of its submission
+    Cancel {
+        /// Id of the job
+        id: String,
+    },
+    /// Show where a job stands, and why
+    Show {
+        /// Id of the job
+        id: String,
+    },
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum Keys {
     /// Make the fleet's authority in a new folder
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -55,10 +55,23 @@
         }
     }
 
+    /// Submits a job; its id identifies the request.
+    pub(crate) fn submit(&self, body: &serde_json::Value) -> eyre::Result<Reply> {
+        self.call(attohttpc::post(self.url("jobs")).json(body)?)
+    }
+
+    pub(crate) fn cancel_job(&self, id: &str) -> eyre::Result<Reply> {
+        self.call(attohttpc::delete(self.url(&format!("jobs/{id}"))))
+    }
+
     pub(crate) fn status(&self) -> eyre::Result<Reply> {
         self.call(attohttpc::get(self.url("status")))
     }
 
+    pub(crate) fn change_member(&self, change: &quorum::Change) -> eyre::Result<Reply> {
+        self.call(attohttpc::post(self.url("members")).json(change)?)
+    }
+
     pub(crate) fn apply(
         &self,
         text: &str,
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -9,10 +9,11 @@
     address: SocketAddr,
     tokens: Tokens,
     events: Sender<Event>,
+    scrape: Scrape,
 ) -> eyre::Result<Tickets<node::operator::Reply>> {
     let tickets = Tickets::default();
-    let edge = Edge { tickets: tickets.clone(), tokens, events };
-    http::serve(address, move |request| edge.handle(request))?;
+    let edge = Edge { tickets: tickets.clone(), tokens, events, scrape };
+    http::serve(address, Limits::OPERATORS, move |request| edge.handle(request))?;
     Ok(tickets)
 }
 
@@ -21,6 +22,7 @@
     tickets: Tickets<node::operator::Reply>,
     tokens: Tokens,
     events: Sender<Event>,
+    scrape: Scrape,
 }
 
 /// Findings in a configuration.
@@ -64,6 +66,13 @@
     }
 }
 
+/// A job that a team submits.
+#[derive(serde::Deserialize)]
+struct Submission {
+    id: Name,
+    job: model::Job,
+}
+
 impl Edge {
     fn handle(&self, request: tiny_http::Request) {
         let path = request.url().to_owned();
@@ -78,6 +87,7 @@
             (tiny_http::Method::Get, "/v1/status") => {
                 self.ask(request, node::operator::Call::Status);
             }
+            (tiny_http::Method::Get, "/metrics") => self.metrics(request),
             (tiny_http::Method::Get, "/v1/waves") => self.ask(request, node::operator::Call::Waves),
             (tiny_http::Method::Get, "/v1/history") => {
                 self.ask(request, node::operator::Call::History);
@@ -86,6 +96,12 @@
             (tiny_http::Method::Post, "/v1/changes") => self.apply(request, operator),
             (tiny_http::Method::Post, "/v1/waves") => self.maintain(request, operator),
             (tiny_http::Method::Post, "/v1/forget") => self.forget(request, operator),
+            (tiny_http::Method::Post, "/v1/members") => self.change_member(request),
+            (tiny_http::Method::Post, "/v1/jobs") => self.submit(request),
+            (tiny_http::Method::Delete, path) => match path.strip_prefix("/v1/jobs/") {
+                Some(id) => self.ask(request, node::operator::Call::CancelJob(id.into())),
+                None => unknown(request, path),
+            },
             _ => unknown(request, &path),
         }
     }
@@ -94,6 +110,9 @@
         if let Some(revision) = path.strip_prefix("/v1/config/").and_then(|r| r.parse().ok()) {
             return self.ask(request, node::operator::Call::Past(revision));
         }
+        if let Some(id) = path.strip_prefix("/v1/jobs/") {
+            return self.ask(request, node::operator::Call::Job(id.into()));
+        }
         match path.strip_prefix("/v1/explain?").and_then(subject) {
             Some(subject) => self.ask(request, node::operator::Call::Explain(subject)),
             None => unknown(request, path),
@@ -104,7 +123,7 @@
         let Some((id, author)) = sender(&request, operator) else { return unsigned(request) };
         let tour = match http::json::<Tour>(&mut request, MAX_BODY_BYTES) {
             Ok(tour) => tour,
-            Err(failure) => return http::respond(request, 400, &failure),
+            Err(failure) => return http::respond(request, failure.status, &failure),
         };
         match tour.edit() {
             Ok(edit) => {
@@ -115,6 +134,15 @@
         }
     }
 
+    fn submit(&self, mut request: tiny_http::Request) {
+        match http::json::<Submission>(&mut request, MAX_BODY_BYTES) {
+            Ok(Submission { id, job }) => {
+                self.ask(request, node::operator::Call::Submit { id, job: Box::new(job) });
+            }
+            Err(failure) => http::respond(request, failure.status, &failure),
+        }
+    }
+
     fn forget(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let Some((id, author)) = sender(&request, operator) else { return unsigned(request) };
         match http::json::<Lost>(&mut request, MAX_BODY_BYTES) {
@@ -122,14 +150,25 @@
                 let call = node::operator::Call::Forget { request: id, author, instance };
                 self.ask(request, call);
             }
-            Err(failure) => http::respond(request, 400, &failure),
+            Err(failure) => http::respond(request, failure.status, &failure),
         }
     }
 
+    fn metrics(&self, request: tiny_http::Request) {
+        let call = node::operator::Call::Status;
+        let reply = self.tickets.ask(&self.events, |ticket| Event::Operator { ticket, call });
+        let Some(node::operator::Reply::Status(status)) = reply else {
+            return http::respond(request, 504, &http::failure("daemon gave no status in time"));
+        };
+        let response = tiny_http::Response::from_data(self.scrape.text(&status))
+            .with_header(header::make("Content-Type", scrape::CONTENT_TYPE));
+        http::send(request, response);
+    }
+
     fn apply(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let body = match http::body(&mut request, MAX_BODY_BYTES) {
             Ok(body) => body,
-            Err(failure) => return http::respond(request, 400, &failure),
+            Err(failure) => return http::respond(request, failure.status, &failure),
         };
         let base = header::get(&request, "Base-Revision").and_then(|base| base.parse().ok());
         let (Some((id, author)), Some(base)) = (sender(&request, operator), base) else {
@@ -139,7 +178,7 @@
         match settings::config("configuration", &String::from_utf8_lossy(&body)) {
             Ok(config) => {
                 let change = fleet::Change { request: id, author, base, config };
-                self.ask(request, node::operator::Call::Apply(change));
+                self.ask(request, node::operator::Call::Apply(Box::new(change)));
             }
             Err(findings) => {
                 let error = "configuration is not valid".into();
@@ -148,6 +187,13 @@
         }
     }
 
+    fn change_member(&self, mut request: tiny_http::Request) {
+        match http::json(&mut request, MAX_BODY_BYTES) {
+            Ok(change) => self.ask(request, node::operator::Call::Member(change)),
+            Err(failure) => http::respond(request, failure.status, &failure),
+        }
+    }
+
     fn ask(&self, request: tiny_http::Request, call: node::operator::Call) {
         let reply = self.tickets.ask(&self.events, |ticket| Event::Operator { ticket, call });
         let reply = reply.unwrap_or(node::operator::Reply::Unknown);
@@ -159,15 +205,17 @@
     match reply {
         node::operator::Reply::Applied { verdict, .. } if verdict.refused() => 409,
         node::operator::Reply::NoRevision { .. } => 404,
+        node::operator::Reply::Unchanged { .. } => 409,
         node::operator::Reply::Unknown => 504,
         _ => 200,
     }
 }
 
-/// Id of a request and who asks; whoever showed a token is known by it.
+/// Id and author of a request that changes something; a token names the author where there is one.
 fn sender(request: &tiny_http::Request, operator: Option<Name>) -> Option<(Name, Name)> {
-    let (id, author) = (header::get(request, "Request-Id")?, header::get(request, "Author")?);
-    Some((id.into(), operator.unwrap_or_else(|| author.into())))
+    let id = header::get(request, "Request-Id")?;
+    let author = operator.or_else(|| header::get(request, "Author").map(Into::into))?;
+    Some((id.into(), author))
 }
 
 fn unsigned(request: tiny_http::Request) {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -2,11 +2,16 @@
 //! announces itself, renews, answers, and leaves when the process is told to stop.
 
 use {
-    clap::{Args, Parser, Subcommand},
+    clap::{Args, Parser, Subcommand, ValueEnum},
     model::{Announcement, Labels, Location},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
     std::{
         collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
+        fs::{File, OpenOptions},
+        io::Write,
+        net::{SocketAddr, TcpListener},
+        path::{Path, PathBuf},
         process::ExitCode,
         sync::{
             Arc, Mutex, PoisonError,
@@ -19,7 +24,9 @@
 
 mod arguments;
 mod client;
+mod fault;
 mod machines;
+mod record;
 mod run;
 mod runner;
 
@@ -27,6 +34,8 @@
 use {
     arguments::{Arguments, Command, Platform, Upstreams},
     client::Client,
+    fault::Fault,
     machines::Machines,
+    record::{Record, Run},
     runner::Runner,
 };
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -383,7 +383,10 @@
             assert!(former.is_none() || machine.in_flight == 0, "`{instance}` moved with work");
             assert!(former.is_none_or(|former| former.epoch < tenure.epoch));
             if tenure.pool == tenure.home && former.is_none() {
-                assert_eq!(matching(self.state.config(), upstream), vec![tenure.pool.clone()]);
+                assert_eq!(
+                    matching(self.state.config(), upstream),
+                    std::slice::from_ref(&tenure.pool)
+                );
             }
         }
     }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -6,7 +6,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Call {
     /// Replace the configuration.
-    Apply(fleet::Change),
+    Apply(Box<fleet::Change>),
+    /// Change a member of the agreement.
+    Member(quorum::Change),
     /// Show the configuration.
     Config,
     /// Show the state of the fleet.
@@ -30,6 +32,17 @@
     History,
     /// Show an earlier configuration.
     Past(Revision),
+    /// Submit a job.
+    Submit {
+        /// Id of the job; a resend carries the same.
+        id: Name,
+        /// The job.
+        job: Box<model::Job>,
+    },
+    /// Cancel a job, which may be yet unknown.
+    CancelJob(Name),
+    /// Show where a job stands, and why.
+    Job(Name),
 }
 
 /// Reply to an operator.
@@ -43,6 +56,18 @@
         /// Position of the verdict in the log; in force once the status shows as much.
         index: Index,
     },
+    /// A member changes once a majority has the change.
+    Changing {
+        /// Position of the change in the log.
+        index: Index,
+    },
+    /// A member does not change.
+    Unchanged {
+        /// Why not.
+        refusal: quorum::Refusal,
+        /// Who leads, as far as the daemon knows.
+        leader: Option<Name>,
+    },
     /// No majority has answered in time; a resend of the same request finds the outcome.
     Unknown,
     /// The configuration.
@@ -75,6 +100,25 @@
         /// Configurations.
         past: Vec<fleet::Past>,
     },
+    /// A job was judged.
+    Submitted {
+        /// Id of the job.
+        job: Name,
+        /// What became of it.
+        verdict: place::Verdict,
+    },
+    /// A cancellation is noted.
+    Cancelled {
+        /// Id of the job.
+        job: Name,
+    },
+    /// Where a job stands.
+    Job {
+        /// Id of the job.
+        job: Name,
+        /// Where it stands.
+        standing: place::Standing,
+    },
     /// No such revision is kept.
     NoRevision {
         /// The revision.
@@ -82,6 +126,22 @@
     },
 }
 
+impl Reply {
+    /// The reply to a request that led to `outcome`, which stands at `index` in the log.
+    pub(crate) fn to(outcome: &Outcome, index: Index) -> Option<Self> {
+        match outcome.clone() {
+            Outcome::Fleet(fleet::Effect::Verdict { verdict, .. }) => {
+                Some(Self::Applied { verdict, index })
+            }
+            Outcome::Place(place::Effect::Verdict { job, verdict }) => {
+                Some(Self::Submitted { job, verdict })
+            }
+            Outcome::Place(place::Effect::Cancelled { job }) => Some(Self::Cancelled { job }),
+            _ => None,
+        }
+    }
+}
+
 /// State of the fleet as one daemon sees it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
@@ -89,6 +149,12 @@
     pub daemon: Name,
     /// Who leads, as far as it knows.
     pub leader: Option<Name>,
+    /// Every member of the agreement.
+    #[serde(default)]
+    pub members: BTreeMap<Name, quorum::Member>,
+    /// Whether its disk is another than the one it was admitted with, so that it has no vote.
+    #[serde(default)]
+    pub lost_disk: bool,
     /// Its term.
     pub term: quorum::Term,
     /// Whether it may act on its configuration.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,6 +22,9 @@
     ticked: Time,
     view: bool,
     stopping: bool,
+    /// How long requests are still taken once the health check fails on purpose.
+    stop_grace: Duration,
+    draining: bool,
 }
 
 impl State {
@@ -40,9 +43,21 @@
             ticked: Duration::ZERO,
             view: false,
             stopping: false,
+            stop_grace: Duration::ZERO,
+            draining: false,
         }
     }
 
+    /// Takes requests for `grace` after the health check began to fail for a stop.
+    pub fn with_stop_grace(self, grace: Duration) -> Self {
+        Self { stop_grace: grace, ..self }
+    }
+
+    /// Until when the daemon may act on its configuration.
+    pub fn view_until(&self) -> Time {
+        self.quorum.view_until()
+    }
+
     /// Takes one event, and says what is to be done.
     pub fn reduce(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -58,10 +73,10 @@
             Event::Upstream { ticket, call } => self.on_upstream(now, ticket, call, &mut effects),
             Event::Platform(report) => self.on_platform(now, report, &mut effects),
             Event::Route(event) => self.route(now, event, &mut effects),
-            Event::Stop => self.stop(now, &mut effects),
+            Event::Stop => self.stop(&mut effects),
         }
         self.look_at_view(now, &mut effects);
-        if self.stopping && self.route.pending() == 0 {
+        if self.draining && self.route.pending() == 0 {
             effects.push(Effect::Stopped);
         }
         effects
@@ -73,9 +88,18 @@
         self.agree(now, quorum::Event::Start, effects);
     }
 
-    fn stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Fails the health check first, so that the balancer has time to send callers elsewhere.
+    fn stop(&mut self, effects: &mut Vec<Effect>) {
+        if self.stopping {
+            return;
+        }
         self.stopping = true;
         effects.push(Effect::Health(false));
+        effects.push(Effect::Subscribe { timer: Timer::Grace, after: self.stop_grace });
+    }
+
+    fn drain(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.draining = true;
         self.route(now, route::Event::Stop, effects);
     }
 
@@ -93,6 +117,7 @@
             Timer::Quorum(timer) => self.agree(now, quorum::Event::Timer(timer), effects),
             Timer::Route(timer) => self.route(now, route::Event::Timer(timer), effects),
             Timer::Beat => self.beat(now, effects),
+            Timer::Grace => self.drain(now, effects),
         }
     }
 
@@ -119,7 +144,7 @@
     ) {
         let reply = match call {
             operator::Call::Apply(change) => {
-                let command = fleet::Command::Change(change).into();
+                let command = fleet::Command::Change(*change).into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
             operator::Call::Maintain(order) => {
@@ -130,6 +155,19 @@
                 let command = fleet::Command::Forget { request, author, instance }.into();
                 return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
             }
+            operator::Call::Member(change) => self.change_member(now, change, effects),
+            operator::Call::Submit { id, job } => {
+                let command = place::Command::Submit { id, job: *job }.into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
+            operator::Call::CancelJob(id) => {
+                let command = place::Command::Cancel { id }.into();
+                return self.propose(now, command, Some(Caller::Operator(ticket)), effects);
+            }
+            operator::Call::Job(job) => {
+                let standing = self.replica.place.explain(&job);
+                operator::Reply::Job { job, standing }
+            }
             operator::Call::Status => operator::Reply::Status(self.status(now)),
             call => view::reply(&self.replica.fleet, call),
         };
@@ -140,6 +178,8 @@
         operator::Status {
             daemon: self.id.clone(),
             leader: self.quorum.leader().cloned(),
+            members: self.quorum.members().iter().map(|(n, m)| (n.clone(), m)).collect(),
+            lost_disk: self.quorum.lost_disk(),
             term: self.quorum.term(),
             view: self.quorum.has_view(now),
             revision: self.replica.fleet.revision(),
@@ -212,20 +252,45 @@
 
     fn agree(&mut self, now: Time, event: quorum::Event, effects: &mut Vec<Effect>) {
         for effect in self.quorum.reduce(now, event) {
+            self.on_quorum(now, effect, effects);
+        }
+    }
+
+    fn change_member(
+        &mut self,
+        now: Time,
+        change: quorum::Change,
+        effects: &mut Vec<Effect>,
+    ) -> operator::Reply {
+        let mut reply = operator::Reply::Unknown;
+        for effect in self.quorum.reduce(now, quorum::Event::Change(change)) {
             match effect {
-                quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
-                quorum::Effect::Send { to, message } => {
-                    effects.push(Effect::Send { to, message: Message::Quorum(message) });
-                }
-                quorum::Effect::Subscribe { timer, after } => {
-                    effects.push(Effect::Subscribe { timer: timer.into(), after });
+                quorum::Effect::Changed(Ok(index)) => reply = operator::Reply::Changing { index },
+                quorum::Effect::Changed(Err(refusal)) => {
+                    let leader = self.quorum.leader().cloned();
+                    reply = operator::Reply::Unchanged { refusal, leader };
                 }
-                quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
-                quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
-                quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
-                quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
+                effect => self.on_quorum(now, effect, effects),
             }
         }
+        reply
+    }
+
+    fn on_quorum(&mut self, now: Time, effect: quorum::Effect, effects: &mut Vec<Effect>) {
+        match effect {
+            quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
+            quorum::Effect::Send { to, message } => {
+                effects.push(Effect::Send { to, message: Message::Quorum(message) });
+            }
+            quorum::Effect::Subscribe { timer, after } => {
+                effects.push(Effect::Subscribe { timer: timer.into(), after });
+            }
+            quorum::Effect::Apply { index, entry } => self.apply(now, index, entry, effects),
+            quorum::Effect::Snapshot { index } => self.snapshot(now, index, effects),
+            quorum::Effect::Install(snapshot) => self.install(now, &snapshot, effects),
+            quorum::Effect::Changed(_) => {}
+            quorum::Effect::Leader(leader) => self.on_leader(now, leader, effects),
+        }
     }
 
     fn on_leader(&mut self, now: Time, leader: Option<Name>, effects: &mut Vec<Effect>) {
@@ -267,9 +332,10 @@
 
     fn install(&mut self, now: Time, snapshot: &quorum::Snapshot, effects: &mut Vec<Effect>) {
         let replica = postcard::from_bytes::<Replica>(&snapshot.state);
-        self.replica = replica.expect("snapshots decode: a daemon encoded them");
+        let replica = replica.expect("snapshots decode: a daemon encoded them");
+        let former = std::mem::replace(&mut self.replica, replica);
         self.ticked = now;
-        for outcome in self.replica.outcomes() {
+        for outcome in self.replica.outcomes(&former) {
             self.on_outcome(now, outcome, effects);
         }
     }
@@ -277,6 +343,7 @@
     fn on_outcome(&mut self, now: Time, outcome: Outcome, effects: &mut Vec<Effect>) {
         match outcome {
             Outcome::Fleet(effect) => self.on_fleet(now, effect, effects),
+            Outcome::Place(_) => {}
             Outcome::Route(verdict) => self.route(now, route::Event::Decided(verdict), effects),
         }
     }
@@ -293,12 +360,8 @@
                 effects.push(Effect::Upstream { ticket, reply: upstream::Reply::Done });
             }
             Some(Caller::Operator(ticket)) => {
-                let verdict = outcomes.iter().find_map(|outcome| match outcome {
-                    Outcome::Fleet(fleet::Effect::Verdict { verdict, .. }) => Some(verdict.clone()),
-                    _ => None,
-                });
-                let Some(verdict) = verdict else { return };
-                let reply = operator::Reply::Applied { verdict, index };
+                let reply = outcomes.iter().find_map(|outcome| operator::Reply::to(outcome, index));
+                let Some(reply) = reply else { return };
                 effects.push(Effect::Operator { ticket, reply });
             }
             None => {}
@@ -394,7 +457,7 @@
         if !self.quorum.leads() || self.proposals.awaits_step() {
             return;
         }
-        let members = self.quorum.members().keys().cloned().collect();
+        let members = self.quorum.members().iter().map(|(name, _)| name.clone()).collect();
         for command in self.steward.commands(now, &self.replica.fleet, &members) {
             self.propose(now, command.into(), None, effects);
         }
--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -8,4 +8,6 @@
     /// Encoded command; empty in the entry that opens a term.
     #[serde(with = "serde_bytes")]
     pub command: Vec<u8>,
+    /// Members from this entry on, where they change; the command is empty then.
+    pub members: Option<Members>,
 }
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -16,6 +16,8 @@
     },
     /// A command is to be appended; ignored unless this member leads.
     Propose(Vec<u8>),
+    /// A member is to change.
+    Change(Change),
     /// Everything up to this entry is on disk.
     Synced {
         /// Term of the entry.
--- a/crates/quorum/src/restored.rs
+++ b/crates/quorum/src/restored.rs
@@ -1,8 +1,10 @@
 use super::*;
 
 /// What a member finds on its disk at start.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Restored {
+    /// Identity of the disk.
+    pub disk: Option<Disk>,
     /// Highest term seen.
     pub term: Term,
     /// Member voted for in that term.
--- a/crates/quorum/src/standing.rs
+++ b/crates/quorum/src/standing.rs
@@ -8,12 +8,12 @@
     /// Asks whether it would be elected.
     Asking {
         /// Voters that would vote for it, itself included.
-        votes: BTreeSet<Name>,
+        votes: BTreeMap<Name, Disk>,
     },
     /// Asks to be elected.
     Candidate {
         /// Voters that voted for it, itself included.
-        votes: BTreeSet<Name>,
+        votes: BTreeMap<Name, Disk>,
     },
     /// Leads.
     Leader {
--- a/crates/quorum/tests/simulator/host.rs
+++ b/crates/quorum/tests/simulator/host.rs
@@ -8,6 +8,7 @@
     pub state: State,
     pub role: Role,
     pub up: bool,
+    pub disk: Disk,
     /// Number of the present start.
     pub boot: u64,
     pub frozen_until: Time,
@@ -24,12 +25,13 @@
 }
 
 impl Host {
-    pub fn new(name: &Name, members: BTreeMap<Name, Role>, rate: u32) -> Self {
+    pub fn new(name: &Name, members: BTreeMap<Name, Role>, rate: u32, disk: Disk) -> Self {
         let role = members[name];
         Self {
             state: State::new(name.clone(), members, Restored::default(), 0),
             role,
             up: false,
+            disk,
             boot: 0,
             frozen_until: Time::ZERO,
             applied: 0,
@@ -84,6 +86,12 @@
         self.timers.clear();
     }
 
+    /// Gets an empty disk in place of its own.
+    pub fn lose_disk(&mut self, disk: Disk) {
+        self.records.clear();
+        self.disk = disk;
+    }
+
     /// Makes everything in the queue durable; returns the messages, and the event of the sync.
     pub fn sync(&mut self) -> (Vec<(Name, Message)>, Option<Event>) {
         let mut sends = Vec::new();
@@ -110,6 +118,7 @@
         if self.role == Role::Observer {
             return restored;
         }
+        restored.disk = Some(self.disk);
         for record in self.records.clone() {
             restored.take(record);
         }
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -1,5 +1,8 @@
 use super::*;
 
+/// Grace of a daemon whose settings name none.
+const STOP_GRACE: Duration = Duration::from_secs(3);
+
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Daemon {
@@ -9,6 +12,8 @@
     pub location: Location,
     /// Folder for state that must survive; voters only.
     pub data: Option<PathBuf>,
+    /// How long requests are still taken once the health check fails for a stop.
+    pub stop_grace: Duration,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Where the platform listens; without it no instance is rebooted.
@@ -24,17 +29,14 @@
 impl Daemon {
     /// Reads the settings of a daemon from `text`; `file` names it in findings.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
-        let document = Document::parse(file, text)?;
-        let mut findings = Vec::new();
+        let document = Document::parse(file, text);
+        let mut findings = document.findings.clone();
         let mut draft = Draft::default();
         for section in &document.sections {
             draft.read(section, Reader::new(&document, section, &mut findings));
         }
         draft.check(&document, &mut findings);
-        match draft.finish() {
-            Some(daemon) if findings.is_empty() => Ok(daemon),
-            _ => Err(Findings(findings)),
-        }
+        Findings::none_or(findings, draft.finish())
     }
 
     /// The part of this daemon in the agreement.
@@ -50,6 +52,7 @@
     id: Option<Name>,
     location: Option<Location>,
     data: Option<PathBuf>,
+    stop_grace: Option<Duration>,
     listen: Option<Listen>,
     platform: Option<SocketAddr>,
     keys: Option<Keys>,
@@ -65,8 +68,8 @@
             "daemon" => self.read_daemon(&mut reader),
             "listen" => self.read_listen(&mut reader),
             "keys" => self.read_keys(&mut reader),
-            "platform" => self.platform = reader.required("address"),
             "operators" => self.read_operators(&mut reader),
+            "platform" => self.platform = reader.required("address"),
             "peer" => self.read_peer(&mut reader),
             _ => return reader.unknown(),
         }
@@ -77,6 +80,7 @@
         self.seen.push("daemon");
         self.id = reader.required::<String>("id").map(Into::into);
         self.data = reader.optional("data");
+        self.stop_grace = reader.milliseconds("stop-grace-ms");
         let region = reader.required::<String>("region");
         let data_center = reader.required::<String>("data-center");
         let rack = reader.optional::<String>("rack").unwrap_or_else(|| "none".into());
@@ -155,6 +159,7 @@
             id: self.id?,
             location: self.location?,
             data: self.data,
+            stop_grace: self.stop_grace.unwrap_or(STOP_GRACE),
             listen: self.listen?,
             platform: self.platform,
             keys: self.keys?,
