--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -50,6 +50,8 @@
     Chaos(Chaos),
     /// Many changes under faults: when each is in force, whether any is reverted or lost
     Changes(changes::Changes),
+    /// Maintenance waves in-process: the planner against batches of a fixed size
+    Waves(waves::Waves),
     /// Jobs on workers on seeded traces, against first fit by declared size
     Placement {
         /// Seed of the traces
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -55,6 +55,7 @@
 mod trace;
 mod usage;
 mod wait;
+mod waves;
 mod workshop;
 
 use arguments::{Arguments, Experiment};
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -35,6 +35,7 @@
             Self::Load(load) => load.run(),
             Self::Chaos(chaos) => report(&chaos.run()?),
             Self::Changes(settings) => changes::run(settings),
+            Self::Waves(settings) => waves::run(settings),
             Self::Placement { seed } => placement::run(*seed),
             Self::Idle { daemons, upstreams, seconds } => idle::run(*daemons, *upstreams, *seconds),
         }
