--- a/crates/bench/src/changes.rs
+++ b/crates/bench/src/changes.rs
@@ -175,7 +175,7 @@
         wait_until("a change is accepted", || {
             turn += 1;
             let daemon = &self.fleet.daemons[(first + turn) % DAEMONS];
-            post(daemon, revision).is_some_and(|reply| reply["revision"] == revision)
+            accepted(&post(daemon, revision)) == Some(revision)
         })
     }
 
@@ -230,3 +230,8 @@
         .text(format!("[tenant t-{revision}]\n"));
     serde_json::from_str(&request.send().ok()?.text().ok()?).ok()
 }
+
+/// Number of the configuration that a reply says is accepted.
+fn accepted(reply: &Option<serde_json::Value>) -> Option<u64> {
+    reply.as_ref()?["verdict"]["accepted"]["revision"].as_u64()
+}
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -39,7 +39,9 @@
         }
         Reply::Status(status) => status_text(status),
         Reply::Waves { waves } if waves.is_empty() => "no waves\n".into(),
-        Reply::Waves { waves } => waves.iter().map(|(n, tour)| format!("{n}: {tour}\n")).collect(),
+        Reply::Waves { waves } => {
+            waves.iter().map(|(n, summary)| format!("{n}: {summary}\n")).collect()
+        }
         Reply::Explanation { subject, present, entries } => {
             let present = present.as_deref().unwrap_or("does not exist");
             let entries = entries.iter().map(entry_text);
@@ -98,7 +100,7 @@
         format!("{name}: {down} down and {granted} granted of {selected}, room for {room}")
     });
     list(&mut lines, "budgets", budgets.collect());
-    let waves = overview.waves.iter().map(|(name, tour)| format!("{name}: {tour}"));
+    let waves = overview.waves.iter().map(|(name, summary)| format!("{name}: {summary}"));
     list(&mut lines, "waves", waves.collect());
     let unavailable = overview.unavailable.iter().map(|(name, why)| format!("{name}: {why}"));
     list(&mut lines, "unavailable", unavailable.collect());
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -34,7 +34,7 @@
 
 /// What an operator asks of a wave.
 #[derive(serde::Deserialize)]
-struct Tour {
+struct Maintenance {
     wave: Name,
     #[serde(flatten)]
     action: Action,
@@ -55,7 +55,7 @@
     instance: Name,
 }
 
-impl Tour {
+impl Maintenance {
     fn edit(&self) -> Result<fleet::Edit, model::Error> {
         Ok(match &self.action {
             Action::Start { selector } => fleet::Edit::Start(selector.parse()?),
@@ -121,13 +121,13 @@
 
     fn maintain(&self, mut request: tiny_http::Request, operator: Option<Name>) {
         let Some((id, author)) = sender(&request, operator) else { return unsigned(request) };
-        let tour = match http::json::<Tour>(&mut request, MAX_BODY_BYTES) {
-            Ok(tour) => tour,
+        let maintenance = match http::json::<Maintenance>(&mut request, MAX_BODY_BYTES) {
+            Ok(maintenance) => maintenance,
             Err(failure) => return http::respond(request, failure.status, &failure),
         };
-        match tour.edit() {
+        match maintenance.edit() {
             Ok(edit) => {
-                let order = fleet::Order { request: id, author, wave: tour.wave, edit };
+                let order = fleet::Order { request: id, author, wave: maintenance.wave, edit };
                 self.ask(request, node::operator::Call::Maintain(order));
             }
             Err(error) => http::respond(request, 422, &http::failure(error.to_string())),
--- a/crates/fake/src/machines.rs
+++ b/crates/fake/src/instances.rs
@@ -4,7 +4,7 @@
 
 /// The platform with its runners.
 #[derive(Debug)]
-pub(crate) struct Machines {
+pub(crate) struct Instances {
     runners: BTreeMap<String, Arc<Runner>>,
     seen: Mutex<BTreeSet<String>>,
     calls: AtomicU64,
@@ -20,22 +20,22 @@
 /// Threads that answer calls.
 const THREADS: usize = 4;
 
-impl Machines {
+impl Instances {
     /// Serves the platform's interface for `runners`.
     pub(crate) fn start(settings: &Platform, runners: &[Arc<Runner>]) -> eyre::Result<()> {
         let server = tiny_http::Server::http(settings.listen).map_err(|e| eyre::eyre!(e))?;
         let server = Arc::new(server);
-        let machines = Arc::new(Self {
+        let instances = Arc::new(Self {
             runners: runners.iter().map(|runner| (runner.name(), runner.clone())).collect(),
             seen: Mutex::default(),
             calls: AtomicU64::new(0),
             settings: settings.clone(),
         });
         for _ in 0..THREADS {
-            let (machines, server) = (machines.clone(), server.clone());
+            let (instances, server) = (instances.clone(), server.clone());
             thread::spawn(move || {
                 while let Ok(request) = server.recv() {
-                    machines.answer(request);
+                    instances.answer(request);
                 }
             });
         }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -25,7 +25,7 @@
 mod arguments;
 mod client;
 mod fault;
-mod machines;
+mod instances;
 mod record;
 mod run;
 mod runner;
@@ -35,7 +35,7 @@
     arguments::{Arguments, Command, Platform, Upstreams},
     client::Client,
     fault::Fault,
-    machines::Machines,
+    instances::Instances,
     record::{Record, Run},
     runner::Runner,
 };
--- a/crates/fake/src/run.rs
+++ b/crates/fake/src/run.rs
@@ -23,7 +23,7 @@
         .map(|number| Runner::start(settings, number, record.clone()))
         .collect::<eyre::Result<_>>()?;
     if let Some(platform) = platform {
-        Machines::start(platform, &runners)?;
+        Instances::start(platform, &runners)?;
     }
     signals.forever().next();
     for runner in runners {
--- a/crates/fake/src/runner.rs
+++ b/crates/fake/src/runner.rs
@@ -27,7 +27,7 @@
 const CONNECTIONS: u32 = 64;
 
 /// Between renewals.
-const RENEWAL: Duration = Duration::from_millis(500);
+const RENEWAL: Duration = Duration::from_secs(1);
 
 /// Threads of a runner beyond its slots, to refuse on.
 const SPARE_THREADS: u32 = 2;
--- a/crates/node/src/steward.rs
+++ b/crates/node/src/controller.rs
@@ -16,14 +16,14 @@
 
 /// What the leader keeps; a new leader starts it anew.
 #[derive(Debug, Default)]
-pub(crate) struct Steward {
+pub(crate) struct Controller {
     /// When this daemon began to lead, and fleet time then.
     began: Option<(Time, Time)>,
     pub(crate) drains: Drains,
     called: BTreeMap<Name, Time>,
 }
 
-impl Steward {
+impl Controller {
     pub(crate) fn lead(&mut self, now: Time, fleet: Option<&fleet::State>) {
         *self = Self { began: fleet.map(|fleet| (now, fleet.now())), ..Self::default() };
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 };
 
 mod command;
+mod controller;
 mod drains;
 mod effect;
 mod event;
@@ -32,23 +33,22 @@
 mod proposals;
 mod replica;
 mod state;
-mod steward;
+mod summary;
 mod timer;
-mod tour;
 pub mod upstream;
 mod view;
 
 pub use {
     command::Command, effect::Effect, event::Event, message::Message, outcome::Outcome,
-    overview::Overview, proposal::Proposal, replica::Replica, state::State, timer::Timer,
-    tour::Tour,
+    overview::Overview, proposal::Proposal, replica::Replica, state::State, summary::Summary,
+    timer::Timer,
 };
 use {
+    controller::Controller,
     drains::Drains,
     leases::Leases,
     pending::{Caller, Pending},
     proposals::Proposals,
-    steward::Steward,
 };
 
 /// Number of a call that waits for a reply at an edge.
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -82,7 +82,7 @@
     /// The waves, ended ones included while they are kept.
     Waves {
         /// Waves by name.
-        waves: BTreeMap<Name, Tour>,
+        waves: BTreeMap<Name, Summary>,
     },
     /// The decisions about a subject, the oldest first.
     Explanation {
--- a/crates/node/src/overview.rs
+++ b/crates/node/src/overview.rs
@@ -8,7 +8,7 @@
     /// What each budget counts, and how many further instances it lets decisions disrupt.
     pub budgets: BTreeMap<Name, (fleet::Outage, u32)>,
     /// Waves that are not over, and what each waits for.
-    pub waves: BTreeMap<Name, Tour>,
+    pub waves: BTreeMap<Name, Summary>,
     /// Instances that are not available.
     pub unavailable: BTreeMap<Name, Name>,
 }
@@ -16,7 +16,7 @@
 impl Overview {
     /// The numbers of `fleet`.
     pub fn new(fleet: &fleet::State) -> Self {
-        let mut overview = Self { waves: tours(fleet, false), ..Self::default() };
+        let mut overview = Self { waves: summaries(fleet, false), ..Self::default() };
         for name in fleet.config().pools.keys() {
             overview.pools.insert(name.clone(), (0, 0));
         }
@@ -41,13 +41,13 @@
 }
 
 /// Every wave in numbers, ended ones only where they are asked for.
-pub(crate) fn tours(fleet: &fleet::State, ended: bool) -> BTreeMap<Name, Tour> {
+pub(crate) fn summaries(fleet: &fleet::State, ended: bool) -> BTreeMap<Name, Summary> {
     let waves = fleet.waves().iter().filter(|(_, wave)| ended || !wave.standing.ended());
     let waits = fleet::Planner::waits(fleet);
-    waves.map(|(name, wave)| (name.clone(), tour(fleet, wave, waits.get(name)))).collect()
+    waves.map(|(name, wave)| (name.clone(), summary(fleet, wave, waits.get(name)))).collect()
 }
 
-fn tour(fleet: &fleet::State, wave: &fleet::Wave, wait: Option<&fleet::Wait>) -> Tour {
+fn summary(fleet: &fleet::State, wave: &fleet::Wave, wait: Option<&fleet::Wait>) -> Summary {
     let mut counts = BTreeMap::new();
     for progress in wave.instances.values() {
         *counts.entry(progress.to_string().into()).or_default() += 1;
@@ -57,7 +57,7 @@
         fleet::Standing::Paused => Some("waits for an operator to resume it".into()),
         _ => wait.map(|wait| wait.to_string().into()),
     };
-    Tour {
+    Summary {
         standing: wave.standing,
         counts,
         elapsed: wave.ended.unwrap_or(fleet.now()).saturating_sub(wave.started),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -17,7 +17,7 @@
     /// Upstreams heard here since the last beat.
     heard: BTreeSet<Name>,
     leases: Leases,
-    steward: Steward,
+    controller: Controller,
     /// When log time last moved, or this daemon began to lead.
     ticked: Time,
     view: bool,
@@ -39,7 +39,7 @@
             id,
             heard: BTreeSet::new(),
             leases: Leases::default(),
-            steward: Steward::default(),
+            controller: Controller::default(),
             ticked: Duration::ZERO,
             view: false,
             stopping: false,
@@ -131,7 +131,7 @@
             }
             Message::Propose(proposal) => self.append(now, &proposal, effects),
             Message::Heard(instances) => self.renew(now, instances),
-            Message::Idle(drains) => self.steward.drains.report(now, from, drains),
+            Message::Idle(drains) => self.controller.drains.report(now, from, drains),
         }
     }
 
@@ -297,7 +297,7 @@
         self.leases.clear();
         self.ticked = now;
         let leads = self.quorum.leads();
-        self.steward.lead(now, leads.then_some(&self.replica.fleet));
+        self.controller.lead(now, leads.then_some(&self.replica.fleet));
         if leads {
             let instances = self.replica.fleet.upstreams().keys().cloned().collect();
             self.renew(now, instances);
@@ -439,14 +439,14 @@
 
     /// Tells whoever leads on which drains this daemon has no work in flight.
     fn report_idle(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let draining = steward::draining(&self.replica.fleet);
+        let draining = controller::draining(&self.replica.fleet);
         if draining.is_empty() {
             return;
         }
         let idle = draining.into_iter().filter(|(name, _)| self.route.in_flight(name) == 0);
         let idle = idle.collect();
         if self.quorum.leads() {
-            return self.steward.drains.report(now, self.id.clone(), idle);
+            return self.controller.drains.report(now, self.id.clone(), idle);
         }
         if let Some(to) = self.quorum.leader().cloned() {
             effects.push(Effect::Send { to, message: Message::Idle(idle) });
@@ -458,15 +458,15 @@
             return;
         }
         let members = self.quorum.members().iter().map(|(name, _)| name.clone()).collect();
-        for command in self.steward.commands(now, &self.replica.fleet, &members) {
+        for command in self.controller.commands(now, &self.replica.fleet, &members) {
             self.propose(now, command.into(), None, effects);
         }
-        let calls = self.steward.calls(now, &self.replica.fleet);
+        let calls = self.controller.calls(now, &self.replica.fleet);
         effects.extend(calls.into_iter().map(Effect::Platform));
     }
 
     fn on_platform(&mut self, now: Time, report: platform::Report, effects: &mut Vec<Effect>) {
-        let command = self.steward.accepted(now, &self.replica.fleet, report);
+        let command = self.controller.accepted(now, &self.replica.fleet, report);
         if let Some(command) = command.filter(|_| self.quorum.leads()) {
             self.propose(now, command.into(), None, effects);
         }
--- a/crates/node/src/tour.rs
+++ b/crates/node/src/summary.rs
@@ -2,7 +2,7 @@
 
 /// A wave in numbers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Tour {
+pub struct Summary {
     /// Its state.
     pub standing: fleet::Standing,
     /// Instances by how far the wave is with them.
@@ -15,7 +15,7 @@
     pub wait: Option<Name>,
 }
 
-impl fmt::Display for Tour {
+impl fmt::Display for Summary {
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         write!(f, "{} after {} s:", self.standing, self.elapsed.as_secs())?;
         for (i, (progress, count)) in self.counts.iter().enumerate() {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -4,7 +4,7 @@
 
 pub(crate) fn reply(fleet: &fleet::State, call: operator::Call) -> operator::Reply {
     match call {
-        operator::Call::Waves => operator::Reply::Waves { waves: overview::tours(fleet, true) },
+        operator::Call::Waves => operator::Reply::Waves { waves: overview::summaries(fleet, true) },
         operator::Call::Explain(subject) => explain(fleet, subject),
         operator::Call::History => operator::Reply::History {
             now: fleet.now(),
@@ -25,7 +25,9 @@
 fn explain(fleet: &fleet::State, subject: fleet::Subject) -> operator::Reply {
     let present = match &subject {
         fleet::Subject::Instance(name) => fleet.upstreams().get(name).map(overview::present),
-        fleet::Subject::Wave(name) => overview::tours(fleet, true).get(name).map(Tour::to_string),
+        fleet::Subject::Wave(name) => {
+            overview::summaries(fleet, true).get(name).map(Summary::to_string)
+        }
         fleet::Subject::Pool(name) => {
             let pool = Overview::new(fleet).pools.get(name).copied();
             pool.map(|(available, all)| format!("{available} of {all} instances serve"))
--- a/crates/route/src/desk.rs
+++ b/crates/route/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 /// Dispatch of one service at this daemon.
 #[derive(Debug)]
-pub(crate) struct Desk {
+pub(crate) struct Dispatcher {
     pub(crate) service: Name,
     pub(crate) pool: Pool,
     /// Who grants the slots; `None` until the roster says.
@@ -27,7 +27,7 @@
     pub(crate) wakes: Option<Time>,
 }
 
-impl Desk {
+impl Dispatcher {
     /// Retries for each request, in thousandths.
     const RETRIES_PER_REQUEST: u32 = 100;
     /// Retries that may be saved up, in thousandths.
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -3,7 +3,7 @@
 /// An attempt that runs, with the slot that it holds.
 #[derive(Debug, Clone)]
 pub(crate) struct Flight {
-    pub(crate) desk: usize,
+    pub(crate) dispatcher: usize,
     pub(crate) ticket: Ticket,
     pub(crate) instance: Name,
     pub(crate) rack: Name,
--- a/crates/route/src/granting.rs
+++ b/crates/route/src/granting.rs
@@ -19,15 +19,15 @@
     pub(crate) fn seek(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         pending.sought = now;
-        let (index, want) = (pending.desk, pending.want(now));
-        let desk = &mut self.desks[index];
-        desk.waiting.insert(id);
-        if desk.mine {
+        let (index, want) = (pending.dispatcher, pending.want(now));
+        let dispatcher = &mut self.dispatchers[index];
+        dispatcher.waiting.insert(id);
+        if dispatcher.mine {
             self.offer(now, index, Owners::SELF, want, effects);
             return self.pump(now, index, effects);
         }
-        desk.pool.line_up(now, want.clone());
-        if let Some(broker) = desk.broker.clone() {
+        dispatcher.pool.line_up(now, want.clone());
+        if let Some(broker) = dispatcher.broker.clone() {
             self.outbox.push(broker, index, Note::Want(want));
         }
         self.resend_later(effects);
@@ -35,14 +35,14 @@
 
     /// No longer asks for a slot.
     pub(crate) fn withdraw(&mut self, pending: &Pending) {
-        let desk = &mut self.desks[pending.desk];
-        desk.waiting.remove(&pending.request.id);
-        desk.pool.withdraw(Owners::SELF, pending.ticket());
-        if desk.mine {
+        let dispatcher = &mut self.dispatchers[pending.dispatcher];
+        dispatcher.waiting.remove(&pending.request.id);
+        dispatcher.pool.withdraw(Owners::SELF, pending.ticket());
+        if dispatcher.mine {
             return;
         }
-        if let Some(broker) = desk.broker.clone() {
-            self.outbox.push(broker, pending.desk, Note::Withdraw(pending.ticket()));
+        if let Some(broker) = dispatcher.broker.clone() {
+            self.outbox.push(broker, pending.dispatcher, Note::Withdraw(pending.ticket()));
         }
     }
 
@@ -58,24 +58,25 @@
         let Some(to) = self.successor(now, flight, report) else { return false };
         let Some(pending) = self.pending.get(&to.request) else { return false };
         let kind = pending.request.kind.clone();
-        let desk = &mut self.desks[flight.desk];
-        let Some(broker) = desk.broker.clone() else { return false };
-        desk.pool.learn(&flight.kind, report, took);
+        let dispatcher = &mut self.dispatchers[flight.dispatcher];
+        let Some(broker) = dispatcher.broker.clone() else { return false };
+        dispatcher.pool.learn(&flight.kind, report, took);
         let note = Note::Pass { from: flight.ticket, to, kind, took };
-        self.outbox.push(broker, flight.desk, note);
+        self.outbox.push(broker, flight.dispatcher, note);
         let (instance, tenure) = (flight.instance.clone(), flight.tenure);
-        self.start(now, flight.desk, to, instance, Some(tenure), effects);
+        self.start(now, flight.dispatcher, to, instance, Some(tenure), effects);
         true
     }
 
     /// Request to which the slot of `flight` is passed on.
     fn successor(&mut self, now: Time, flight: &Flight, report: Report) -> Option<Ticket> {
-        let desk = &mut self.desks[flight.desk];
-        let serving = desk.pool.find(&flight.instance).is_some_and(|upstream| upstream.serving);
-        if report != Report::Answered || desk.mine || !self.view || !serving {
+        let dispatcher = &mut self.dispatchers[flight.dispatcher];
+        let serving =
+            dispatcher.pool.find(&flight.instance).is_some_and(|upstream| upstream.serving);
+        if report != Report::Answered || dispatcher.mine || !self.view || !serving {
             return None;
         }
-        let ticket = desk.pool.successor(now, &flight.kind)?;
+        let ticket = dispatcher.pool.successor(now, &flight.kind)?;
         let pending = self.pending.get(&ticket.request)?;
         (pending.deadline <= flight.tenure).then_some(ticket)
     }
@@ -89,31 +90,32 @@
         report: Report,
         took: Duration,
     ) {
-        let desk = &mut self.desks[index];
-        if desk.mine {
-            return desk.pool.release(now, Owners::SELF, ticket, report, took);
+        let dispatcher = &mut self.dispatchers[index];
+        if dispatcher.mine {
+            return dispatcher.pool.release(now, Owners::SELF, ticket, report, took);
         }
         if let Some(pending) = self.pending.get(&ticket.request) {
-            desk.pool.learn(&pending.request.kind, report, took);
+            dispatcher.pool.learn(&pending.request.kind, report, took);
         }
-        if let Some(broker) = desk.broker.clone() {
+        if let Some(broker) = dispatcher.broker.clone() {
             self.outbox.push(broker, index, Note::Free { ticket, report, took });
         }
     }
 
     /// Grants what can be granted, and refuses what waits in vain.
     pub(crate) fn pump(&mut self, now: Time, index: usize, effects: &mut Vec<Effect>) {
-        if !self.desks[index].mine {
+        if !self.dispatchers[index].mine {
             return;
         }
-        self.desks[index].pool.wake(now);
-        while let Some(waiting) = self.desks[index].pool.hopeless(now) {
+        self.dispatchers[index].pool.wake(now);
+        while let Some(waiting) = self.dispatchers[index].pool.hopeless(now) {
             self.turn_away(now, index, &waiting, Reason::NoSlot, effects);
         }
         while self.view
-            && let Some((waiting, upstream)) = self.desks[index].pool.grant(now)
+            && let Some((waiting, upstream)) = self.dispatchers[index].pool.grant(now)
         {
-            let instance = self.desks[index].pool.upstream(upstream).announcement.instance.clone();
+            let instance =
+                self.dispatchers[index].pool.upstream(upstream).announcement.instance.clone();
             self.hand_out(now, index, waiting.owner, waiting.ticket, instance, effects);
         }
         self.wake_later(now, index, effects);
@@ -131,7 +133,7 @@
         if !self.config.services.contains_key(&service) {
             return;
         }
-        let index = self.desk(now, &service);
+        let index = self.dispatcher(now, &service);
         for note in notes {
             match note {
                 Note::Recall => self.recalled(now, index, &from, term),
@@ -168,43 +170,43 @@
             self.parted.insert(daemon.clone(), former.remove(daemon).unwrap_or(now));
         }
         self.roster = roster;
-        for index in 0..self.desks.len() {
-            let former = self.desks[index].term;
+        for index in 0..self.dispatchers.len() {
+            let former = self.dispatchers[index].term;
             self.assign(now, index);
             self.share_out(index);
-            if self.desks[index].term != former || self.policy != Policy::Broker {
+            if self.dispatchers[index].term != former || self.policy != Policy::Broker {
                 self.seek_again(now, index, effects);
             }
         }
     }
 
-    /// Sets who grants the slots of a desk.
+    /// Sets who grants the slots of a dispatcher.
     pub(crate) fn assign(&mut self, now: Time, index: usize) {
         let enrolled = self.roster.contains(&self.id, self.boot);
-        let desk = &mut self.desks[index];
-        desk.pool.set_owners(self.roster.daemons().len() as u32);
+        let dispatcher = &mut self.dispatchers[index];
+        dispatcher.pool.set_owners(self.roster.daemons().len() as u32);
         if self.policy != Policy::Broker {
-            desk.mine = true;
+            dispatcher.mine = true;
             return;
         }
-        let Some(shard) = self.roster.broker(&desk.service).filter(|_| enrolled) else {
-            desk.broker = None;
-            desk.mine = false;
+        let Some(shard) = self.roster.broker(&dispatcher.service).filter(|_| enrolled) else {
+            dispatcher.broker = None;
+            dispatcher.mine = false;
             return;
         };
-        if desk.term == shard.term && desk.broker.is_some() {
+        if dispatcher.term == shard.term && dispatcher.broker.is_some() {
             return;
         }
-        desk.take_term(shard, &self.id, self.boot);
+        dispatcher.take_term(shard, &self.id, self.boot);
         self.end_tenures(index);
-        if self.desks[index].mine {
+        if self.dispatchers[index].mine {
             self.rebuild(now, index);
         }
     }
 
     /// Keeps slots of a former term from being passed on.
     fn end_tenures(&mut self, index: usize) {
-        for flight in self.flights.values_mut().filter(|flight| flight.desk == index) {
+        for flight in self.flights.values_mut().filter(|flight| flight.dispatcher == index) {
             flight.tenure = Time::ZERO;
         }
     }
@@ -219,14 +221,14 @@
         if self.knows_all(&self.id, now - self.born.unwrap_or(now)) {
             missing.remove(&self.id);
         }
-        let desk = &mut self.desks[index];
-        desk.missing = missing;
-        desk.known = desk.pool.upstreams().count();
-        desk.rebuilt = now + window;
+        let dispatcher = &mut self.dispatchers[index];
+        dispatcher.missing = missing;
+        dispatcher.known = dispatcher.pool.upstreams().count();
+        dispatcher.rebuilt = now + window;
         for held in holds {
-            desk.pool.restore(Owners::SELF, &held, now + held.left + LEASE_MARGIN);
+            dispatcher.pool.restore(Owners::SELF, &held, now + held.left + LEASE_MARGIN);
         }
-        desk.pool.reserve(desk.missing.len() as u32, desk.known);
+        dispatcher.pool.reserve(dispatcher.missing.len() as u32, dispatcher.known);
     }
 
     /// Time after which nothing is in use that was granted before a roster was committed.
@@ -241,7 +243,7 @@
     }
 
     fn holds(&self, now: Time, index: usize) -> Vec<Held> {
-        let own = self.flights.values().filter(|flight| flight.desk == index);
+        let own = self.flights.values().filter(|flight| flight.dispatcher == index);
         let mut held: Vec<_> = own
             .map(|flight| Held {
                 ticket: flight.ticket,
@@ -256,7 +258,7 @@
 
     fn seek_again(&mut self, now: Time, index: usize, effects: &mut Vec<Effect>) {
         self.recall(index);
-        for request in self.desks[index].waiting.clone() {
+        for request in self.dispatchers[index].waiting.clone() {
             self.seek(now, request, effects);
         }
         self.resend_later(effects);
@@ -280,22 +282,24 @@
         if self.policy != Policy::EvenSplit {
             return;
         }
-        let serving = self.desks[index].pool.upstreams().filter(|upstream| upstream.serving);
+        let serving = self.dispatchers[index].pool.upstreams().filter(|upstream| upstream.serving);
         let serving: Vec<_> = serving.map(|upstream| upstream.announcement.clone()).collect();
         for announcement in serving {
             let slots = self.own_slots(&announcement);
-            self.desks[index].pool.serve(announcement, slots);
+            self.dispatchers[index].pool.serve(announcement, slots);
         }
     }
 
     fn heeds(&self, index: usize, from: &Name, term: u64) -> bool {
-        let desk = &self.desks[index];
-        term == desk.term && term >= desk.fence && desk.broker.as_ref() == Some(from)
+        let dispatcher = &self.dispatchers[index];
+        term == dispatcher.term
+            && term >= dispatcher.fence
+            && dispatcher.broker.as_ref() == Some(from)
     }
 
     fn serves(&self, index: usize, from: &Name, boot: u64, term: u64) -> bool {
-        let desk = &self.desks[index];
-        desk.mine && term == desk.term && self.roster.contains(from, boot)
+        let dispatcher = &self.dispatchers[index];
+        dispatcher.mine && term == dispatcher.term && self.roster.contains(from, boot)
     }
 
     fn serve_note(
@@ -307,7 +311,7 @@
         effects: &mut Vec<Effect>,
     ) {
         match note {
-            Note::Want(want) => match self.desks[index].pool.holding(owner, want.ticket) {
+            Note::Want(want) => match self.dispatchers[index].pool.holding(owner, want.ticket) {
                 Some(upstream) => {
                     let instance = upstream.announcement.instance.clone();
                     self.hand_out(now, index, owner, want.ticket, instance, effects);
@@ -315,15 +319,15 @@
                 None => self.offer(now, index, owner, want, effects),
             },
             Note::Withdraw(ticket) => {
-                let pool = &mut self.desks[index].pool;
+                let pool = &mut self.dispatchers[index].pool;
                 pool.withdraw(owner, ticket);
                 pool.release(now, owner, ticket, Report::Unused, Duration::ZERO);
             }
             Note::Free { ticket, report, took } => {
-                self.desks[index].pool.release(now, owner, ticket, report, took);
+                self.dispatchers[index].pool.release(now, owner, ticket, report, took);
             }
             Note::Pass { from, to, kind, took } => {
-                self.desks[index].pool.pass(now, owner, from, to, kind, took);
+                self.dispatchers[index].pool.pass(now, owner, from, to, kind, took);
             }
             Note::Holds { age, held } => self.restore(now, index, owner, age, &held),
             Note::Grant { .. } | Note::Refuse { .. } | Note::Recall => {}
@@ -333,25 +337,25 @@
     fn restore(&mut self, now: Time, index: usize, owner: Owner, age: Duration, held: &[Held]) {
         let name = self.owners.name(owner).clone();
         let knows_all = self.knows_all(&name, age);
-        let desk = &mut self.desks[index];
-        if !desk.missing.contains(&name) {
+        let dispatcher = &mut self.dispatchers[index];
+        if !dispatcher.missing.contains(&name) {
             return;
         }
         for held in held {
-            desk.pool.restore(owner, held, now + held.left + LEASE_MARGIN);
+            dispatcher.pool.restore(owner, held, now + held.left + LEASE_MARGIN);
         }
         if knows_all {
-            desk.missing.remove(&name);
+            dispatcher.missing.remove(&name);
         }
-        desk.pool.reserve(desk.missing.len() as u32, desk.known);
+        dispatcher.pool.reserve(dispatcher.missing.len() as u32, dispatcher.known);
     }
 
     /// Tells a new broker what this daemon holds.
     fn recalled(&mut self, now: Time, index: usize, broker: &Name, term: u64) {
-        if term < self.desks[index].fence {
+        if term < self.dispatchers[index].fence {
             return;
         }
-        self.desks[index].fence = term;
+        self.dispatchers[index].fence = term;
         self.end_tenures(index);
         let held = self.holds(now, index);
         let age = now - self.born.unwrap_or(now);
@@ -367,10 +371,10 @@
         effects: &mut Vec<Effect>,
     ) {
         let (ticket, tenant, kind) = (want.ticket, want.tenant.clone(), want.kind.clone());
-        if let Err(refusal) = self.desks[index].pool.offer(now, owner, want) {
+        if let Err(refusal) = self.dispatchers[index].pool.offer(now, owner, want) {
             return self.send_away(now, index, owner, ticket, refusal, effects);
         }
-        for waiting in self.desks[index].pool.displaced(now, &tenant, &kind) {
+        for waiting in self.dispatchers[index].pool.displaced(now, &tenant, &kind) {
             self.turn_away(now, index, &waiting, Reason::Overloaded, effects);
         }
     }
@@ -383,7 +387,7 @@
         reason: Reason,
         effects: &mut Vec<Effect>,
     ) {
-        let retry_after = self.desks[index].pool.backlog(&waiting.tenant);
+        let retry_after = self.dispatchers[index].pool.backlog(&waiting.tenant);
         let refusal = Refusal { reason, retry_after };
         self.send_away(now, index, waiting.owner, waiting.ticket, refusal, effects);
     }
@@ -447,7 +451,7 @@
     ) {
         let pending = self.pending.get_mut(&ticket.request);
         let pending = pending.filter(|it| it.phase == Phase::Waiting && it.turn == ticket.turn);
-        let upstream = self.desks[index].pool.find(&instance).filter(|it| it.serving);
+        let upstream = self.dispatchers[index].pool.find(&instance).filter(|it| it.serving);
         let (Some(pending), Some(upstream), true) = (pending, upstream, self.view) else {
             return self.unused(now, index, ticket);
         };
@@ -461,7 +465,7 @@
             lease: pending.deadline.min(now + START_LEASE),
         };
         let flight = Flight {
-            desk: index,
+            dispatcher: index,
             ticket,
             instance,
             rack: upstream.announcement.location.rack.clone(),
@@ -471,8 +475,8 @@
             tenure: tenure.unwrap_or(pending.deadline + TENURE),
         };
         pending.phase = Phase::Running(attempt.id);
-        self.desks[index].waiting.remove(&ticket.request);
-        self.desks[index].pool.withdraw(Owners::SELF, ticket);
+        self.dispatchers[index].waiting.remove(&ticket.request);
+        self.dispatchers[index].pool.withdraw(Owners::SELF, ticket);
         self.flights.insert(attempt.id, flight);
         effects.push(Effect::Attempt(attempt));
     }
@@ -485,16 +489,16 @@
         let Some(pending) = waits else { return };
         pending.turn += 1;
         pending.sought = now;
-        self.desks[index].pool.withdraw(Owners::SELF, ticket);
+        self.dispatchers[index].pool.withdraw(Owners::SELF, ticket);
         self.give_back(now, index, ticket, Report::Unused, Duration::ZERO);
     }
 
     fn recall(&mut self, index: usize) {
-        let desk = &self.desks[index];
-        if !desk.mine {
+        let dispatcher = &self.dispatchers[index];
+        if !dispatcher.mine {
             return;
         }
-        for daemon in desk.missing.iter().filter(|daemon| **daemon != self.id) {
+        for daemon in dispatcher.missing.iter().filter(|daemon| **daemon != self.id) {
             self.outbox.push(daemon.clone(), index, Note::Recall);
         }
     }
@@ -502,27 +506,29 @@
     /// Sends again what got no answer.
     pub(crate) fn resend(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.resending = false;
-        for index in 0..self.desks.len() {
-            let desk = &mut self.desks[index];
-            if desk.mine && !desk.missing.is_empty() {
-                if now >= desk.rebuilt {
-                    desk.missing.clear();
-                    desk.pool.reserve(0, desk.known);
+        for index in 0..self.dispatchers.len() {
+            let dispatcher = &mut self.dispatchers[index];
+            if dispatcher.mine && !dispatcher.missing.is_empty() {
+                if now >= dispatcher.rebuilt {
+                    dispatcher.missing.clear();
+                    dispatcher.pool.reserve(0, dispatcher.known);
                     self.pump(now, index, effects);
                 }
                 self.recall(index);
-            } else if !desk.mine {
+            } else if !dispatcher.mine {
                 self.seek_old(now, index, effects);
             }
         }
-        let busy = |desk: &Desk| !desk.missing.is_empty() || !desk.mine && !desk.waiting.is_empty();
-        if self.desks.iter().any(busy) {
+        let busy = |dispatcher: &Dispatcher| {
+            !dispatcher.missing.is_empty() || !dispatcher.mine && !dispatcher.waiting.is_empty()
+        };
+        if self.dispatchers.iter().any(busy) {
             self.resend_later(effects);
         }
     }
 
     fn seek_old(&mut self, now: Time, index: usize, effects: &mut Vec<Effect>) {
-        let waiting: Vec<_> = self.desks[index].waiting.iter().copied().collect();
+        let waiting: Vec<_> = self.dispatchers[index].waiting.iter().copied().collect();
         for request in waiting {
             let pending = self.pending.get(&request);
             if pending.is_some_and(|it| it.sought + RESEND_INTERVAL <= now) {
@@ -539,10 +545,10 @@
     }
 
     fn wake_later(&mut self, now: Time, index: usize, effects: &mut Vec<Effect>) {
-        let desk = &mut self.desks[index];
-        let Some(at) = desk.pool.next_wake() else { return };
-        if desk.wakes.is_none_or(|wakes| at < wakes) {
-            desk.wakes = Some(at);
+        let dispatcher = &mut self.dispatchers[index];
+        let Some(at) = dispatcher.pool.next_wake() else { return };
+        if dispatcher.wakes.is_none_or(|wakes| at < wakes) {
+            dispatcher.wakes = Some(at);
             let after = at.saturating_sub(now) + WAKE_STEP;
             effects.push(Effect::Subscribe { timer: Timer::Pool(index), after });
         }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -32,7 +32,7 @@
 mod claims;
 mod command;
 mod decision;
-mod desk;
+mod dispatcher;
 mod effect;
 mod estimate;
 mod event;
@@ -81,7 +81,7 @@
 };
 use {
     busy::Busy,
-    desk::Desk,
+    dispatcher::Dispatcher,
     estimate::Estimate,
     flight::Flight,
     line::Line,
--- a/crates/route/src/outbox.rs
+++ b/crates/route/src/outbox.rs
@@ -13,8 +13,8 @@
     /// Between two batches.
     const INTERVAL: Duration = Duration::from_micros(200);
 
-    pub(crate) fn push(&mut self, to: Name, desk: usize, note: Note) {
-        self.notes.entry((to, desk)).or_default().push(note);
+    pub(crate) fn push(&mut self, to: Name, dispatcher: usize, note: Note) {
+        self.notes.entry((to, dispatcher)).or_default().push(note);
     }
 
     pub(crate) fn wake(&mut self) {
@@ -26,7 +26,7 @@
         &mut self,
         now: Time,
         boot: u64,
-        desks: &[Desk],
+        dispatchers: &[Dispatcher],
         effects: &mut Vec<Effect>,
     ) {
         if self.notes.is_empty() {
@@ -41,8 +41,8 @@
             return;
         }
         self.closed_until = now + Self::INTERVAL;
-        for ((to, desk), notes) in std::mem::take(&mut self.notes) {
-            let Desk { service, term, fence, .. } = &desks[desk];
+        for ((to, dispatcher), notes) in std::mem::take(&mut self.notes) {
+            let Dispatcher { service, term, fence, .. } = &dispatchers[dispatcher];
             let term = *term.max(fence);
             let parcel = Parcel { service: service.clone(), term, boot, notes };
             effects.push(Effect::Send { to, message: Message::Slots(parcel) });
--- a/crates/route/src/pending.rs
+++ b/crates/route/src/pending.rs
@@ -4,8 +4,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Pending {
     pub(crate) request: Request,
-    /// Number of its service's desk.
-    pub(crate) desk: usize,
+    /// Number of its service's dispatcher.
+    pub(crate) dispatcher: usize,
     pub(crate) idempotent: bool,
     pub(crate) deadline: Time,
     /// Slots that it had before.
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -15,7 +15,7 @@
     pub(crate) pending: Map<RequestId, Pending>,
     pub(crate) settled: Settled,
     pub(crate) flights: Map<AttemptId, Flight>,
-    pub(crate) desks: Vec<Desk>,
+    pub(crate) dispatchers: Vec<Dispatcher>,
     services: Map<Name, usize>,
     pub(crate) owners: Owners,
     pub(crate) parted: Map<Name, Time>,
@@ -46,7 +46,7 @@
             pending: Map::default(),
             settled: Settled::default(),
             flights: Map::default(),
-            desks: Vec::new(),
+            dispatchers: Vec::new(),
             services: Map::default(),
             parted: Map::default(),
             outbox: Outbox::default(),
@@ -71,7 +71,7 @@
             Event::View(view) => self.look(now, view, &mut effects),
             Event::Stop => self.stopping = true,
         }
-        self.outbox.flush(now, self.boot, &self.desks, &mut effects);
+        self.outbox.flush(now, self.boot, &self.dispatchers, &mut effects);
         effects
     }
 
@@ -84,23 +84,24 @@
     /// or that a broker before it may have granted.
     pub fn in_flight(&self, instance: &Name) -> u32 {
         let flights = self.flights.values().filter(|flight| flight.instance == *instance);
-        let granted = self.desks.iter().filter_map(|desk| desk.pool.find(instance));
+        let granted =
+            self.dispatchers.iter().filter_map(|dispatcher| dispatcher.pool.find(instance));
         flights.count() as u32
             + granted.map(|upstream| upstream.in_flight + upstream.reserved).sum::<u32>()
     }
 
     /// Slots that this daemon has granted, for every service whose broker it is.
     pub fn granted(&self) -> usize {
-        self.desks.iter().map(|desk| desk.pool.granted()).sum()
+        self.dispatchers.iter().map(|dispatcher| dispatcher.pool.granted()).sum()
     }
 
     fn on_timer(&mut self, now: Time, timer: Timer, effects: &mut Vec<Effect>) {
         match timer {
             Timer::Deadline(request) => self.expire(now, request, effects),
             Timer::Ask(resend) => self.ask_again(now, resend, effects),
-            Timer::Pool(desk) => {
-                self.desks[desk].wakes = None;
-                self.pump(now, desk, effects);
+            Timer::Pool(dispatcher) => {
+                self.dispatchers[dispatcher].wakes = None;
+                self.pump(now, dispatcher, effects);
             }
             Timer::Resend => self.resend(now, effects),
             Timer::Flush => self.outbox.wake(),
@@ -140,11 +141,11 @@
         }
         let Some(kind) = kind else { return Err((id, not_run(Reason::UnknownKind))) };
         let (idempotent, longest) = (kind.idempotent, kind.deadline);
-        let desk = self.desk(now, &request.service);
+        let dispatcher = self.dispatcher(now, &request.service);
         Ok(Pending {
             deadline: now + request.patience.unwrap_or(longest).min(longest),
             request,
-            desk,
+            dispatcher,
             idempotent,
             turn: 0,
             may_have_run: false,
@@ -160,11 +161,11 @@
     pub(crate) fn enqueue(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         pending.phase = Phase::Waiting;
-        let desk = &mut self.desks[pending.desk];
-        let service = self.config.services.get(&desk.service);
+        let dispatcher = &mut self.dispatchers[pending.dispatcher];
+        let service = self.config.services.get(&dispatcher.service);
         let most = service.map_or(0, |service| service.queue as usize);
-        desk.earn_retry();
-        if desk.waiting.len() >= most {
+        dispatcher.earn_retry();
+        if dispatcher.waiting.len() >= most {
             return self.refuse(now, id, Reason::QueueFull, effects);
         }
         self.seek(now, id, effects);
@@ -174,10 +175,10 @@
         let Some(flight) = self.flights.remove(&id) else { return };
         let took = now - flight.started;
         if !self.pass(now, &flight, report, took, effects) {
-            self.give_back(now, flight.desk, flight.ticket, report, took);
+            self.give_back(now, flight.dispatcher, flight.ticket, report, took);
         }
         self.conclude(now, id, &flight, report, effects);
-        self.pump(now, flight.desk, effects);
+        self.pump(now, flight.dispatcher, effects);
     }
 
     fn conclude(
@@ -213,7 +214,7 @@
         if report == Report::Refused && self.policy.overcommits() {
             return true;
         }
-        pending.turn + 1 < MAX_ATTEMPTS && self.desks[pending.desk].spend_retry()
+        pending.turn + 1 < MAX_ATTEMPTS && self.dispatchers[pending.dispatcher].spend_retry()
     }
 
     fn retry(&mut self, now: Time, request: RequestId, flight: &Flight, effects: &mut Vec<Effect>) {
@@ -279,29 +280,29 @@
     /// Refuses what waits when the view is lost: nothing may be sent without one.
     fn look(&mut self, now: Time, view: bool, effects: &mut Vec<Effect>) {
         self.view = view;
-        for desk in 0..self.desks.len() {
+        for dispatcher in 0..self.dispatchers.len() {
             if view {
-                self.pump(now, desk, effects);
+                self.pump(now, dispatcher, effects);
                 continue;
             }
-            for request in self.desks[desk].waiting.clone() {
+            for request in self.dispatchers[dispatcher].waiting.clone() {
                 self.refuse(now, request, Reason::NoView, effects);
             }
         }
     }
 
     fn configure(&mut self, config: Arc<Config>) {
-        for desk in &mut self.desks {
-            desk.pool.configure(config.clone());
+        for dispatcher in &mut self.dispatchers {
+            dispatcher.pool.configure(config.clone());
         }
         self.config = config;
     }
 
     fn serve(&mut self, now: Time, announcement: Announcement, effects: &mut Vec<Effect>) {
-        let index = self.desk(now, &announcement.service);
+        let index = self.dispatcher(now, &announcement.service);
         self.leave_others(&announcement.instance, index);
         let slots = self.own_slots(&announcement);
-        self.desks[index].pool.serve(announcement, slots);
+        self.dispatchers[index].pool.serve(announcement, slots);
         self.pump(now, index, effects);
     }
 
@@ -310,22 +311,22 @@
     }
 
     fn leave_others(&mut self, instance: &Name, keep: usize) {
-        for (index, desk) in self.desks.iter_mut().enumerate() {
+        for (index, dispatcher) in self.dispatchers.iter_mut().enumerate() {
             if index != keep {
-                desk.pool.gone(instance);
+                dispatcher.pool.gone(instance);
             }
         }
     }
 
-    /// Number of the desk of `service`.
-    pub(crate) fn desk(&mut self, now: Time, service: &Name) -> usize {
-        if let Some(desk) = self.services.get(service) {
-            return *desk;
+    /// Number of the dispatcher of `service`.
+    pub(crate) fn dispatcher(&mut self, now: Time, service: &Name) -> usize {
+        if let Some(dispatcher) = self.services.get(service) {
+            return *dispatcher;
         }
-        let index = self.desks.len();
+        let index = self.dispatchers.len();
         let seed = self.boot ^ index as u64;
         let pool = Pool::new(self.policy, self.config.clone(), seed);
-        self.desks.push(Desk::new(service.clone(), pool));
+        self.dispatchers.push(Dispatcher::new(service.clone(), pool));
         self.services.insert(service.clone(), index);
         self.assign(now, index);
         index
