One way to ask a daemon of the bench for its status

Cause: the experiment on changes wrote the call again for the sake of a shorter timeout. Change: Daemon::status_within takes the timeout; one clone joins its chain. Behaviour is the same.

--- a/crates/bench/src/changes.rs
+++ b/crates/bench/src/changes.rs
@@ -214,9 +214,7 @@
 
 /// Whether a daemon may act on its configuration, and the number of that configuration.
 fn shown(daemon: &Daemon) -> Option<(bool, u64)> {
-    let url = format!("http://{}/v1/status", daemon.operators);
-    let text = attohttpc::get(url).timeout(STATUS_TIMEOUT).send().ok()?.text().ok()?;
-    let status: serde_json::Value = serde_json::from_str(&text).ok()?;
+    let status = daemon.status_within(STATUS_TIMEOUT).ok()?;
     Some((status["view"].as_bool()?, status["revision"].as_u64()?))
 }
 
--- a/crates/bench/src/daemon.rs
+++ b/crates/bench/src/daemon.rs
@@ -54,8 +54,13 @@
 
     /// The daemon's status as JSON.
     pub fn status(&self) -> eyre::Result<serde_json::Value> {
+        self.status_within(Duration::from_secs(5))
+    }
+
+    /// The daemon's status as JSON, unless it takes longer than `timeout`.
+    pub(crate) fn status_within(&self, timeout: Duration) -> eyre::Result<serde_json::Value> {
         let url = format!("http://{}/v1/status", self.operators);
-        let text = attohttpc::get(url).timeout(Duration::from_secs(5)).send()?.text()?;
+        let text = attohttpc::get(url).timeout(timeout).send()?.text()?;
         Ok(serde_json::from_str(&text)?)
     }
 
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -103,8 +103,7 @@
     /// Keeps the answer of `attempt` for resends of `request`.
     pub(crate) fn keep(&self, request: route::RequestId, attempt: route::AttemptId) {
         let held = lock(&self.edge.held);
-        let answer = held.get(&request).and_then(|held| held.answers.get(&attempt));
-        let answer = answer.cloned();
+        let answer = held.get(&request).and_then(|held| held.answers.get(&attempt)).cloned();
         drop(held);
         if let Some(answer) = answer {
             lock(&self.edge.kept).insert(request, answer);
