--- /dev/null
+++ b/crates/entry/src/asks.rs
@@ -0,0 +1,98 @@
+//! Calls on their way to whoever leads. Every call may be repeated: a job is known by its id, a
+//! configuration by its version, a wave by its number.
+
+use super::*;
+
+/// The calls of this daemon's edges, and where the leader is.
+#[derive(Debug, Default)]
+pub(crate) struct Asks {
+    waiting: BTreeMap<Ticket, Ask>,
+    /// Who leads, as far as this daemon knows.
+    pub(crate) leader: Option<Name>,
+    /// Daemons that may know who leads.
+    pub(crate) known: BTreeSet<Name>,
+    turn: usize,
+    /// When a leader last said that it serves.
+    pub(crate) served: Option<Time>,
+}
+
+impl Asks {
+    /// After which a call that had no answer is sent again.
+    const RESEND: Duration = Duration::from_millis(350);
+    /// When to come back after there was no leader.
+    pub(crate) const RETRY: Duration = Duration::from_secs(1);
+
+    pub(crate) fn insert(&mut self, ticket: Ticket, call: Call, until: Time) {
+        let ask = Ask { call, until, sent: None, may_have_run: false };
+        self.waiting.insert(ticket, ask);
+    }
+
+    pub(crate) fn take(&mut self, ticket: Ticket) -> Option<Ask> {
+        self.waiting.remove(&ticket)
+    }
+
+    pub(crate) fn tickets(&self) -> Vec<Ticket> {
+        self.waiting.keys().copied().collect()
+    }
+
+    pub(crate) fn get(&self, ticket: Ticket) -> Option<&Ask> {
+        self.waiting.get(&ticket)
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Someone who may lead, or know who does.
+    pub(crate) fn whom(&mut self, own: &Name) -> Option<Name> {
+        if let Some(leader) = self.leader.clone().filter(|leader| leader != own) {
+            return Some(leader);
+        }
+        self.turn += 1;
+        let others: Vec<_> = self.known.iter().filter(|name| *name != own).collect();
+        others.get(self.turn % others.len().max(1)).map(|name| (*name).clone())
+    }
+
+    /// Takes word that `from` does not lead, but perhaps `leader`.
+    pub(crate) fn elsewhere(&mut self, ticket: Ticket, from: &Name, leader: Option<Name>) {
+        if leader.is_some() && leader.as_ref() != Some(from) {
+            self.leader = leader;
+        } else if self.leader.as_ref() == Some(from) {
+            self.leader = None;
+        }
+        if let Some(ask) = self.waiting.get_mut(&ticket)
+            && ask.sent.as_ref().is_some_and(|(to, _)| to == from)
+        {
+            ask.may_have_run = false;
+            ask.sent = None;
+        }
+    }
+
+    /// Sends the call `ticket`, if it is due.
+    pub(crate) fn send(&mut self, now: Time, own: &Name, ticket: Ticket) -> Option<Effect> {
+        let ask = self.waiting.get(&ticket)?;
+        if ask.sent.as_ref().is_some_and(|(_, at)| now < *at + Self::RESEND) {
+            return None;
+        }
+        if let Some((to, _)) = &ask.sent
+            && self.leader.as_ref() == Some(to)
+        {
+            self.leader = None;
+        }
+        let to = self.whom(own)?;
+        let ask = self.waiting.get_mut(&ticket)?;
+        ask.sent = Some((to.clone(), now));
+        ask.may_have_run = true;
+        let message = Message::Ask { ticket, call: ask.call.clone() };
+        Some(Effect::Send { to, message })
+    }
+
+    /// Takes every call whose edge has given up.
+    pub(crate) fn give_up(&mut self, now: Time) -> Vec<(Ticket, Answer)> {
+        let late = self.waiting.extract_if(.., |_, ask| ask.until <= now);
+        let answer = |ask: &Ask| {
+            if ask.may_have_run { Answer::Unknown } else { Answer::NotRun { retry: Self::RETRY } }
+        };
+        late.map(|(ticket, ask)| (ticket, answer(&ask))).collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/clock.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+/// The clocks of the process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Clock {
+    started: Time,
+}
+
+impl Clock {
+    pub(crate) fn start() -> Self {
+        Self { started: boot_time() }
+    }
+
+    /// Time since the process started. It goes on while the instance is suspended, so that leases
+    /// run out then too.
+    pub(crate) fn now(self) -> Time {
+        boot_time().saturating_sub(self.started)
+    }
+
+    /// Milliseconds since 1970.
+    pub(crate) fn unix() -> job::Unix {
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        now.map_or(0, |since| since.as_millis() as job::Unix)
+    }
+}
+
+fn boot_time() -> Time {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
--- /dev/null
+++ b/crates/entry/src/disk.rs
@@ -0,0 +1,89 @@
+use super::*;
+
+/// Exit code after the data folder has failed.
+const EXIT_DISK: i32 = 3;
+
+/// The thread that makes records durable, one batch at a time.
+pub(crate) struct Disk {
+    orders: crossbeam::channel::Sender<Vec<quorum::Record>>,
+    /// Records that wait for the batch under way.
+    waiting: Vec<quorum::Record>,
+    /// Last entry of the batch under way.
+    writing: Option<Option<(quorum::Term, Index)>>,
+    /// Messages that may go once the batch under way is durable.
+    after_writing: Vec<(Name, Message)>,
+    /// Messages that may go once what waits now is durable.
+    after_waiting: Vec<(Name, Message)>,
+}
+
+impl Disk {
+    pub(crate) fn start(
+        mut store: store::Store,
+        synced: mpsc::UnboundedSender<Result<(), String>>,
+    ) -> Self {
+        let (orders, inbox) = crossbeam::channel::unbounded::<Vec<quorum::Record>>();
+        std::thread::spawn(move || {
+            for records in inbox {
+                for record in records {
+                    store.append(record);
+                }
+                let result = store.sync().map_err(|error| error.to_string());
+                if synced.send(result).is_err() {
+                    return;
+                }
+            }
+        });
+        Self {
+            orders,
+            waiting: Vec::new(),
+            writing: None,
+            after_writing: Vec::new(),
+            after_waiting: Vec::new(),
+        }
+    }
+
+    pub(crate) fn persist(&mut self, record: quorum::Record) {
+        self.waiting.push(record);
+    }
+
+    /// Takes a message that must wait for every record so far; returns it if none does.
+    pub(crate) fn hold(&mut self, to: Name, message: Message) -> Option<(Name, Message)> {
+        if !self.waiting.is_empty() {
+            self.after_waiting.push((to, message));
+        } else if self.writing.is_some() {
+            self.after_writing.push((to, message));
+        } else {
+            return Some((to, message));
+        }
+        None
+    }
+
+    /// Begins to write what waits, if nothing is being written.
+    pub(crate) fn flush(&mut self) {
+        if self.writing.is_some() || self.waiting.is_empty() {
+            return;
+        }
+        let records = std::mem::take(&mut self.waiting);
+        self.writing = Some(records.iter().rev().find_map(last_entry));
+        self.after_writing = std::mem::take(&mut self.after_waiting);
+        self.orders.send(records).ok();
+    }
+
+    /// Takes word that the batch under way is durable: messages that may go, and the last entry.
+    pub(crate) fn synced(
+        &mut self,
+        result: Result<(), String>,
+    ) -> (Vec<(Name, Message)>, Option<(quorum::Term, Index)>) {
+        if let Err(error) = result {
+            eprintln!("data folder failed, the daemon ends: {error}");
+            std::process::exit(EXIT_DISK);
+        }
+        let last = self.writing.take().flatten();
+        (std::mem::take(&mut self.after_writing), last)
+    }
+}
+
+fn last_entry(record: &quorum::Record) -> Option<(quorum::Term, Index)> {
+    let quorum::Record::Entries { first, entries } = record else { return None };
+    Some((entries.last()?.term, first + entries.len() as Index - 1))
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,7 @@
+//! The daemon of an entry instance.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    entry::run()
+}
--- /dev/null
+++ b/crates/entry/src/membership.rs
@@ -0,0 +1,63 @@
+//! Who votes, as the leader arranges it: daemons with a disk join as observers, become voters once
+//! they have caught up, and take the place of voters that are silent or have lost their disk. One
+//! member changes at a time, and the number of voters stays odd where there is a choice.
+
+use super::*;
+
+/// What the leader knows of daemons that would join.
+#[derive(Debug, Default)]
+pub(crate) struct Membership {
+    joining: BTreeMap<Name, Time>,
+}
+
+impl Membership {
+    /// Voters that are wanted; more would slow every commit.
+    const VOTERS: usize = 5;
+    /// After which a voter that does not answer may be replaced.
+    const SILENT: Duration = Duration::from_millis(4000);
+    /// How long a wish to join holds.
+    const WISH: Duration = Duration::from_millis(1500);
+
+    pub(crate) fn join(&mut self, now: Time, from: Name) {
+        self.joining.insert(from, now);
+    }
+
+    /// The next change, where one is due.
+    pub(crate) fn change(&mut self, now: Time, quorum: &quorum::State) -> Option<quorum::Change> {
+        self.joining.retain(|_, heard| now < *heard + Self::WISH);
+        let members = quorum.members();
+        let progress: BTreeMap<_, _> = quorum.progress().into_iter().collect();
+        let replaced = |name: &&Name| {
+            let peer = progress.get(*name);
+            let disk = members.get(name).and_then(|member| member.disk);
+            peer.is_some_and(|p| p.answered.is_some() && p.disk.is_some() && p.disk != disk)
+        };
+        if let Some(name) = members.voters().find(replaced) {
+            return Some(quorum::Change::Observer(name.clone()));
+        }
+        if let Some(name) = self.joining.keys().find(|name| members.get(name).is_none()) {
+            return Some(quorum::Change::Observer(name.clone()));
+        }
+        let alive = |name: &Name| {
+            let answered = progress.get(name).and_then(|peer| peer.answered);
+            answered.is_some_and(|at| now < at + Self::SILENT / 4)
+        };
+        let observers = members.iter().filter(|(_, member)| member.role == quorum::Role::Observer);
+        let standby: Vec<_> =
+            observers.map(|(name, _)| name.clone()).filter(|name| alive(name)).collect();
+        let silent = |name: &&Name| {
+            let answered = progress.get(*name).map(|peer| peer.answered.unwrap_or_default());
+            answered.is_some_and(|at| now > at + Self::SILENT)
+        };
+        let voters = members.voters().count();
+        if !standby.is_empty()
+            && voters > 1
+            && let Some(name) = members.voters().find(silent)
+        {
+            return Some(quorum::Change::Remove(name.clone()));
+        }
+        let wanted = voters % 2 == 0 || standby.len() >= 2 && voters < Self::VOTERS;
+        let ready = standby.into_iter().find(|_| wanted)?;
+        Some(quorum::Change::Voter(ready))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/message.rs
@@ -0,0 +1,51 @@
+use super::*;
+
+/// Messages between daemons.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// Agreement.
+    Quorum(quorum::Message),
+    /// A daemon with an empty disk would found the fleet.
+    Found,
+    /// Answers `Found`: whom the sender has chosen to found it.
+    Founder(Name),
+    /// A daemon with a disk takes no part in the agreement yet.
+    Join {
+        /// Identity of its disk.
+        disk: quorum::Disk,
+    },
+    /// A call for whoever leads.
+    Ask {
+        /// Number at the sender.
+        ticket: Ticket,
+        /// The call.
+        call: Call,
+    },
+    /// The answer to a call.
+    Answer {
+        /// Number at the receiver.
+        ticket: Ticket,
+        /// The answer.
+        answer: Answer,
+    },
+    /// The sender does not lead, and has done nothing about a call.
+    Elsewhere {
+        /// Number at the receiver.
+        ticket: Ticket,
+        /// Who leads, as far as the sender knows.
+        leader: Option<Name>,
+    },
+    /// Asks who leads.
+    Ping,
+    /// Answers `Ping`.
+    Pong {
+        /// Who leads, as far as the sender knows.
+        leader: Option<Name>,
+        /// Every member of the agreement, as far as the sender knows.
+        members: Vec<Name>,
+        /// Whether the sender leads for certain, and has a configuration.
+        serves: bool,
+    },
+    /// What an instance has said of itself, for voters that may lead later.
+    Heard(job::Announcement),
+}
--- /dev/null
+++ b/crates/entry/src/outbound.rs
@@ -0,0 +1,118 @@
+//! Calls to instances and to the platform, over connections that are kept.
+
+use {
+    super::*,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{Request, client::conn::http1, header},
+    hyper_util::rt::TokioIo,
+    job::Failure,
+    tokio::{net::TcpStream, sync::Semaphore, task::spawn_local},
+};
+
+/// Time within which a connection must stand.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Calls at once to one address, renewals aside.
+const CALLS_AT_ONCE: usize = 6;
+
+/// Connections that are kept for one address.
+const KEPT: usize = 4;
+
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// Connections by address.
+#[derive(Default)]
+pub(crate) struct Outbound {
+    hosts: RefCell<Map<Name, Rc<Host>>>,
+}
+
+struct Host {
+    idle: RefCell<Vec<Sender>>,
+    calls: Semaphore,
+}
+
+impl Outbound {
+    fn host(&self, address: &Name) -> Rc<Host> {
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.entry(address.clone()).or_insert_with(|| {
+            let calls = Semaphore::new(CALLS_AT_ONCE);
+            Rc::new(Host { idle: RefCell::default(), calls })
+        });
+        host.clone()
+    }
+
+    /// Sends `outgoing`, and gives the status and body of the response.
+    ///
+    /// A call of its own limit waits for its turn; `patient` ones, which hold a connection for long,
+    /// do not count against it.
+    pub(crate) async fn call(
+        &self,
+        address: &Name,
+        outgoing: platform::Outgoing,
+        patient: bool,
+        timeout: Duration,
+    ) -> Result<(u16, Bytes), Failure> {
+        let host = self.host(address);
+        let exchange = async {
+            let _permit = if patient { None } else { host.calls.acquire().await.ok() };
+            host.exchange(address, outgoing).await
+        };
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(Failure::Timeout))
+    }
+}
+
+impl Host {
+    async fn exchange(
+        &self,
+        address: &Name,
+        outgoing: platform::Outgoing,
+    ) -> Result<(u16, Bytes), Failure> {
+        let mut sender = match self.kept() {
+            Some(sender) => sender,
+            None => connect(address).await?,
+        };
+        let mut builder = Request::builder()
+            .method(outgoing.method)
+            .uri(&outgoing.path)
+            .header(header::HOST, &**address);
+        if outgoing.body.is_some() {
+            builder = builder.header(header::CONTENT_TYPE, "application/json");
+        }
+        for (name, value) in outgoing.headers {
+            builder = builder.header(name, value);
+        }
+        let body = Full::new(Bytes::from(outgoing.body.unwrap_or_default()));
+        let request = builder.body(body).map_err(|_| Failure::Unreadable)?;
+        let response = sender.send_request(request).await.map_err(|_| Failure::Broken)?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|_| Failure::Broken)?.to_bytes();
+        if self.idle.borrow().len() < KEPT {
+            self.idle.borrow_mut().push(sender);
+        }
+        Ok((status, body))
+    }
+
+    fn kept(&self) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|sender| !sender.is_closed());
+        let ready = idle.iter().rposition(|sender| sender.is_ready())?;
+        Some(idle.remove(ready))
+    }
+}
+
+async fn connect(address: &Name) -> Result<Sender, Failure> {
+    let connecting = TcpStream::connect(&**address);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+    let stream = stream.map_err(|_| Failure::Timeout)?.map_err(|_| Failure::Broken)?;
+    stream.set_nodelay(true).ok();
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| Failure::Broken)?;
+    spawn_local(async move {
+        connection.await.ok();
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,343 @@
+use {
+    super::*,
+    http::{Audience, Edge},
+    journal::Journal,
+    outbound::Outbound,
+    tokio::task::spawn_local,
+};
+
+/// Exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Time before the grace of a stop ends by which the process is gone.
+const STOP_RESERVE: Duration = Duration::from_millis(1500);
+
+/// How long new callers are still served after a stop was asked for, so that the balancer has time
+/// to send them elsewhere.
+const STOP_GRACE: Duration = Duration::from_millis(2600);
+
+/// How long a call to the platform may take.
+const MACHINE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Variable that names the settings file where no argument does.
+const SETTINGS: &str = "SARDINEVALVE_CONFIG";
+
+/// Fleet capacity and maintenance manager: the daemon of one entry instance.
+#[derive(Debug, Parser)]
+#[command(name = "sardinevalve-entry", version)]
+struct Arguments {
+    /// Settings file of this daemon
+    #[arg(env = SETTINGS)]
+    settings: PathBuf,
+    /// Check the settings and exit
+    #[arg(long)]
+    check: bool,
+    /// Take calls only, beside a voter of the same instance: no data folder, next port for peers
+    #[arg(long)]
+    gateway: bool,
+}
+
+/// Runs the daemon until it is told to stop.
+pub fn run() -> ExitCode {
+    let arguments = Arguments::parse();
+    let settings = match read(&arguments) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error:#}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let result = runtime.map_err(eyre::Report::from).and_then(|runtime| {
+        let tasks = tokio::task::LocalSet::new();
+        tasks.block_on(&runtime, serve(settings, arguments.gateway))
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read(arguments: &Arguments) -> eyre::Result<settings::Station> {
+    let path = &arguments.settings;
+    let text = std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("cannot read settings `{}`", path.display()))?;
+    Ok(settings::Station::parse(&path.display().to_string(), &text)?)
+}
+
+async fn serve(settings: settings::Station, gateway: bool) -> eyre::Result<()> {
+    let boot: u64 = rand::random();
+    let clock = Clock::start();
+    let mut peers = settings.peers;
+    // Two daemons of one instance share its ports.
+    peers.set_port(peers.port() + u16::from(gateway));
+    let id: Name = peers.to_string().into();
+    let (store, restored) = match settings.data.as_ref().filter(|_| !gateway) {
+        Some(folder) => {
+            let (store, restored) = store::Store::open(folder, &id, boot)?;
+            (Some(store), Some(restored))
+        }
+        None => (None, None),
+    };
+    let seeds = settings.seeds.iter().map(|seed| peer_of(*seed, &settings)).collect();
+    let bounds = bounds(&settings.bounds);
+    let grace = match settings.bounds.stop_grace {
+        Duration::ZERO => STOP_GRACE,
+        limit => STOP_GRACE.min(limit.saturating_sub(STOP_RESERVE)),
+    };
+    let state =
+        State::new(id, seeds, settings.founding, restored, boot, Owner::new(bounds), grace);
+    let (frames, inbox) = mpsc::unbounded_channel();
+    let mesh = wire::Mesh::start(peers, frames)?;
+    let (calls, asked) = mpsc::unbounded_channel();
+    let edge = Rc::new(Edge {
+        calls,
+        ready: Cell::new(false),
+        stopping: Cell::new(false),
+        in_flight: Cell::new(0),
+        served: Cell::new(0),
+    });
+    let addresses = [
+        (settings.callers, Audience::Callers),
+        (settings.control, Audience::Control),
+        (settings.ready, Audience::Balancer),
+    ];
+    for (address, audience) in addresses {
+        if let Some(address) = address {
+            http::serve(address, audience, edge.clone()).await?;
+        }
+    }
+    let (synced, durable) = mpsc::unbounded_channel();
+    let disk = store.map(|store| disk::Disk::start(store, synced.clone()));
+    let (events, pending) = mpsc::unbounded_channel();
+    let mut engine = Engine {
+        state,
+        clock,
+        mesh,
+        disk,
+        edge,
+        journal: Journal::new(&settings.id),
+        timers: ::timer::Queue::default(),
+        outbound: Rc::default(),
+        machines: settings.machines.map(|address| address.to_string().into()),
+        holder: settings.id.clone(),
+        events,
+        tickets: BTreeMap::new(),
+        last_ticket: 0,
+        stopped: false,
+    };
+    engine.note("started", &settings.id, &format!("boot {boot:x}"));
+    engine.run(inbox, asked, durable, pending).await?;
+    engine.note("stopped", &settings.id, "asked to");
+    drop(synced);
+    Ok(())
+}
+
+/// Where the daemon that serves control at `seed` takes peers' traffic: ports are the same on all
+/// instances.
+fn peer_of(seed: SocketAddr, settings: &settings::Station) -> Name {
+    SocketAddr::new(seed.ip(), settings.peers.port()).to_string().into()
+}
+
+fn bounds(bounds: &settings::Bounds) -> job::Bounds {
+    job::Bounds {
+        max_lease: bounds.max_lease,
+        stop: bounds.stop,
+        notice: bounds.notice,
+        maintenance: bounds.maintenance,
+        migration: bounds.migration,
+        remote_permille: bounds.remote_permille,
+        early: bounds.early,
+    }
+}
+
+/// The loop that reduces events and carries out effects.
+struct Engine {
+    state: State,
+    clock: Clock,
+    mesh: Rc<wire::Mesh>,
+    disk: Option<disk::Disk>,
+    edge: Rc<Edge>,
+    journal: Journal,
+    timers: ::timer::Queue<Timer>,
+    outbound: Rc<Outbound>,
+    machines: Option<Name>,
+    holder: Name,
+    events: mpsc::UnboundedSender<Event>,
+    tickets: BTreeMap<Ticket, oneshot::Sender<Answer>>,
+    last_ticket: Ticket,
+    stopped: bool,
+}
+
+type Asked = (Call, Duration, oneshot::Sender<Answer>);
+
+impl Engine {
+    /// Longest wait for an event.
+    const MAX_WAIT: Duration = Duration::from_millis(500);
+    /// Longest wait for the last answers to go out.
+    const MAX_FINISH: Duration = Duration::from_millis(1200);
+
+    async fn run(
+        &mut self,
+        mut frames: mpsc::UnboundedReceiver<(SocketAddr, Vec<u8>)>,
+        mut asked: mpsc::UnboundedReceiver<Asked>,
+        mut durable: mpsc::UnboundedReceiver<Result<(), String>>,
+        mut pending: mpsc::UnboundedReceiver<Event>,
+    ) -> eyre::Result<()> {
+        use tokio::signal::unix::{SignalKind, signal};
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut reload = signal(SignalKind::hangup())?;
+        let mut stopped: Option<Time> = None;
+        self.step(Event::Start);
+        loop {
+            let now = self.clock.now();
+            if let Some(since) = stopped
+                && (self.edge.in_flight.get() == 0 || now > since + Self::MAX_FINISH)
+            {
+                return Ok(());
+            }
+            if self.stopped && stopped.is_none() {
+                stopped = Some(now);
+                continue;
+            }
+            let due = self.timers.next_due().map(|at| at.saturating_sub(now));
+            let wait = due.unwrap_or(Self::MAX_WAIT).min(Self::MAX_WAIT);
+            tokio::select! {
+                biased;
+                _ = terminate.recv() => {
+                    self.edge.stopping.set(true);
+                    self.note("stopping", "", "told to stop");
+                    self.step(Event::Stop);
+                }
+                _ = reload.recv() => self.note("reload", "", "settings are read at the next start"),
+                Some(result) = durable.recv() => self.on_synced(result),
+                Some((from, body)) = frames.recv() => self.on_frame(from, &body),
+                Some(event) = pending.recv() => self.step(event),
+                Some(call) = asked.recv() => self.on_call(call),
+                () = tokio::time::sleep(wait) => {}
+            }
+            while let Some(timer) = self.timers.pop(self.clock.now()) {
+                self.step(Event::Timer(timer));
+            }
+            if let Some(disk) = &mut self.disk {
+                disk.flush();
+            }
+        }
+    }
+
+    fn on_call(&mut self, (call, patience, sender): Asked) {
+        self.last_ticket += 1;
+        self.tickets.insert(self.last_ticket, sender);
+        self.step(Event::Call { ticket: self.last_ticket, call, patience });
+    }
+
+    fn on_frame(&mut self, from: SocketAddr, body: &[u8]) {
+        let from: Name = from.to_string().into();
+        match wire::Codec::decode(body) {
+            Ok(message) => self.step(Event::Peer { from, message }),
+            Err(error) => self.note("message-dropped", &from, &error.to_string()),
+        }
+    }
+
+    fn on_synced(&mut self, result: Result<(), String>) {
+        let Some(disk) = &mut self.disk else { return };
+        let (messages, last) = disk.synced(result);
+        for (to, message) in messages {
+            self.send(&to, &message);
+        }
+        if let Some((term, index)) = last {
+            self.step(Event::Synced { term, index });
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.clock.now();
+        for effect in self.state.reduce(now, Clock::unix(), event) {
+            self.carry_out(now, effect);
+        }
+    }
+
+    fn carry_out(&mut self, now: Time, effect: Effect) {
+        match effect {
+            Effect::Persist(record) => {
+                if let Some(disk) = &mut self.disk {
+                    disk.persist(record);
+                }
+            }
+            Effect::SendDurable { to, message } => {
+                let held = match &mut self.disk {
+                    Some(disk) => disk.hold(to, message),
+                    None => Some((to, message)),
+                };
+                if let Some((to, message)) = held {
+                    self.send(&to, &message);
+                }
+            }
+            Effect::Send { to, message } => self.send(&to, &message),
+            Effect::Subscribe { timer, after } => self.timers.subscribe(timer, now + after),
+            Effect::Answer { ticket, answer } => {
+                if let Some(sender) = self.tickets.remove(&ticket) {
+                    sender.send(answer).ok();
+                }
+            }
+            Effect::Call { id, incarnation, address, order, epoch, timeout } => {
+                let (outbound, events) = (self.outbound.clone(), self.events.clone());
+                spawn_local(async move {
+                    let outgoing = platform::request(&order, epoch, &incarnation);
+                    let patient = matches!(order, job::Order::Renew { .. });
+                    let answer = outbound.call(&address, outgoing, patient, timeout).await;
+                    let result = answer
+                        .and_then(|(status, body)| platform::reply(&order, status, &body));
+                    events.send(Event::Answered { id, result }).ok();
+                });
+            }
+            Effect::Machine { id, order, epoch } => self.call_platform(id, order, epoch),
+            Effect::Unsent { id } => {
+                let result = Err(job::Failure::Timeout);
+                self.events.send(Event::Answered { id, result }).ok();
+            }
+            Effect::UnsentMachine { id } => {
+                let result = Err(job::Failure::Timeout);
+                self.events.send(Event::MachineAnswered { id, result }).ok();
+            }
+            Effect::Ready(ready) => {
+                self.edge.ready.set(ready);
+                self.note(if ready { "ready" } else { "not-ready" }, "", "");
+            }
+            Effect::Note(note) => self.journal.write(Clock::unix(), &note),
+            Effect::Stopped => self.stopped = true,
+        }
+    }
+
+    fn call_platform(&self, id: job::CallId, order: job::MachineOrder, epoch: job::Epoch) {
+        let Some(address) = self.machines.clone() else { return };
+        let (outbound, events) = (self.outbound.clone(), self.events.clone());
+        let outgoing = platform::machine_request(&order, epoch, &self.holder);
+        spawn_local(async move {
+            let answer = outbound.call(&address, outgoing, false, MACHINE_TIMEOUT).await;
+            let result =
+                answer.and_then(|(status, body)| platform::machine_reply(&order, status, &body));
+            events.send(Event::MachineAnswered { id, result }).ok();
+        });
+    }
+
+    fn send(&mut self, to: &Name, message: &Message) {
+        let Ok(address) = to.parse::<SocketAddr>() else { return };
+        match wire::Codec::encode(message) {
+            Ok(body) => self.mesh.send(address, body),
+            Err(error) => self.note("message-not-sent", to, &error.to_string()),
+        }
+    }
+
+    fn note(&mut self, what: &'static str, about: &str, why: &str) {
+        let note = Note { what, about: about.into(), why: why.into() };
+        self.journal.write(Clock::unix(), &note);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,384 @@
+use super::*;
+
+/// State of the daemon.
+pub(crate) struct State {
+    pub(crate) id: Name,
+    pub(crate) seeds: Vec<Name>,
+    /// Whether the fleet starts for the first time, with empty disks.
+    pub(crate) founds: bool,
+    pub(crate) founding: Founding,
+    pub(crate) disk: Option<quorum::Disk>,
+    /// Agreement; `None` for a daemon without a disk.
+    pub(crate) quorum: Option<quorum::State>,
+    pub(crate) membership: Membership,
+    pub(crate) table: Table,
+    pub(crate) owner: Owner,
+    /// Term for which the owner was told that it leads.
+    pub(crate) owns: Option<quorum::Term>,
+    /// Entry with the owner's batch.
+    pub(crate) batch: Option<Index>,
+    pub(crate) asks: Asks,
+    /// Who waits for an entry of the log.
+    pub(crate) commits: BTreeMap<Index, Origin>,
+    pub(crate) ready: bool,
+    pub(crate) stopping: bool,
+    pub(crate) grace: Duration,
+    pinged: Time,
+}
+
+/// Between two looks at orders, leases and calls.
+const TICK: Duration = Duration::from_millis(20);
+/// Between two looks at peers and membership.
+const BEAT: Duration = Duration::from_millis(200);
+/// Between two questions about who leads.
+const PING: Duration = Duration::from_millis(400);
+/// How long word of a leader that serves keeps this daemon ready.
+const READY: Duration = Duration::from_millis(1500);
+
+impl State {
+    pub(crate) fn new(
+        id: Name,
+        seeds: Vec<Name>,
+        founds: bool,
+        restored: Option<quorum::Restored>,
+        boot: u64,
+        owner: Owner,
+        grace: Duration,
+    ) -> Self {
+        let disk = restored.as_ref().and_then(|restored| restored.disk);
+        let quorum = restored
+            .map(|restored| quorum::State::new(id.clone(), BTreeMap::new(), restored, boot));
+        let mut asks = Asks::default();
+        asks.known.extend(seeds.iter().cloned());
+        if let Some(quorum) = &quorum {
+            asks.known.extend(quorum.members().iter().map(|(name, _)| name.clone()));
+        }
+        Self {
+            id,
+            seeds,
+            founds,
+            founding: Founding::default(),
+            disk,
+            quorum,
+            membership: Membership::default(),
+            table: Table::default(),
+            owner,
+            owns: None,
+            batch: None,
+            asks,
+            commits: BTreeMap::new(),
+            ready: false,
+            stopping: false,
+            grace,
+            pinged: Time::ZERO,
+        }
+    }
+
+    /// Takes one event, and says what is to be done.
+    pub(crate) fn reduce(&mut self, now: Time, unix: job::Unix, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Start => {
+                effects.push(Effect::Subscribe { timer: Timer::Tick, after: TICK });
+                effects.push(Effect::Subscribe { timer: Timer::Beat, after: BEAT / 4 });
+                self.agree(now, unix, quorum::Event::Start, &mut effects);
+            }
+            Event::Timer(Timer::Quorum(timer)) => {
+                self.agree(now, unix, quorum::Event::Timer(timer), &mut effects);
+            }
+            Event::Timer(Timer::Tick) => self.tick(now, unix, &mut effects),
+            Event::Timer(Timer::Beat) => self.beat(now, unix, &mut effects),
+            Event::Timer(Timer::Grace) => effects.push(Effect::Stopped),
+            Event::Peer { from, message } => {
+                self.on_peer(now, unix, from, message, &mut effects);
+            }
+            Event::Synced { term, index } => {
+                self.agree(now, unix, quorum::Event::Synced { term, index }, &mut effects);
+            }
+            Event::Call { ticket, call, patience } => {
+                self.asks.insert(ticket, call, now + patience);
+                self.pursue(now, unix, ticket, &mut effects);
+            }
+            Event::Answered { id, result } => {
+                self.own(now, unix, job::Event::Answered { id, result }, &mut effects);
+            }
+            Event::MachineAnswered { id, result } => {
+                self.own(now, unix, job::Event::MachineAnswered { id, result }, &mut effects);
+            }
+            Event::Stop => self.stop(&mut effects),
+        }
+        self.look_at_leadership(now, unix, &mut effects);
+        effects
+    }
+
+    pub(crate) fn governs(&self, now: Time) -> bool {
+        self.quorum.as_ref().is_some_and(|quorum| quorum.governs(now))
+    }
+
+    fn stop(&mut self, effects: &mut Vec<Effect>) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        effects.push(Effect::Ready(false));
+        effects.push(Effect::Subscribe { timer: Timer::Grace, after: self.grace });
+    }
+
+    fn tick(&mut self, now: Time, unix: job::Unix, effects: &mut Vec<Effect>) {
+        effects.push(Effect::Subscribe { timer: Timer::Tick, after: TICK });
+        if self.governs(now) {
+            self.own(now, unix, job::Event::Tick, effects);
+        }
+        for ticket in self.asks.tickets() {
+            self.pursue(now, unix, ticket, effects);
+        }
+        for (ticket, answer) in self.asks.give_up(now) {
+            effects.push(Effect::Answer { ticket, answer });
+        }
+    }
+
+    fn beat(&mut self, now: Time, unix: job::Unix, effects: &mut Vec<Effect>) {
+        effects.push(Effect::Subscribe { timer: Timer::Beat, after: BEAT });
+        self.seek_membership(now, effects);
+        self.arrange_members(now, unix, effects);
+        self.ping(now, effects);
+        let serves = self.governs(now) && self.table.config.is_some();
+        if serves {
+            self.asks.served = Some(now);
+        }
+        let ready = self.asks.served.is_some_and(|at| now < at + READY) && !self.stopping;
+        if ready != self.ready {
+            self.ready = ready;
+            effects.push(Effect::Ready(ready));
+        }
+    }
+
+    fn ping(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if now < self.pinged + PING || self.governs(now) {
+            return;
+        }
+        self.pinged = now;
+        if let Some(to) = self.asks.whom(&self.id) {
+            effects.push(Effect::Send { to, message: Message::Ping });
+        }
+        let unheard = self.asks.served.is_none_or(|at| now > at + READY / 2);
+        if unheard && self.asks.leader.is_some() {
+            // The leader may be gone: somebody else has to be asked as well.
+            self.asks.leader = self.quorum.as_ref().and_then(|quorum| quorum.leader().cloned());
+        }
+    }
+
+    /// Offers to found the fleet, or asks to join it.
+    fn seek_membership(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let (Some(quorum), Some(disk)) = (&self.quorum, self.disk) else { return };
+        if quorum.leader().is_some() || quorum.leads() {
+            return;
+        }
+        let empty = quorum.last_index() == 0 && !quorum.members().founded();
+        if self.founds && empty {
+            for to in self.seeds.clone() {
+                if to == self.id {
+                    self.on_offer(now, self.id.clone(), effects);
+                } else {
+                    effects.push(Effect::Send { to, message: Message::Found });
+                }
+            }
+        }
+        let others = self.asks.known.iter().filter(|name| **name != self.id).cloned();
+        let message = Message::Join { disk };
+        effects.extend(others.map(|to| Effect::Send { to, message: message.clone() }));
+    }
+
+    fn on_offer(&mut self, now: Time, from: Name, effects: &mut Vec<Effect>) {
+        if !self.founds || !self.seeds.contains(&self.id) {
+            return;
+        }
+        let Some(choice) = self.founding.offer(now, from.clone()) else { return };
+        if from == self.id {
+            self.on_choice(now, self.id.clone(), choice, effects);
+        } else {
+            effects.push(Effect::Send { to: from, message: Message::Founder(choice) });
+        }
+    }
+
+    fn on_choice(&mut self, now: Time, from: Name, choice: Name, effects: &mut Vec<Effect>) {
+        let chosen = self.founding.vote(&self.seeds, from, &choice, &self.id);
+        let Some(quorum) = self.quorum.as_mut().filter(|_| chosen && self.founds) else { return };
+        let founded = quorum.found(now);
+        if !founded.is_empty() {
+            effects.push(journal::line("founding", self.id.to_string(), "chosen by most seeds"));
+        }
+        for effect in founded {
+            self.on_quorum(now, 0, effect, effects);
+        }
+    }
+
+    fn arrange_members(&mut self, now: Time, unix: job::Unix, effects: &mut Vec<Effect>) {
+        let Some(quorum) = self.quorum.as_mut().filter(|quorum| quorum.governs(now)) else {
+            return;
+        };
+        let Some(change) = self.membership.change(now, quorum) else { return };
+        let about = change.name().to_string();
+        effects.push(journal::line("member-change", about, &format!("{change:?}")));
+        self.agree(now, unix, quorum::Event::Change(change), effects);
+    }
+
+    fn on_peer(
+        &mut self,
+        now: Time,
+        unix: job::Unix,
+        from: Name,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Quorum(message) => {
+                let event = quorum::Event::Message { from, message };
+                self.agree(now, unix, event, effects);
+            }
+            Message::Found => self.on_offer(now, from, effects),
+            Message::Founder(choice) => self.on_choice(now, from, choice, effects),
+            Message::Join { .. } => {
+                if self.governs(now) {
+                    self.membership.join(now, from);
+                }
+            }
+            Message::Ask { ticket, call } => {
+                if self.governs(now) {
+                    self.serve(now, unix, Origin::Peer(from, ticket), call, effects);
+                } else {
+                    let leader = self.leader();
+                    let message = Message::Elsewhere { ticket, leader };
+                    effects.push(Effect::Send { to: from, message });
+                }
+            }
+            Message::Answer { ticket, answer } => {
+                if self.asks.take(ticket).is_some() {
+                    effects.push(Effect::Answer { ticket, answer });
+                }
+            }
+            Message::Elsewhere { ticket, leader } => {
+                self.asks.elsewhere(ticket, &from, leader);
+                if self.asks.leader.is_some() {
+                    self.pursue(now, unix, ticket, effects);
+                }
+            }
+            Message::Ping => {
+                let members = self.quorum.as_ref().map(|quorum| {
+                    quorum.members().iter().map(|(name, _)| name.clone()).collect()
+                });
+                let serves = self.governs(now) && self.table.config.is_some();
+                let message = Message::Pong {
+                    leader: self.leader(),
+                    members: members.unwrap_or_default(),
+                    serves,
+                };
+                effects.push(Effect::Send { to: from, message });
+            }
+            Message::Pong { leader, members, serves } => {
+                self.asks.known.extend(members);
+                if serves {
+                    self.asks.leader = Some(from);
+                    self.asks.served = Some(now);
+                } else if leader.as_ref() != Some(&from) {
+                    self.asks.leader = leader;
+                }
+            }
+            Message::Heard(announcement) => {
+                self.own(now, unix, job::Event::Announced(announcement), effects);
+            }
+        }
+    }
+
+    pub(crate) fn leader(&self) -> Option<Name> {
+        match &self.quorum {
+            Some(quorum) => quorum.leader().cloned(),
+            None => self.asks.leader.clone(),
+        }
+    }
+
+    pub(crate) fn agree(
+        &mut self,
+        now: Time,
+        unix: job::Unix,
+        event: quorum::Event,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(quorum) = &mut self.quorum else { return };
+        for effect in quorum.reduce(now, event) {
+            self.on_quorum(now, unix, effect, effects);
+        }
+    }
+
+    fn on_quorum(
+        &mut self,
+        now: Time,
+        unix: job::Unix,
+        effect: quorum::Effect,
+        effects: &mut Vec<Effect>,
+    ) {
+        match effect {
+            quorum::Effect::Persist(record) => effects.push(Effect::Persist(record)),
+            quorum::Effect::Send { to, message } => {
+                // A leader counts its own entries only once they are durable, so that others may
+                // have them earlier.
+                let early = matches!(
+                    message,
+                    quorum::Message::Append { .. } | quorum::Message::Chunk { .. }
+                );
+                let message = Message::Quorum(message);
+                effects.push(if early {
+                    Effect::Send { to, message }
+                } else {
+                    Effect::SendDurable { to, message }
+                });
+            }
+            quorum::Effect::Subscribe { timer, after } => {
+                effects.push(Effect::Subscribe { timer: Timer::Quorum(timer), after });
+            }
+            quorum::Effect::Apply { index, entry } => self.apply(now, unix, index, entry, effects),
+            quorum::Effect::Snapshot { index } => {
+                if let Ok(state) = postcard::to_stdvec(&self.table) {
+                    self.agree(now, unix, quorum::Event::Snapshot { index, state }, effects);
+                }
+            }
+            quorum::Effect::Install(snapshot) => {
+                let table = postcard::from_bytes(&snapshot.state);
+                self.table = table.expect("snapshots decode: a voter of this version encoded them");
+            }
+            quorum::Effect::Changed(Ok(_)) => {}
+            quorum::Effect::Changed(Err(refusal)) => {
+                let why = format!("{refusal:?}");
+                effects.push(journal::line("member-unchanged", self.id.to_string(), &why));
+            }
+            quorum::Effect::Leader(leader) => {
+                if let Some(leader) = &leader {
+                    self.asks.leader = Some(leader.clone());
+                }
+                let about = leader.as_deref().unwrap_or("none").to_string();
+                effects.push(journal::line("leader-changed", about, "agreement"));
+            }
+        }
+    }
+
+    /// Tells the owner when it begins and ends to lead, and whoever waits when it ends.
+    fn look_at_leadership(&mut self, now: Time, unix: job::Unix, effects: &mut Vec<Effect>) {
+        let Some(quorum) = &self.quorum else { return };
+        let (leads, governs) = (quorum.leads(), quorum.governs(now));
+        let term = quorum.term();
+        if self.owns.is_some() && (!leads || self.owns != Some(term)) {
+            self.owns = None;
+            self.batch = None;
+            self.own(now, unix, job::Event::Resign, effects);
+            for (_, origin) in std::mem::take(&mut self.commits) {
+                self.answer(origin, Answer::Unknown, effects);
+            }
+            effects.push(journal::line("resigned", self.id.to_string(), "leads no longer"));
+        }
+        if self.owns.is_none() && leads && governs {
+            self.owns = Some(term);
+            effects.push(journal::line("owns", self.id.to_string(), &format!("epoch {term}")));
+            self.own(now, unix, job::Event::Lead { epoch: term }, effects);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/timer.rs
@@ -0,0 +1,12 @@
+/// Timers of the daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) enum Timer {
+    /// Agreement.
+    Quorum(quorum::Timer),
+    /// Orders, leases and calls that wait.
+    Tick,
+    /// Peers, founding and membership.
+    Beat,
+    /// The daemon has refused new callers for long enough to stop.
+    Grace,
+}
--- /dev/null
+++ b/crates/job/src/call.rs
@@ -0,0 +1,83 @@
+use super::*;
+
+/// What is asked of the fleet from outside.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Call {
+    /// A caller hands in a job.
+    Submit {
+        /// Host that was asked.
+        host: Name,
+        /// Path that was asked.
+        path: Name,
+        /// The job, or what is wrong with it.
+        spec: Result<Spec, String>,
+    },
+    /// A caller asks for a job, or for its queue.
+    Show {
+        /// Host that was asked.
+        host: Name,
+        /// Path that was asked.
+        path: Name,
+    },
+    /// A caller cancels a job.
+    Cancel {
+        /// Host that was asked.
+        host: Name,
+        /// Path that was asked.
+        path: Name,
+    },
+    /// An instance says that it is there.
+    Announce(Announcement),
+    /// An instance has ended.
+    Leave(Incarnation),
+    /// An operator puts a configuration in force.
+    Configure(Box<Config>),
+    /// An operator reads the configuration.
+    Config,
+    /// An operator starts a maintenance wave.
+    Maintain {
+        /// Its number.
+        id: WaveId,
+        /// Its machines.
+        machines: Vec<Name>,
+        /// Within which it is to be done.
+        duration: Duration,
+        /// Most machines that are down at once.
+        budget: u32,
+    },
+    /// An operator asks how far a wave is.
+    Wave(WaveId),
+}
+
+/// What the fleet answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Done as asked.
+    Done,
+    /// Where the job stands.
+    Job(Standing),
+    /// Jobs of the queue for which no task was started.
+    Pending(u64),
+    /// The configuration as it was sent.
+    Config(Arc<str>),
+    /// Whether the wave is complete.
+    Wave {
+        /// It is.
+        complete: bool,
+    },
+    /// Nothing was done, and nothing will be; worth another try after a time.
+    NotRun {
+        /// When to come back.
+        retry: Duration,
+    },
+    /// The outcome is unknown.
+    Unknown,
+    /// No such queue.
+    NoQueue,
+    /// No such job.
+    NoJob,
+    /// No such wave.
+    NoWave,
+    /// The call makes no sense.
+    Invalid(String),
+}
--- /dev/null
+++ b/crates/job/src/claim.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+/// An attempt at a task, given to an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The task.
+    pub task: Task,
+    /// Number of the attempt.
+    pub number: Number,
+    /// Who is to run it.
+    pub incarnation: Incarnation,
+}
--- /dev/null
+++ b/crates/job/src/effect.rs
@@ -0,0 +1,41 @@
+use super::*;
+
+/// What an owner wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Commit what was decided or seen.
+    Propose(Batch),
+    /// Call an instance.
+    Call {
+        /// Number of the call.
+        id: CallId,
+        /// Whom to call; any other refuses.
+        incarnation: Incarnation,
+        /// Where.
+        address: Name,
+        /// What to say.
+        order: Order,
+        /// How long to wait for the answer.
+        timeout: Duration,
+    },
+    /// Call the platform.
+    Machine {
+        /// Number of the call.
+        id: CallId,
+        /// What to say.
+        order: MachineOrder,
+    },
+    /// A line for whoever explains a failure.
+    Note(Note),
+}
+
+/// A decision worth a line in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Note {
+    /// What happened.
+    pub what: &'static str,
+    /// Task and attempt, instance, machine: whatever it is about.
+    pub about: String,
+    /// Why.
+    pub why: String,
+}
--- /dev/null
+++ b/crates/job/src/group.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+/// Tasks of a job that are alike.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Group {
+    /// How many tasks.
+    pub count: u16,
+    /// What each of them takes.
+    pub size: Resources,
+    /// Rough estimate of how long each takes.
+    pub estimate: Duration,
+    /// Groups whose tasks must all be done first.
+    pub after: Vec<u16>,
+    /// Whether the tasks save checkpoints.
+    pub saves: bool,
+    /// Whether the tasks work only together.
+    pub gang: bool,
+    /// Whether the tasks slow each other down across racks.
+    pub one_rack: bool,
+    /// Label that the instance must have.
+    pub requirement: Option<Name>,
+    /// Rack that holds the data.
+    pub data_rack: Option<Name>,
+    /// Most tasks of one round on one instance.
+    pub apart: Option<u16>,
+    /// Whether copies may run side by side.
+    pub copies: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: Option<Name>,
+    /// Latency that the tail of the tasks' own users must stay below.
+    pub target: Option<Duration>,
+    /// Whether the tasks use only what others leave idle.
+    pub filler: bool,
+    /// How many lasting tasks may be unavailable at once on our account.
+    pub budget: Option<u16>,
+}
+
+impl Group {
+    /// What a task counts against the room of its instance.
+    pub fn room(&self) -> Resources {
+        let millicores = if self.filler { 0 } else { self.size.millicores };
+        Resources { millicores, ..self.size }
+    }
+}
--- /dev/null
+++ b/crates/job/src/owner.rs
@@ -0,0 +1,260 @@
+use super::*;
+
+/// Decides for the instances of every pool, on the leader only.
+#[derive(Debug, Default)]
+pub struct Owner {
+    pub(crate) bounds: Bounds,
+    /// Term of this owner; `None` while another leads.
+    pub(crate) epoch: Option<Epoch>,
+    /// When it began to lead.
+    pub(crate) since: Time,
+    /// Every life of an instance that may run something.
+    pub(crate) instances: BTreeMap<Incarnation, Instance>,
+    /// Present life of each instance.
+    pub(crate) lives: BTreeMap<Name, Unix>,
+    /// What was heard before this owner led, and while it leads.
+    pub(crate) roster: BTreeMap<Name, (Announcement, Time)>,
+    pub(crate) calls: Map<CallId, (Incarnation, Pending)>,
+    last_call: CallId,
+    /// Ends that wait to be proposed.
+    pub(crate) ends: Vec<End>,
+    /// Whether a batch is under way.
+    pub(crate) settling: bool,
+    /// Whether something changed since the last plan.
+    pub(crate) dirty: bool,
+    pub(crate) planned: Time,
+    pub(crate) machines: machines::Machines,
+    pub(crate) timings: planning::Timings,
+}
+
+/// A call that has no answer yet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Pending {
+    Start(Task, Number),
+    Stop(Task, Number),
+    Renew { sent: Time },
+    Throttle,
+}
+
+impl Owner {
+    /// How long a lease lasts; several renewals fit into it, and an election.
+    pub const LEASE: Duration = Duration::from_millis(5500);
+    /// How long a renewal may wait for an end.
+    pub(crate) const WAIT: Duration = Duration::from_millis(1000);
+    /// Wait of a renewal where fillers run beside tasks with a latency target.
+    pub(crate) const WATCH: Duration = Duration::from_millis(400);
+    /// How long an answer may take beyond the wait that was asked for.
+    pub(crate) const ANSWER: Duration = Duration::from_millis(700);
+    /// Between a renewal that had no answer and the next.
+    pub(crate) const RETRY: Duration = Duration::from_millis(100);
+    /// Between two orders to stop the same attempt.
+    pub(crate) const STOP_AGAIN: Duration = Duration::from_millis(250);
+    /// Between the events that make one plan.
+    pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(4);
+    /// After which an idle owner plans again, since time alone changes what is due.
+    pub(crate) const PLAN_IDLE: Duration = Duration::from_millis(50);
+
+    /// An owner that does not lead yet.
+    pub fn new(bounds: Bounds) -> Self {
+        Self { bounds, ..Self::default() }
+    }
+
+    /// Whether this owner leads.
+    pub fn leads(&self) -> bool {
+        self.epoch.is_some()
+    }
+
+    /// Everything that instances have said of themselves lately, for other voters.
+    pub fn roster(&self) -> impl Iterator<Item = &Announcement> {
+        self.roster.values().map(|(announcement, _)| announcement)
+    }
+
+    /// Takes one event, and says what is to be done.
+    pub fn reduce(&mut self, now: Time, unix: Unix, table: &Table, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Lead { epoch } => self.lead(now, table, epoch, &mut effects),
+            Event::Resign => self.resign(),
+            Event::Announced(announcement) => self.on_announced(now, announcement, &mut effects),
+            Event::Answered { id, result } => {
+                self.on_answered(now, table, id, result, &mut effects);
+            }
+            Event::MachineAnswered { id, result } => {
+                self.on_machine(now, id, result, &mut effects);
+            }
+            Event::Settled(outcomes) => {
+                self.on_settled(now, table, &outcomes, &mut effects);
+                self.on_committed(table, &outcomes);
+            }
+            Event::Committed(outcomes) => self.on_committed(table, &outcomes),
+            Event::Tick => {
+                self.lapse(now, &mut effects);
+                self.maintain(now, table, &mut effects);
+            }
+        }
+        if self.leads() {
+            self.stop_due(now, &mut effects);
+            self.renew_due(now, table, &mut effects);
+            self.settle(now, unix, table, &mut effects);
+        }
+        effects
+    }
+
+    /// Begins to lead: every attempt in the table may be running.
+    fn lead(
+        &mut self,
+        now: Time,
+        table: &Table,
+        epoch: Epoch,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.resign();
+        self.epoch = Some(epoch);
+        self.since = now;
+        let lapses = Instance::lapse_after(now, self.bounds.max_lease);
+        for (announcement, heard) in self.roster.values() {
+            if announcement.condition != Condition::Gone {
+                let mut instance = Instance::new(Some(announcement.clone()), *heard, lapses);
+                instance.renew_at = now;
+                self.instances.insert(announcement.incarnation.clone(), instance);
+                let Incarnation { name, born } = announcement.incarnation.clone();
+                self.lives.insert(name, born);
+            }
+        }
+        for id in &table.live {
+            let Some(entry) = table.jobs.get(id) else { continue };
+            for claim in entry.claims(*id) {
+                let room = entry.group(claim.task).map(Group::room).unwrap_or_default();
+                let mut attempt = Attempt::new(claim.number, Stage::Recovered, room, now);
+                attempt.settled = Some(now);
+                attempt.stop = entry.standing.is_over();
+                let instance = self.instances.entry(claim.incarnation.clone());
+                instance
+                    .or_insert_with(|| Instance::new(None, now, lapses))
+                    .insert(claim.task, attempt);
+            }
+        }
+        let outdated: Vec<_> = self.outdated().collect();
+        for incarnation in outdated {
+            self.bury(now, &incarnation, "a later life has announced itself", effects);
+        }
+        self.dirty = true;
+    }
+
+    /// Lives that are over, since a later one of the same instance is known.
+    fn outdated(&self) -> impl Iterator<Item = Incarnation> {
+        let later = |i: &&Incarnation| self.lives.get(&i.name).is_some_and(|born| *born > i.born);
+        self.instances.keys().filter(later).cloned()
+    }
+
+    fn resign(&mut self) {
+        self.epoch = None;
+        self.instances.clear();
+        self.lives.clear();
+        self.calls.clear();
+        self.ends.clear();
+        self.settling = false;
+        self.machines = machines::Machines::default();
+    }
+
+    fn on_announced(
+        &mut self,
+        now: Time,
+        announcement: Announcement,
+        effects: &mut Vec<Effect>,
+    ) {
+        let name = announcement.incarnation.name.clone();
+        if let Some((known, _)) = self.roster.get(&name)
+            && !announcement.supersedes(known)
+        {
+            return;
+        }
+        self.roster.insert(name.clone(), (announcement.clone(), now));
+        if !self.leads() {
+            return;
+        }
+        let incarnation = announcement.incarnation.clone();
+        if announcement.condition == Condition::Gone {
+            return self.bury(now, &incarnation, "the instance has left", effects);
+        }
+        let former = self.lives.insert(name.clone(), incarnation.born);
+        if let Some(born) = former.filter(|born| *born < incarnation.born) {
+            let former = Incarnation { name, born };
+            self.bury(now, &former, "a later life has announced itself", effects);
+        }
+        let lapses = now;
+        let instance = self.instances.entry(incarnation.clone()).or_insert_with(|| {
+            effects.push(note("instance-joined", incarnation.to_string(), announcement.pool.to_string()));
+            Instance::new(None, now, lapses)
+        });
+        if instance.announcement.as_ref().map(|a| a.condition) != Some(announcement.condition) {
+            self.dirty = true;
+        }
+        instance.heard = now;
+        instance.take_clock(announcement.clock, now);
+        instance.announcement = Some(announcement);
+    }
+
+    /// Takes it that a life of an instance is over.
+    ///
+    /// An order to start that had no answer may still reach a later life of the same instance, which
+    /// has seen no epoch yet. Such an attempt moves there, to be stopped.
+    pub(crate) fn bury(
+        &mut self,
+        now: Time,
+        incarnation: &Incarnation,
+        why: &'static str,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(instance) = self.instances.remove(incarnation) else { return };
+        self.dirty = true;
+        let later = self.lives.get(&incarnation.name).filter(|born| **born > incarnation.born);
+        let later = later.map(|born| Incarnation { born: *born, ..incarnation.clone() });
+        for (task, mut attempt) in instance.attempts {
+            match attempt.stage {
+                Stage::Ending => continue,
+                Stage::Starting | Stage::Unanswered if later.is_some() => {
+                    attempt.stage = Stage::Unanswered;
+                    attempt.stop = true;
+                    attempt.settled = None;
+                    let Some(later) = later.clone() else { continue };
+                    let heir = self.instances.entry(later);
+                    heir.or_insert_with(|| Instance::new(None, now, now)).insert(task, attempt);
+                }
+                Stage::Proposed => {}
+                _ => {
+                    let Attempt { number, checkpoint, .. } = attempt;
+                    self.ends.push(End { task, number, how: How::Lost, checkpoint });
+                }
+            }
+        }
+        effects.push(note("instance-lost", incarnation.to_string(), why.into()));
+    }
+
+    pub(crate) fn call(
+        &mut self,
+        incarnation: &Incarnation,
+        pending: Pending,
+        order: Order,
+        timeout: Duration,
+        effects: &mut Vec<Effect>,
+    ) -> CallId {
+        let id = self.next_call();
+        let address = self.instances.get(incarnation).and_then(|i| i.announcement.as_ref());
+        if let Some(address) = address.map(|announcement| announcement.address.clone()) {
+            let incarnation = incarnation.clone();
+            self.calls.insert(id, (incarnation.clone(), pending));
+            effects.push(Effect::Call { id, incarnation, address, order, timeout });
+        }
+        id
+    }
+
+    pub(crate) fn next_call(&mut self) -> CallId {
+        self.last_call += 1;
+        self.last_call
+    }
+}
+
+pub(crate) fn note(what: &'static str, about: String, why: String) -> Effect {
+    Effect::Note(Note { what, about, why })
+}
--- /dev/null
+++ b/crates/job/src/planning.rs
@@ -0,0 +1,267 @@
+//! Which waiting task starts where.
+//!
+//! Demand comes in turns of about five times its mean, more than a pool holds. A queue that serves
+//! such a turn in the order of arrival makes every job late; here a job that has begun is finished
+//! first, then those go ahead that can still make it in time, and the late ones take what is left.
+
+use super::*;
+
+/// Run times that were seen, by queue and group.
+#[derive(Debug, Default)]
+pub(crate) struct Timings {
+    /// Mean over the last runs, by queue and position of the group.
+    means: BTreeMap<(Name, u16), Duration>,
+}
+
+impl Timings {
+    /// Weight of a new run against the mean so far.
+    const WEIGHT: u32 = 8;
+
+    pub(crate) fn learn(&mut self, table: &Table, task: Task, took: Duration) {
+        let Some(entry) = table.jobs.get(&task.job) else { return };
+        let mean = self.means.entry((entry.queue.clone(), task.group)).or_insert(took);
+        *mean = (*mean * (Self::WEIGHT - 1) + took) / Self::WEIGHT;
+    }
+}
+
+/// A group of tasks that may start now.
+#[derive(Debug)]
+struct Demand<'a> {
+    key: Key,
+    job: JobId,
+    round: u32,
+    group: u16,
+    entry: &'a Entry,
+    queue: &'a Queue,
+}
+
+/// Order in which groups get room; a lower one comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    class: Class,
+    priority: u8,
+    begun: std::cmp::Reverse<bool>,
+    /// Time that is left until it must have started, most first.
+    slack: std::cmp::Reverse<u64>,
+}
+
+/// How much a group is still worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    /// Runs until it is cancelled, and earns all the while.
+    Lasting,
+    /// Can be done within its objective.
+    InTime,
+    /// Can be done within three times its objective.
+    Late,
+    /// Is owed, and earns nothing any more.
+    Owed,
+    /// Takes only what others leave idle.
+    Filler,
+}
+
+/// Sizes that found no room, so that the next ones of a pool are not tried.
+type Misfits<'a> = Vec<(&'a str, Resources)>;
+
+impl Owner {
+    /// How many times its objective a job may take and still earn a little.
+    const LATE_FACTOR: u32 = 3;
+
+    pub(crate) fn plan(
+        &mut self,
+        now: Time,
+        unix: Unix,
+        table: &Table,
+        effects: &mut Vec<Effect>,
+    ) -> Vec<Claim> {
+        let Some(config) = &table.config else { return Vec::new() };
+        let mut demands = self.demands(unix, table, config);
+        demands.sort_by_key(|demand| (demand.key, demand.job, demand.round, demand.group));
+        let mut claims = Vec::new();
+        let mut misfits = Misfits::new();
+        for demand in demands {
+            self.place(now, &demand, &mut misfits, &mut claims, effects);
+        }
+        claims
+    }
+
+    fn demands<'a>(&self, unix: Unix, table: &'a Table, config: &'a Config) -> Vec<Demand<'a>> {
+        let mut demands = Vec::new();
+        for job in &table.live {
+            let Some(entry) = table.jobs.get(job).filter(|e| !e.standing.is_over()) else { continue };
+            let Some(queue) = config.queue(&entry.queue) else { continue };
+            for (number, round) in entry.rounds.iter().enumerate() {
+                let due = entry.spec.due(number as u32).unwrap_or(entry.accepted);
+                if due > unix {
+                    break;
+                }
+                for (position, group) in entry.spec.groups.iter().enumerate() {
+                    if round.waiting[position] == 0 || !round.is_unblocked(group) {
+                        continue;
+                    }
+                    let position = position as u16;
+                    let key = self.key(unix, due, entry, queue, position, round);
+                    let (job, round) = (*job, number as u32);
+                    demands.push(Demand { key, job, round, group: position, entry, queue });
+                }
+            }
+        }
+        demands
+    }
+
+    fn key(
+        &self,
+        unix: Unix,
+        due: Unix,
+        entry: &Entry,
+        queue: &Queue,
+        position: u16,
+        round: &Round,
+    ) -> Key {
+        let group = &entry.spec.groups[usize::from(position)];
+        let objective = queue.objective(entry.spec.chain()).as_millis() as u64;
+        let left = self.remaining(entry, round).as_millis() as u64;
+        let age = unix.saturating_sub(due);
+        let class = if group.filler {
+            Class::Filler
+        } else if group.lasting {
+            Class::Lasting
+        } else if age + left <= objective {
+            Class::InTime
+        } else if age + left <= objective * u64::from(Self::LATE_FACTOR) {
+            Class::Late
+        } else {
+            Class::Owed
+        };
+        let whole: u16 = entry.spec.groups.iter().map(|group| group.count).sum();
+        let begun = round.waiting.iter().sum::<u16>() < whole;
+        let slack = std::cmp::Reverse(objective.saturating_sub(age + left));
+        Key { class, priority: queue.priority, begun: std::cmp::Reverse(begun), slack }
+    }
+
+    /// Longest chain of estimates through what is not done yet.
+    fn remaining(&self, entry: &Entry, round: &Round) -> Duration {
+        let groups = &entry.spec.groups;
+        let mut ends: Vec<Duration> = Vec::with_capacity(groups.len());
+        for (position, group) in groups.iter().enumerate() {
+            let before = group.after.iter().filter_map(|i| ends.get(usize::from(*i))).max();
+            let own = if round.open[position] == 0 { Duration::ZERO } else { group.estimate };
+            ends.push(before.copied().unwrap_or_default() + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    fn place<'a>(
+        &mut self,
+        now: Time,
+        demand: &Demand<'a>,
+        misfits: &mut Misfits<'a>,
+        claims: &mut Vec<Claim>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let group = &demand.entry.spec.groups[usize::from(demand.group)];
+        let room = group.room();
+        let known = |(pool, size): &(&str, Resources)| {
+            *pool == &*demand.queue.pool && size.fits(room) && group.requirement.is_none()
+        };
+        if misfits.iter().any(known) {
+            return;
+        }
+        let Some(round) = demand.entry.rounds.get(demand.round as usize) else { return };
+        let slots = &round.groups[usize::from(demand.group)];
+        let waits = |slot: &&Slot| slot.phase == Phase::Waiting;
+        if group.gang && slots.iter().filter(waits).count() < slots.len() {
+            return;
+        }
+        let gang_number = slots.iter().map(|slot| slot.number).max().unwrap_or(0) + 1;
+        let first = claims.len();
+        let mut rack = None;
+        for (index, slot) in slots.iter().enumerate() {
+            if slot.phase != Phase::Waiting {
+                continue;
+            }
+            let task = Task {
+                job: demand.job,
+                round: demand.round,
+                group: demand.group,
+                index: index as u16,
+            };
+            if self.instances.values().any(|instance| instance.attempts.contains_key(&task)) {
+                continue;
+            }
+            let Some(incarnation) = self.choose(now, demand, group, task, rack.as_ref()) else {
+                let constrained = group.apart.is_some() || group.data_rack.is_some();
+                if !constrained && group.requirement.is_none() && rack.is_none() {
+                    misfits.push((&demand.queue.pool, room));
+                }
+                break;
+            };
+            let number = if group.gang { gang_number } else { slot.number + 1 };
+            let Some(instance) = self.instances.get_mut(&incarnation) else { break };
+            instance.insert(task, Attempt::new(number, Stage::Proposed, room, now));
+            if group.one_rack {
+                rack = instance.announcement.as_ref().and_then(|a| a.rack().cloned());
+            }
+            claims.push(Claim { task, number, incarnation });
+        }
+        if group.gang && claims.len() - first < slots.len() {
+            for claim in claims.drain(first..) {
+                if let Some(instance) = self.instances.get_mut(&claim.incarnation) {
+                    instance.remove(&claim.task, claim.number);
+                }
+            }
+        }
+        let _ = effects;
+    }
+
+    fn choose(
+        &self,
+        now: Time,
+        demand: &Demand,
+        group: &Group,
+        task: Task,
+        rack: Option<&Name>,
+    ) -> Option<Incarnation> {
+        let room = group.room();
+        let wanted = rack.or(group.data_rack.as_ref());
+        let strict = rack.is_some() || demand.key.class == Class::InTime;
+        let candidates = self.instances.iter().filter(|(_, instance)| {
+            let Some(announcement) = &instance.announcement else { return false };
+            announcement.pool == demand.queue.pool
+                && instance.is_usable(now)
+                && room.fits(instance.free())
+                && group.requirement.as_ref().is_none_or(|l| announcement.labels.contains(l))
+                && group.apart.is_none_or(|most| instance.siblings(task) < most)
+        });
+        let score = |instance: &Instance| {
+            let announcement = instance.announcement.as_ref();
+            let near = wanted.is_none() || announcement.and_then(|a| a.rack()) == wanted;
+            let fills = u64::from(group.filler) * instance.attempts.len() as u64;
+            (near, std::cmp::Reverse(fills), instance.free().millicores)
+        };
+        let best = candidates.max_by_key(|(_, instance)| score(instance))?;
+        let near = score(best.1).0;
+        let rack_is_up = || {
+            self.instances.values().any(|instance| {
+                let announcement = instance.announcement.as_ref();
+                let there = announcement.is_some_and(|a| {
+                    a.rack() == wanted && a.pool == demand.queue.pool
+                });
+                there && instance.is_usable(now)
+            })
+        };
+        if !near && strict && rack_is_up() {
+            return None;
+        }
+        Some(best.0.clone())
+    }
+}
+
+impl Instance {
+    /// Tasks of the same round and group here.
+    fn siblings(&self, task: Task) -> u16 {
+        let first = Task { index: 0, ..task };
+        let last = Task { index: u16::MAX, ..task };
+        self.attempts.range(first..=last).count() as u16
+    }
+}
--- /dev/null
+++ b/crates/job/src/progress.rs
@@ -0,0 +1,48 @@
+use super::*;
+
+/// The tasks of one round of a job.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Round {
+    /// Slots by group and index.
+    pub(crate) groups: Vec<Vec<Slot>>,
+    /// Tasks of each group that are not done.
+    pub(crate) open: Vec<u16>,
+    /// Tasks of each group that wait.
+    pub(crate) waiting: Vec<u16>,
+}
+
+impl Round {
+    pub(crate) fn new(spec: &Spec) -> Self {
+        let counts: Vec<_> = spec.groups.iter().map(|group| group.count).collect();
+        let slots = |count: &u16| vec![Slot::default(); usize::from(*count)];
+        Self {
+            groups: counts.iter().map(slots).collect(),
+            open: counts.clone(),
+            waiting: counts,
+        }
+    }
+
+    /// Whether every task is done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.open.iter().all(|open| *open == 0)
+    }
+
+    /// Whether everything that `group` comes after is done.
+    pub(crate) fn is_unblocked(&self, group: &Group) -> bool {
+        group.after.iter().all(|after| self.open[usize::from(*after)] == 0)
+    }
+
+    pub(crate) fn slot(&self, group: u16, index: u16) -> Option<&Slot> {
+        self.groups.get(usize::from(group))?.get(usize::from(index))
+    }
+
+    /// Moves a task to another phase.
+    pub(crate) fn set(&mut self, group: u16, index: u16, phase: Phase) {
+        let (group, index) = (usize::from(group), usize::from(index));
+        let slot = &mut self.groups[group][index];
+        self.waiting[group] -= u16::from(slot.phase == Phase::Waiting);
+        self.waiting[group] += u16::from(phase == Phase::Waiting);
+        self.open[group] -= u16::from(phase == Phase::Done && slot.phase != Phase::Done);
+        slot.phase = phase;
+    }
+}
--- /dev/null
+++ b/crates/job/src/queue.rs
@@ -0,0 +1,29 @@
+use super::*;
+
+/// A queue of jobs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Queue {
+    /// Its name.
+    pub name: Name,
+    /// Host of its address.
+    pub host: Name,
+    /// Prefix of its paths.
+    pub prefix: Name,
+    /// Pool whose instances run its tasks.
+    pub pool: Name,
+    /// 0 comes first.
+    pub priority: u8,
+    /// Failed attempts at a task after which its job has failed.
+    pub max_attempts: u32,
+    /// How much longer than its longest chain of tasks a job may take, in thousandths.
+    pub stretch_permille: u32,
+    /// How much longer still.
+    pub slack: Duration,
+}
+
+impl Queue {
+    /// Time within which a job with this longest chain is wanted.
+    pub fn objective(&self, chain: Duration) -> Duration {
+        chain * self.stretch_permille / 1000 + self.slack
+    }
+}
--- /dev/null
+++ b/crates/job/src/settling.rs
@@ -0,0 +1,476 @@
+//! What follows from answers and commits: attempts change their stage, ends are collected, leases
+//! are renewed, and all that is decided goes into one batch at a time.
+
+use super::*;
+use owner::{Pending, note};
+
+impl Owner {
+    /// Failures of different jobs in a row after which an instance is set aside.
+    const STRIKES: usize = 3;
+    /// How long an instance is set aside for the first time; each further time doubles it.
+    const ASIDE: Duration = Duration::from_secs(3);
+    /// How long an instance that says it is unwell is left alone.
+    const UNWELL: Duration = Duration::from_millis(1500);
+    /// How long an instance that had no room for a task is left alone.
+    const FULL: Duration = Duration::from_millis(300);
+
+    pub(crate) fn on_answered(
+        &mut self,
+        now: Time,
+        table: &Table,
+        id: CallId,
+        result: Result<Reply, Failure>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some((incarnation, pending)) = self.calls.remove(&id) else { return };
+        if result == Ok(Reply::Fenced) {
+            effects.push(note("fenced", incarnation.to_string(), "a later owner has called".into()));
+            return self.fenced_off(now, &incarnation);
+        }
+        let Some(instance) = self.instances.get_mut(&incarnation) else { return };
+        if let Ok(reply) = &result {
+            instance.heard = now;
+            if let Some(clock) = reply.clock() {
+                instance.take_clock(clock, now);
+            }
+        }
+        match pending {
+            Pending::Start(task, number) => {
+                self.on_start(now, &incarnation, task, number, result, effects);
+            }
+            Pending::Stop(task, number) => {
+                let answered = matches!(result, Ok(Reply::Done { .. } | Reply::Old { .. }));
+                let attempt = instance.attempts.get_mut(&task);
+                if let Some(attempt) = attempt.filter(|a| answered && a.number == number) {
+                    attempt.settled = Some(now);
+                    instance.renew_at = now;
+                }
+            }
+            Pending::Renew { sent } => {
+                instance.renewal = None;
+                match result {
+                    Ok(Reply::Report { born, running, ended, .. }) => {
+                        if born.is_some_and(|born| born != incarnation.born) {
+                            return self.on_other_life(now, &incarnation, effects);
+                        }
+                        self.on_report(now, table, &incarnation, sent, running, ended, effects);
+                    }
+                    Ok(Reply::OtherIncarnation) => {
+                        instance.silent = true;
+                        instance.renew_at = now + Self::WAIT;
+                    }
+                    _ => {
+                        instance.silent = true;
+                        instance.renew_at = now + Self::RETRY;
+                    }
+                }
+            }
+            Pending::Throttle => {}
+        }
+    }
+
+    /// An instance obeys a later owner: this one is about to learn of its own end.
+    fn fenced_off(&mut self, now: Time, incarnation: &Incarnation) {
+        if let Some(instance) = self.instances.get_mut(incarnation) {
+            instance.renewal = None;
+            instance.silent = true;
+            instance.renew_at = now + Self::LEASE;
+            instance.aside_until = now + Self::LEASE;
+        }
+    }
+
+    /// Another life answers under the name: wait for its announcement, which says all about it.
+    fn on_other_life(&mut self, now: Time, incarnation: &Incarnation, effects: &mut Vec<Effect>) {
+        let why = "another life answers under its name";
+        if self.lives.get(&incarnation.name) == Some(&incarnation.born) {
+            self.lives.remove(&incarnation.name);
+        }
+        self.bury(now, incarnation, why, effects);
+    }
+
+    fn on_start(
+        &mut self,
+        now: Time,
+        incarnation: &Incarnation,
+        task: Task,
+        number: Number,
+        result: Result<Reply, Failure>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(instance) = self.instances.get_mut(incarnation) else { return };
+        let Some(attempt) = instance.attempts.get_mut(&task).filter(|a| a.number == number) else {
+            return;
+        };
+        if attempt.stage != Stage::Starting {
+            return;
+        }
+        let refusal = match result {
+            Ok(Reply::Done { .. }) => {
+                attempt.stage = Stage::Running;
+                attempt.settled = Some(now);
+                attempt.started = now;
+                return;
+            }
+            Ok(Reply::Full { .. }) => {
+                instance.aside_until = instance.aside_until.max(now + Self::FULL);
+                "no room"
+            }
+            Ok(Reply::Unwell) => {
+                instance.aside_until = instance.aside_until.max(now + Self::UNWELL);
+                "unwell"
+            }
+            Ok(Reply::Late { .. }) => "lease over",
+            Ok(Reply::Old { .. }) => "attempt refused as old",
+            Ok(Reply::Invalid) => "order refused as invalid",
+            Ok(Reply::OtherIncarnation) => {
+                instance.silent = true;
+                "other incarnation"
+            }
+            Ok(Reply::Report { .. } | Reply::Fenced) | Err(_) => {
+                attempt.stage = Stage::Unanswered;
+                instance.renew_at = now;
+                let why = "no answer to the order to start it".into();
+                return effects.push(note("start-unanswered", format!("{task} {number}"), why));
+            }
+        };
+        attempt.stage = Stage::Ending;
+        self.ends.push(End { task, number, how: How::Lost, checkpoint: None });
+        let about = format!("{task} {number} {incarnation}");
+        effects.push(note("start-refused", about, refusal.into()));
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of one report")]
+    fn on_report(
+        &mut self,
+        now: Time,
+        table: &Table,
+        incarnation: &Incarnation,
+        sent: Time,
+        running: Vec<Running>,
+        ended: Vec<Ended>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(instance) = self.instances.get_mut(incarnation) else { return };
+        if !instance.fenced || instance.silent {
+            self.dirty = true;
+        }
+        instance.fenced = true;
+        instance.silent = false;
+        instance.renew_at = now;
+        let whole = ended.len() < Self::ENDS_IN_REPORT;
+        for end in ended {
+            if end.sequence <= instance.seen {
+                continue;
+            }
+            instance.seen = end.sequence;
+            let Some(task) = end.task else { continue };
+            let attempt = instance.attempts.get_mut(&task);
+            let Some(attempt) = attempt.filter(|a| a.number == end.number) else { continue };
+            if attempt.stage == Stage::Ending {
+                continue;
+            }
+            attempt.stage = Stage::Ending;
+            match end.how {
+                How::Failed => {
+                    instance.strikes.insert(task.job);
+                }
+                How::Done => {
+                    instance.strikes.clear();
+                    let took = now.saturating_sub(attempt.started);
+                    self.timings.learn(table, task, took);
+                }
+                _ => {}
+            }
+            let checkpoint = end.checkpoint.or(attempt.checkpoint.take());
+            self.ends.push(End { task, number: end.number, how: end.how, checkpoint });
+        }
+        if instance.strikes.len() >= Self::STRIKES {
+            instance.strikes.clear();
+            instance.asides += 1;
+            instance.aside_until = now + Self::ASIDE * (1 << instance.asides.min(4)) / 2;
+            let why = "tasks of different jobs failed in a row".into();
+            effects.push(note("instance-set-aside", incarnation.to_string(), why));
+        }
+        let mut strays = Vec::new();
+        let mut present = BTreeSet::new();
+        for row in running {
+            let attempt = instance.attempts.get_mut(&row.task);
+            let Some(attempt) = attempt.filter(|a| a.number == row.number) else {
+                strays.push((row.task, row.number));
+                continue;
+            };
+            present.insert(row.task);
+            attempt.percent = row.percent;
+            attempt.gauge = row.gauge;
+            attempt.checkpoint = row.checkpoint.or(attempt.checkpoint.take());
+            if matches!(attempt.stage, Stage::Unanswered | Stage::Recovered | Stage::Starting) {
+                attempt.stage = Stage::Running;
+                attempt.settled = Some(now);
+            }
+        }
+        for (task, attempt) in &mut instance.attempts {
+            if present.contains(task) || !whole {
+                continue;
+            }
+            if attempt.stage == Stage::Unanswered {
+                attempt.stop = true;
+            }
+            let gone = attempt.settled.is_some_and(|settled| settled <= sent);
+            if gone && !matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
+                attempt.stage = Stage::Ending;
+                let (number, checkpoint) = (attempt.number, attempt.checkpoint.clone());
+                self.ends.push(End { task: *task, number, how: How::Lost, checkpoint });
+                let about = format!("{task} {number} {incarnation}");
+                effects.push(note("attempt-absent", about, "neither running nor ended".into()));
+            }
+        }
+        for (task, number) in strays {
+            let pending = Pending::Stop(task, number);
+            let order = Order::Stop { task, number };
+            self.call(incarnation, pending, order, Self::ANSWER, effects);
+        }
+        self.throttle(now, table, incarnation, effects);
+    }
+
+    pub(crate) fn on_settled(
+        &mut self,
+        now: Time,
+        table: &Table,
+        outcomes: &[Outcome],
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.leads() {
+            return;
+        }
+        self.settling = false;
+        self.dirty = true;
+        for instance in self.instances.values_mut() {
+            if instance.acknowledged != instance.proposed {
+                instance.acknowledged = instance.proposed;
+                instance.renew_at = now;
+            }
+        }
+        for outcome in outcomes {
+            if let Outcome::Claimed(claim) = outcome {
+                self.start(now, table, claim, effects);
+            }
+        }
+        self.drop_refused_claims();
+    }
+
+    /// Attempts that were proposed, and that the table has refused.
+    fn drop_refused_claims(&mut self) {
+        for instance in self.instances.values_mut() {
+            let refused = |(task, attempt): (&Task, &Attempt)| {
+                (attempt.stage == Stage::Proposed).then_some((*task, attempt.number))
+            };
+            let refused: Vec<_> = instance.attempts.iter().filter_map(refused).collect();
+            for (task, number) in refused {
+                instance.remove(&task, number);
+            }
+        }
+    }
+
+    fn start(&mut self, now: Time, table: &Table, claim: &Claim, effects: &mut Vec<Effect>) {
+        let Claim { task, number, incarnation } = claim;
+        let (task, number) = (*task, *number);
+        let lost = End { task, number, how: How::Lost, checkpoint: None };
+        let entry = table.jobs.get(&task.job);
+        let Some(instance) = self.instances.get_mut(incarnation) else {
+            return self.ends.push(lost);
+        };
+        let attempt = instance.attempts.get_mut(&task);
+        let Some(attempt) = attempt.filter(|a| a.number == number) else {
+            return self.ends.push(lost);
+        };
+        let Some(entry) = entry.filter(|entry| !entry.standing.is_over()) else {
+            attempt.stage = Stage::Ending;
+            return self.ends.push(lost);
+        };
+        attempt.stage = Stage::Starting;
+        attempt.started = now;
+        if instance.lease_left(now) < Self::LEASE / 2 {
+            instance.grant(now, Self::LEASE);
+        }
+        let checkpoint = entry.slot(task).and_then(|slot| slot.checkpoint.clone());
+        let payload = entry.spec.payload.clone();
+        let order = Order::Start { task, number, payload, lease: instance.lease, checkpoint };
+        self.call(incarnation, Pending::Start(task, number), order, Self::ANSWER, effects);
+    }
+
+    pub(crate) fn on_committed(&mut self, table: &Table, outcomes: &[Outcome]) {
+        if !self.leads() {
+            return;
+        }
+        self.dirty = true;
+        for outcome in outcomes {
+            match outcome {
+                Outcome::Ended(end) => {
+                    for instance in self.instances.values_mut() {
+                        if instance.remove(&end.task, end.number).is_some() {
+                            break;
+                        }
+                    }
+                }
+                Outcome::Cancelled(job) | Outcome::Over(job) => self.stop_job(table, *job),
+                _ => {}
+            }
+        }
+    }
+
+    fn stop_job(&mut self, table: &Table, job: JobId) {
+        if !table.jobs.get(&job).is_some_and(|entry| entry.standing.is_over()) {
+            return;
+        }
+        let first = Task { job, round: 0, group: 0, index: 0 };
+        for instance in self.instances.values_mut() {
+            let attempts = instance.attempts.range_mut(first..);
+            for (_, attempt) in attempts.take_while(|(task, _)| task.job == job) {
+                attempt.stop = true;
+            }
+        }
+    }
+
+    /// Orders every stop that is due.
+    pub(crate) fn stop_due(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let mut due = Vec::new();
+        for (incarnation, instance) in &mut self.instances {
+            if instance.announcement.is_none() {
+                continue;
+            }
+            for (task, attempt) in &mut instance.attempts {
+                let unsettled = match attempt.stage {
+                    Stage::Proposed | Stage::Ending | Stage::Starting => false,
+                    Stage::Unanswered => attempt.settled.is_none(),
+                    Stage::Recovered | Stage::Running => true,
+                };
+                let waits = attempt.stop_sent.is_some_and(|sent| now < sent + Self::STOP_AGAIN);
+                if attempt.stop && unsettled && !waits {
+                    attempt.stop_sent = Some(now);
+                    due.push((incarnation.clone(), *task, attempt.number));
+                }
+            }
+        }
+        for (incarnation, task, number) in due {
+            let order = Order::Stop { task, number };
+            self.call(&incarnation, Pending::Stop(task, number), order, Self::ANSWER, effects);
+        }
+    }
+
+    /// Sends every renewal that is due.
+    pub(crate) fn renew_due(&mut self, now: Time, table: &Table, effects: &mut Vec<Effect>) {
+        let due = self.instances.iter().filter(|(_, instance)| instance.renewal_is_due(now));
+        let due: Vec<_> = due.map(|(incarnation, _)| incarnation.clone()).collect();
+        for incarnation in due {
+            let wait = self.renewal_wait(table, &incarnation);
+            let Some(instance) = self.instances.get_mut(&incarnation) else { continue };
+            let Some(lease) = instance.grant(now, Self::LEASE) else { continue };
+            let acknowledged = instance.acknowledged;
+            let order = Order::Renew { lease, acknowledged, wait };
+            let pending = Pending::Renew { sent: now };
+            let id = self.call(&incarnation, pending, order, wait + Self::ANSWER, effects);
+            if let Some(instance) = self.instances.get_mut(&incarnation) {
+                instance.renewal = Some((id, now));
+            }
+        }
+    }
+
+    fn renewal_wait(&self, table: &Table, incarnation: &Incarnation) -> Duration {
+        let Some(instance) = self.instances.get(incarnation) else { return Duration::ZERO };
+        let group = |task: &Task| table.jobs.get(&task.job)?.group(*task);
+        let fills = instance.attempts.keys().any(|task| group(task).is_some_and(|g| g.filler));
+        if !instance.fenced || instance.silent {
+            Duration::ZERO
+        } else if fills {
+            Self::WATCH
+        } else {
+            Self::WAIT
+        }
+    }
+
+    /// Ends every attempt whose lease has surely run out.
+    pub(crate) fn lapse(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        for (incarnation, instance) in &mut self.instances {
+            if now < instance.lapses || instance.attempts.is_empty() {
+                continue;
+            }
+            for (task, attempt) in &mut instance.attempts {
+                if matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
+                    continue;
+                }
+                attempt.stage = Stage::Ending;
+                let (number, checkpoint) = (attempt.number, attempt.checkpoint.clone());
+                self.ends.push(End { task: *task, number, how: How::Lost, checkpoint });
+                let about = format!("{task} {number} {incarnation}");
+                effects.push(note("lease-over", about, "the instance gave no answer".into()));
+            }
+        }
+        let gone = |(_, instance): &(&Incarnation, &Instance)| {
+            instance.attempts.is_empty() && now > instance.heard + Self::FORGOTTEN
+        };
+        let gone: Vec<_> = self.instances.iter().filter(gone).map(|(i, _)| i.clone()).collect();
+        for incarnation in gone {
+            self.instances.remove(&incarnation);
+        }
+    }
+
+    /// Commits what has ended and what is to start, one batch at a time.
+    pub(crate) fn settle(
+        &mut self,
+        now: Time,
+        unix: Unix,
+        table: &Table,
+        effects: &mut Vec<Effect>,
+    ) {
+        let due = self.dirty && now >= self.planned + Self::PLAN_INTERVAL
+            || now >= self.planned + Self::PLAN_IDLE;
+        if self.settling || !due && self.ends.is_empty() {
+            return;
+        }
+        self.dirty = false;
+        self.planned = now;
+        let ends = std::mem::take(&mut self.ends);
+        let claims = self.plan(now, unix, table, effects);
+        let maintained = self.machines.take_begun(table);
+        let batch = Batch { ends, claims, maintained };
+        if batch.is_empty() {
+            return;
+        }
+        for instance in self.instances.values_mut() {
+            instance.proposed = instance.seen;
+        }
+        self.settling = true;
+        effects.push(Effect::Propose(batch));
+    }
+
+    /// Ends that an instance names at most in one report.
+    const ENDS_IN_REPORT: usize = 500;
+    /// After which an instance that says nothing, and has nothing of ours, is forgotten.
+    const FORGOTTEN: Duration = Duration::from_secs(8);
+}
+
+impl Instance {
+    fn renewal_is_due(&self, now: Time) -> bool {
+        let needed = !self.attempts.is_empty() || !self.fenced || self.seen > self.acknowledged;
+        let waits_for_commit = self.seen > self.acknowledged;
+        let urgent = self.lease_left(now) < Owner::LEASE / 2;
+        self.announcement.is_some()
+            && self.renewal.is_none()
+            && needed
+            && now >= self.renew_at
+            && (!waits_for_commit || urgent)
+    }
+}
+
+impl Reply {
+    fn clock(&self) -> Option<Clock> {
+        match self {
+            Self::Done { clock }
+            | Self::Report { clock, .. }
+            | Self::Old { clock }
+            | Self::Late { clock }
+            | Self::Full { clock } => Some(*clock),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/src/slot.rs
@@ -0,0 +1,14 @@
+use super::*;
+
+/// The state of one task.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slot {
+    /// Where it stands.
+    pub phase: Phase,
+    /// Number of its last attempt, 0 before the first.
+    pub number: Number,
+    /// Attempts that failed.
+    pub failed: u32,
+    /// Last checkpoint.
+    pub checkpoint: Option<Arc<str>>,
+}
--- /dev/null
+++ b/crates/job/src/table.rs
@@ -0,0 +1,137 @@
+use super::*;
+
+/// The replicated state of configuration, jobs and waves.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    /// Configuration in force.
+    pub config: Option<Config>,
+    /// Jobs by id; those that ended are kept for a while.
+    pub jobs: BTreeMap<JobId, Entry>,
+    /// Jobs that have not ended, or still have attempts without an end.
+    pub live: BTreeSet<JobId>,
+    /// Waves by number.
+    pub waves: BTreeMap<WaveId, Wave>,
+    /// Jobs that ended, in order, until they are forgotten.
+    ended: std::collections::VecDeque<(Unix, JobId)>,
+}
+
+impl Table {
+    /// How long a job is remembered after its end; twice what callers are promised.
+    pub const REMEMBERED: Duration = Duration::from_secs(240);
+
+    /// Applies a command from the log.
+    pub fn apply(&mut self, command: Command) -> Vec<Outcome> {
+        match command {
+            Command::Configure(config) => self.configure(config),
+            Command::Submit { id, queue, spec, at } => self.submit(id, queue, spec, at),
+            Command::Cancel { id, at } => self.cancel(id, at),
+            Command::Maintain { id, wave } => {
+                self.waves.entry(id).or_insert(wave);
+                vec![Outcome::Maintaining(id)]
+            }
+            Command::Settle { at, batch } => self.settle(at, batch),
+        }
+    }
+
+    /// The job `id`, if it belongs to `queue`.
+    pub fn job(&self, queue: &str, id: JobId) -> Option<&Entry> {
+        self.jobs.get(&id).filter(|entry| *entry.queue == *queue)
+    }
+
+    /// Jobs of `queue` for which no task was started.
+    pub fn pending(&self, queue: &str) -> usize {
+        let live = self.live.iter().filter_map(|id| self.jobs.get(id));
+        live.filter(|job| *job.queue == *queue && job.standing == Standing::Queued).count()
+    }
+
+    fn configure(&mut self, config: Config) -> Vec<Outcome> {
+        let newer = self.config.as_ref().is_none_or(|held| held.version < config.version);
+        if newer {
+            self.config = Some(config);
+        }
+        vec![Outcome::Configured]
+    }
+
+    fn submit(&mut self, id: JobId, queue: Name, spec: Spec, at: Unix) -> Vec<Outcome> {
+        self.forget(at);
+        if !self.jobs.contains_key(&id) {
+            self.jobs.insert(id, Entry::new(queue, spec, at));
+            self.live.insert(id);
+        }
+        vec![Outcome::Accepted(id)]
+    }
+
+    fn cancel(&mut self, id: JobId, at: Unix) -> Vec<Outcome> {
+        let Some(entry) = self.jobs.get_mut(&id) else { return vec![Outcome::Unknown(id)] };
+        let mut outcomes = vec![Outcome::Cancelled(id)];
+        if !entry.standing.is_over() {
+            entry.standing = Standing::Cancelled;
+            outcomes.extend(self.close(id, at));
+        }
+        outcomes
+    }
+
+    fn settle(&mut self, at: Unix, batch: Batch) -> Vec<Outcome> {
+        let mut outcomes = Vec::new();
+        for end in batch.ends {
+            self.end(end, at, &mut outcomes);
+        }
+        for claim in batch.claims {
+            let entry = self.jobs.get_mut(&claim.task.job);
+            if entry.is_some_and(|entry| entry.claim(&claim)) {
+                outcomes.push(Outcome::Claimed(claim));
+            }
+        }
+        for (wave, machine) in batch.maintained {
+            if let Some(wave) = self.waves.get_mut(&wave) {
+                wave.machines.insert(machine, Progress::Begun);
+            }
+        }
+        outcomes
+    }
+
+    fn end(&mut self, end: End, at: Unix, outcomes: &mut Vec<Outcome>) {
+        let id = end.task.job;
+        let attempts = self.max_attempts(id);
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            let was_over = entry.standing.is_over();
+            entry.end(&end, attempts);
+            if was_over {
+                if entry.claimed == 0 {
+                    self.live.remove(&id);
+                }
+            } else if entry.standing.is_over() {
+                outcomes.extend(self.close(id, at));
+            }
+        }
+        outcomes.push(Outcome::Ended(end));
+    }
+
+    fn max_attempts(&self, id: JobId) -> u32 {
+        let queue = self.jobs.get(&id).map(|entry| &entry.queue);
+        let queue = queue.and_then(|queue| self.config.as_ref()?.queue(queue));
+        queue.map_or(u32::MAX, |queue| queue.max_attempts)
+    }
+
+    /// Notes that a job has ended.
+    fn close(&mut self, id: JobId, at: Unix) -> Option<Outcome> {
+        let entry = self.jobs.get_mut(&id)?;
+        entry.over = Some(at);
+        self.ended.push_back((at, id));
+        if entry.claimed == 0 {
+            self.live.remove(&id);
+        }
+        Some(Outcome::Over(id))
+    }
+
+    fn forget(&mut self, now: Unix) {
+        let horizon = now.saturating_sub(Self::REMEMBERED.as_millis() as Unix);
+        while let Some((at, id)) = self.ended.front().copied().filter(|(at, _)| *at < horizon) {
+            debug_assert!(at < horizon);
+            self.ended.pop_front();
+            if !self.live.contains(&id) {
+                self.jobs.remove(&id);
+            }
+        }
+    }
+}
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -127,6 +127,27 @@
         matches!(self.standing, Standing::Leader { .. })
     }
 
+    /// Whether this member leads, and nobody else can lead at this moment.
+    pub fn governs(&self, now: Time) -> bool {
+        self.may_grant(now)
+    }
+
+    /// Index of the last entry in the log, committed or not.
+    pub fn last_index(&self) -> Index {
+        self.log.last_index()
+    }
+
+    /// Founds a log with this member as the only voter.
+    pub fn found(&mut self, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if !self.members.founded() && self.log.last_index() == 0 {
+            self.founders = Members::from(BTreeMap::from([(self.id.clone(), Role::Voter)]));
+            self.members = self.founders.clone();
+            self.on_election(now, &mut effects);
+        }
+        effects
+    }
+
     /// Current term.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -33,6 +33,7 @@
 mod reader;
 mod role;
 mod section;
+mod station;
 mod teams;
 mod text;
 
@@ -50,6 +51,7 @@
     problem::Problem,
     role::Role,
     section::Section,
+    station::{Bounds, Station},
     text::{diff, text},
 };
 
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -45,6 +45,36 @@
         self.optional(key)
     }
 
+    /// The value of `key`, `None` where it is absent, empty or unreadable.
+    pub(crate) fn present<T: FromStr<Err: fmt::Display>>(
+        &mut self,
+        key: &'static str,
+    ) -> Option<T> {
+        let empty = |entry: &Entry| entry.key == key && entry.value.is_empty();
+        if self.section.entries.iter().any(empty) {
+            self.known.push(key);
+            return None;
+        }
+        self.optional(key)
+    }
+
+    /// Reads a part of the value of `key`.
+    pub(crate) fn parse<T: FromStr<Err: fmt::Display>>(
+        &mut self,
+        key: &'static str,
+        text: &str,
+    ) -> Option<T> {
+        let line = self.section.entries.iter().find(|entry| entry.key == key)?.line;
+        let parsed = text.parse().map_err(|error: T::Err| error.to_string());
+        parsed.map_err(|error| self.report(line, Some(key), Problem::Value(error))).ok()
+    }
+
+    /// The value of `key` in seconds, fractions included.
+    pub(crate) fn seconds(&mut self, key: &'static str) -> Option<Duration> {
+        let seconds = self.present::<f64>(key)?;
+        Duration::try_from_secs_f64(seconds).ok()
+    }
+
     /// The value of `key` in milliseconds.
     pub(crate) fn milliseconds(&mut self, key: &'static str) -> Option<Duration> {
         self.optional(key).map(Duration::from_millis)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,12 +28,13 @@
 mod hello;
 mod identity;
 mod link;
+mod mesh;
 mod transport;
 
 use hello::Hello;
 pub use {
     authority::Authority, certificate::Certificate, codec::Codec, error::Error, frame::Frame,
-    identity::Identity, transport::Transport,
+    identity::Identity, mesh::Mesh, transport::Transport,
 };
 
 /// Result of this crate's fallible functions.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -74,7 +74,7 @@
     }
 }
 
-async fn write(stream: &mut quinn::SendStream, body: &[u8]) -> io::Result<()> {
+pub(crate) async fn write(stream: &mut quinn::SendStream, body: &[u8]) -> io::Result<()> {
     let length = u32::try_from(body.len()).map_err(io::Error::other)?;
     stream.write_all(&length.to_be_bytes()).await?;
     stream.write_all(body).await?;
@@ -118,7 +118,7 @@
     }
 }
 
-async fn read(stream: &mut quinn::RecvStream) -> io::Result<Vec<u8>> {
+pub(crate) async fn read(stream: &mut quinn::RecvStream) -> io::Result<Vec<u8>> {
     let mut length = [0; 4];
     stream.read_exact(&mut length).await.map_err(io::Error::other)?;
     let length = u32::from_be_bytes(length) as usize;
