--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -39,10 +39,6 @@
         self.waiting.get(&ticket)
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-    }
-
     /// Someone who may lead, or know who does.
     pub(crate) fn whom(&mut self, own: &Name) -> Option<Name> {
         if let Some(leader) = self.leader.clone().filter(|leader| leader != own) {
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -6,15 +6,31 @@
     Start,
     Timer(Timer),
     /// A peer sent a message.
-    Peer { from: Name, message: Message },
+    Peer {
+        from: Name,
+        message: Message,
+    },
     /// Everything up to this entry is on disk.
-    Synced { term: quorum::Term, index: Index },
+    Synced {
+        term: quorum::Term,
+        index: Index,
+    },
     /// A call came to an edge of this daemon.
-    Call { ticket: Ticket, call: Call, patience: Duration },
+    Call {
+        ticket: Ticket,
+        call: Call,
+        patience: Duration,
+    },
     /// A call to an instance has ended.
-    Answered { id: job::CallId, result: Result<job::Reply, job::Failure> },
+    Answered {
+        id: job::CallId,
+        result: Result<job::Reply, job::Failure>,
+    },
     /// A call to the platform has ended.
-    MachineAnswered { id: job::CallId, result: Result<job::MachineReply, job::Failure> },
+    MachineAnswered {
+        id: job::CallId,
+        result: Result<job::MachineReply, job::Failure>,
+    },
     /// The process is to stop.
     Stop,
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -50,8 +50,9 @@
     audience: Audience,
     edge: Rc<Edge>,
 ) -> eyre::Result<()> {
-    let listener =
-        TcpListener::bind(address).await.wrap_err_with(|| format!("cannot listen on `{address}`"))?;
+    let listener = TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on `{address}`"))?;
     spawn_local(async move {
         loop {
             match listener.accept().await {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -92,8 +92,7 @@
         Duration::ZERO => STOP_GRACE,
         limit => STOP_GRACE.min(limit.saturating_sub(STOP_RESERVE)),
     };
-    let state =
-        State::new(id, seeds, settings.founding, restored, boot, Owner::new(bounds), grace);
+    let state = State::new(id, seeds, settings.founding, restored, boot, Owner::new(bounds), grace);
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, asked) = mpsc::unbounded_channel();
@@ -293,8 +292,8 @@
                     let outgoing = platform::request(&order, epoch, &incarnation);
                     let patient = matches!(order, job::Order::Renew { .. });
                     let answer = outbound.call(&address, outgoing, patient, timeout).await;
-                    let result = answer
-                        .and_then(|(status, body)| platform::reply(&order, status, &body));
+                    let result =
+                        answer.and_then(|(status, body)| platform::reply(&order, status, &body));
                     events.send(Event::Answered { id, result }).ok();
                 });
             }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -69,10 +69,8 @@
                 self.own(now, unix, job::Event::Announced(announcement), effects);
                 Answer::Done
             }
-            Call::Leave(incarnation) => {
-                let known = self.owner.roster().find(|a| a.incarnation == incarnation).cloned();
-                if let Some(mut announcement) = known {
-                    announcement.condition = job::Condition::Gone;
+            Call::Leave { name, born } => {
+                if let Some(announcement) = self.owner.farewell(&name, born) {
                     self.spread(&announcement, effects);
                     self.own(now, unix, job::Event::Announced(announcement), effects);
                 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -264,9 +264,10 @@
                 }
             }
             Message::Ping => {
-                let members = self.quorum.as_ref().map(|quorum| {
-                    quorum.members().iter().map(|(name, _)| name.clone()).collect()
-                });
+                let members = self
+                    .quorum
+                    .as_ref()
+                    .map(|quorum| quorum.members().iter().map(|(name, _)| name.clone()).collect());
                 let serves = self.governs(now) && self.table.config.is_some();
                 let message = Message::Pong {
                     leader: self.leader(),
--- a/crates/job/src/call.rs
+++ b/crates/job/src/call.rs
@@ -29,7 +29,12 @@
     /// An instance says that it is there.
     Announce(Announcement),
     /// An instance has ended.
-    Leave(Incarnation),
+    Leave {
+        /// The instance.
+        name: Name,
+        /// Which life, where it says so.
+        born: Option<Unix>,
+    },
     /// An operator puts a configuration in force.
     Configure(Box<Config>),
     /// An operator reads the configuration.
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -137,9 +137,8 @@
         let lease = self.clock_at(now)? + length.as_millis() as Clock;
         self.lease = self.lease.max(lease);
         // Its clock may have advanced by less than ours since it was last read.
-        let left = Duration::from_millis(self.lease.saturating_sub(clock)).saturating_sub(
-            unheard * (1000 - Self::DRIFT_PERMILLE) / 1000,
-        );
+        let left = Duration::from_millis(self.lease.saturating_sub(clock))
+            .saturating_sub(unheard * (1000 - Self::DRIFT_PERMILLE) / 1000);
         self.lapses = self.lapses.max(Self::lapse_after(now, left));
         Some(self.lease)
     }
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -5,26 +5,24 @@
 pub(crate) struct Machines {
     /// Machines by name, as last listed.
     pub(crate) listed: BTreeMap<Name, Machine>,
-    /// When the last list was asked for, and whether it is under way.
+    /// Whether a whole list was read since this owner leads.
+    pub(crate) known: bool,
+    /// When the last list was asked for.
     pub(crate) asked: Option<Time>,
+    /// List under way, and when it was asked for.
     pub(crate) listing: Option<(CallId, Time)>,
     /// Calls under way.
     pub(crate) calls: Map<CallId, MachineCall>,
-    /// Machines that are away for a wave, since when.
-    pub(crate) away: BTreeMap<Name, Away>,
+    /// Machines that are away, since when.
+    pub(crate) away: BTreeMap<Name, Time>,
     /// Maintenance that has begun and is to be committed.
     pub(crate) begun: Vec<(WaveId, Name)>,
+    /// Machines for which an order had no answer, so that it may still be carried out.
+    pub(crate) unsure: BTreeSet<Name>,
     /// When a refused machine may be tried again.
     pub(crate) retry_at: BTreeMap<Name, Time>,
 }
 
-/// A machine that is away.
-#[derive(Debug, Clone)]
-pub(crate) struct Away {
-    pub(crate) wave: WaveId,
-    pub(crate) since: Time,
-}
-
 /// A call about a machine.
 #[derive(Debug, Clone)]
 pub(crate) struct MachineCall {
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -64,9 +64,16 @@
         self.epoch.is_some()
     }
 
-    /// Everything that instances have said of themselves lately, for other voters.
-    pub fn roster(&self) -> impl Iterator<Item = &Announcement> {
-        self.roster.values().map(|(announcement, _)| announcement)
+    /// What it amounts to that the instance `name` says it has ended, `None` where it is of no
+    /// present life. A word that names no life counts only for one that was draining, since it may
+    /// have been on its way while the instance started again.
+    pub fn farewell(&self, name: &Name, born: Option<Unix>) -> Option<Announcement> {
+        let (known, _) = self.roster.get(name)?;
+        let leaves = match born {
+            Some(born) => born == known.incarnation.born,
+            None => known.condition == Condition::Draining,
+        };
+        leaves.then(|| Announcement { condition: Condition::Gone, ..known.clone() })
     }
 
     /// Takes one event, and says what is to be done.
@@ -101,13 +108,7 @@
     }
 
     /// Begins to lead: every attempt in the table may be running.
-    fn lead(
-        &mut self,
-        now: Time,
-        table: &Table,
-        epoch: Epoch,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn lead(&mut self, now: Time, table: &Table, epoch: Epoch, effects: &mut Vec<Effect>) {
         self.resign();
         self.epoch = Some(epoch);
         self.since = now;
@@ -157,12 +158,7 @@
         self.machines = machines::Machines::default();
     }
 
-    fn on_announced(
-        &mut self,
-        now: Time,
-        announcement: Announcement,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn on_announced(&mut self, now: Time, announcement: Announcement, effects: &mut Vec<Effect>) {
         let name = announcement.incarnation.name.clone();
         if let Some((known, _)) = self.roster.get(&name)
             && !announcement.supersedes(known)
@@ -184,7 +180,11 @@
         }
         let lapses = now;
         let instance = self.instances.entry(incarnation.clone()).or_insert_with(|| {
-            effects.push(note("instance-joined", incarnation.to_string(), announcement.pool.to_string()));
+            effects.push(note(
+                "instance-joined",
+                incarnation.to_string(),
+                announcement.pool.to_string(),
+            ));
             Instance::new(None, now, lapses)
         });
         if instance.announcement.as_ref().map(|a| a.condition) != Some(announcement.condition) {
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -88,7 +88,9 @@
     fn demands<'a>(&self, unix: Unix, table: &'a Table, config: &'a Config) -> Vec<Demand<'a>> {
         let mut demands = Vec::new();
         for job in &table.live {
-            let Some(entry) = table.jobs.get(job).filter(|e| !e.standing.is_over()) else { continue };
+            let Some(entry) = table.jobs.get(job).filter(|e| !e.standing.is_over()) else {
+                continue;
+            };
             let Some(queue) = config.queue(&entry.queue) else { continue };
             for (number, round) in entry.rounds.iter().enumerate() {
                 let due = entry.spec.due(number as u32).unwrap_or(entry.accepted);
@@ -244,9 +246,8 @@
         let rack_is_up = || {
             self.instances.values().any(|instance| {
                 let announcement = instance.announcement.as_ref();
-                let there = announcement.is_some_and(|a| {
-                    a.rack() == wanted && a.pool == demand.queue.pool
-                });
+                let there =
+                    announcement.is_some_and(|a| a.rack() == wanted && a.pool == demand.queue.pool);
                 there && instance.is_usable(now)
             })
         };
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -15,11 +15,7 @@
     pub(crate) fn new(spec: &Spec) -> Self {
         let counts: Vec<_> = spec.groups.iter().map(|group| group.count).collect();
         let slots = |count: &u16| vec![Slot::default(); usize::from(*count)];
-        Self {
-            groups: counts.iter().map(slots).collect(),
-            open: counts.clone(),
-            waiting: counts,
-        }
+        Self { groups: counts.iter().map(slots).collect(), open: counts.clone(), waiting: counts }
     }
 
     /// Whether every task is done.
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -24,7 +24,11 @@
     ) {
         let Some((incarnation, pending)) = self.calls.remove(&id) else { return };
         if result == Ok(Reply::Fenced) {
-            effects.push(note("fenced", incarnation.to_string(), "a later owner has called".into()));
+            effects.push(note(
+                "fenced",
+                incarnation.to_string(),
+                "a later owner has called".into(),
+            ));
             return self.fenced_off(now, &incarnation);
         }
         let Some(instance) = self.instances.get_mut(&incarnation) else { return };
@@ -364,7 +368,14 @@
         for incarnation in due {
             let wait = self.renewal_wait(table, &incarnation);
             let Some(instance) = self.instances.get_mut(&incarnation) else { continue };
-            let Some(lease) = instance.grant(now, Self::LEASE) else { continue };
+            // An instance that does not answer must not get a longer lease with every try, or it
+            // would never be known to have run out.
+            let granted = if instance.silent && now < instance.lapses {
+                Some(instance.lease)
+            } else {
+                instance.grant(now, Self::LEASE)
+            };
+            let Some(lease) = granted else { continue };
             let acknowledged = instance.acknowledged;
             let order = Order::Renew { lease, acknowledged, wait };
             let pending = Pending::Renew { sent: now };
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -54,8 +54,8 @@
 
     fn submit(&mut self, id: JobId, queue: Name, spec: Spec, at: Unix) -> Vec<Outcome> {
         self.forget(at);
-        if !self.jobs.contains_key(&id) {
-            self.jobs.insert(id, Entry::new(queue, spec, at));
+        if let std::collections::btree_map::Entry::Vacant(vacant) = self.jobs.entry(id) {
+            vacant.insert(Entry::new(queue, spec, at));
             self.live.insert(id);
         }
         vec![Outcome::Accepted(id)]
--- a/crates/job/src/upkeep.rs
+++ b/crates/job/src/upkeep.rs
@@ -2,10 +2,7 @@
 //! is back, never more at once than the wave allows.
 
 use super::*;
-use {
-    machines::{Away, MachineCall},
-    owner::note,
-};
+use {machines::MachineCall, owner::note};
 
 impl Owner {
     /// Between two lists of machines while a wave runs.
@@ -29,7 +26,9 @@
             return;
         }
         self.list(now, effects);
-        self.machines.calls.retain(|_, _| true);
+        if !self.machines.known {
+            return;
+        }
         for (id, wave) in open {
             self.carry_on(now, table, *id, wave, effects);
         }
@@ -57,9 +56,8 @@
         wave: &Wave,
         effects: &mut Vec<Effect>,
     ) {
-        let away = self.machines.away.values().filter(|away| away.wave == id).count();
-        let calling = self.machines.calls.values().filter(|call| call.wave == id).count();
-        let mut free = (wave.budget as usize).saturating_sub(away + calling);
+        let down = wave.machines.keys().filter(|machine| self.may_be_down(machine)).count();
+        let mut free = (wave.budget as usize).saturating_sub(down);
         let begun = &self.machines.begun;
         let due = wave.machines.iter().filter(|(name, progress)| {
             **progress == Progress::Due
@@ -70,19 +68,31 @@
         let mut due: Vec<_> = due.map(|(name, _)| name.clone()).collect();
         due.sort_by_key(|name| (self.load(name), name.clone()));
         for machine in due {
-            if free == 0 {
-                return;
+            let counted = self.machines.unsure.contains(&machine);
+            if free == 0 && !counted {
+                continue;
             }
-            free -= 1;
+            free -= usize::from(!counted);
             if self.empty(now, table, &machine) {
                 let call = self.next_call();
-                self.machines.calls.insert(call, MachineCall { machine: machine.clone(), wave: id });
+                self.machines
+                    .calls
+                    .insert(call, MachineCall { machine: machine.clone(), wave: id });
                 let order = MachineOrder::Maintain { machine, wave: id };
                 effects.push(Effect::Machine { id: call, order });
             }
         }
     }
 
+    /// Whether the maintenance of a machine may be under way.
+    fn may_be_down(&self, machine: &Name) -> bool {
+        let listed = self.machines.listed.get(machine).map(|machine| machine.state);
+        listed == Some(MachineState::Maintained)
+            || self.machines.away.contains_key(machine)
+            || self.machines.unsure.contains(machine)
+            || self.machines.calls.values().any(|call| call.machine == *machine)
+    }
+
     /// What runs on a machine, spare machines first.
     fn load(&self, machine: &Name) -> usize {
         self.on_machine_named(machine).map_or(0, |(_, instance)| 1 + instance.attempts.len())
@@ -154,6 +164,7 @@
             let sent = self.machines.listing.take().map_or(now, |(_, sent)| sent);
             if let Ok(MachineReply::Listed { machines, next }) = result {
                 self.on_listed(now, sent, machines, effects);
+                self.machines.known |= next.is_none();
                 if next.is_some() {
                     let id = self.next_call();
                     self.machines.listing = Some((id, now));
@@ -164,6 +175,11 @@
             return;
         }
         let Some(MachineCall { machine, wave }) = self.machines.calls.remove(&id) else { return };
+        if result.is_ok() {
+            self.machines.unsure.remove(&machine);
+        } else {
+            self.machines.unsure.insert(machine.clone());
+        }
         match result {
             Ok(MachineReply::Begun) => self.begin(now, wave, machine, effects),
             Ok(MachineReply::Unknown | MachineReply::NotOfWave) => {
@@ -184,7 +200,7 @@
             let incarnation = incarnation.clone();
             self.bury(now, &incarnation, "its machine is maintained", effects);
         }
-        self.machines.away.insert(machine.clone(), Away { wave, since: now });
+        self.machines.away.insert(machine.clone(), now);
         self.machines.begun.push((wave, machine));
         self.dirty = true;
     }
@@ -199,7 +215,7 @@
     ) {
         for machine in machines {
             let back = machine.state == MachineState::Up;
-            let long = |away: &Away| sent > away.since + self.bounds.maintenance / 2;
+            let long = |since: &Time| sent > *since + self.bounds.maintenance / 2;
             if back && self.machines.away.get(&machine.name).is_some_and(long) {
                 self.machines.away.remove(&machine.name);
             }
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -71,7 +71,8 @@
     async fn connect(self: Rc<Self>, to: SocketAddr, waiting: mpsc::Receiver<Vec<u8>>) {
         let Ok(connecting) = self.endpoint.connect(to, PEER) else { return };
         if let Ok(Ok(connection)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            if let Some(peer) = self.peers.borrow_mut().get_mut(&to).filter(|p| p.connection.is_none())
+            if let Some(peer) =
+                self.peers.borrow_mut().get_mut(&to).filter(|p| p.connection.is_none())
             {
                 peer.connection = Some(connection.stable_id());
             }
