--- a/crates/entry/src/disk.rs
+++ b/crates/entry/src/disk.rs
@@ -16,6 +16,14 @@
     after_waiting: Vec<(Name, Message)>,
 }
 
+/// What follows once a batch is durable.
+pub(crate) struct Durable {
+    /// Messages that may go now.
+    pub(crate) messages: Vec<(Name, Message)>,
+    /// Last entry of the batch.
+    pub(crate) last: Option<(quorum::Term, Index)>,
+}
+
 impl Disk {
     pub(crate) fn start(
         mut store: store::Store,
@@ -70,16 +78,13 @@
     }
 
     /// Takes word that the batch under way is durable: messages that may go, and the last entry.
-    pub(crate) fn synced(
-        &mut self,
-        result: Result<(), String>,
-    ) -> (Vec<(Name, Message)>, Option<(quorum::Term, Index)>) {
+    pub(crate) fn synced(&mut self, result: Result<(), String>) -> Durable {
         if let Err(error) = result {
             eprintln!("data folder failed, the daemon ends: {error}");
             std::process::exit(EXIT_DISK);
         }
         let last = self.writing.take().flatten();
-        (std::mem::take(&mut self.after_writing), last)
+        Durable { messages: std::mem::take(&mut self.after_writing), last }
     }
 }
 
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -56,7 +56,7 @@
         {
             return Some(quorum::Change::Remove(name.clone()));
         }
-        let wanted = voters % 2 == 0 || standby.len() >= 2 && voters < Self::VOTERS;
+        let wanted = voters.is_multiple_of(2) || standby.len() >= 2 && voters < Self::VOTERS;
         let ready = standby.into_iter().find(|_| wanted)?;
         Some(quorum::Change::Voter(ready))
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -247,7 +247,7 @@
 
     fn on_synced(&mut self, result: Result<(), String>) {
         let Some(disk) = &mut self.disk else { return };
-        let (messages, last) = disk.synced(result);
+        let disk::Durable { messages, last } = disk.synced(result);
         for (to, message) in messages {
             self.send(&to, &message);
         }
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -37,6 +37,8 @@
     pub(crate) strikes: BTreeSet<JobId>,
     /// How often it was set aside.
     pub(crate) asides: u32,
+    /// When something last ran here.
+    pub(crate) busy: Time,
     /// Whether its machine is to be emptied.
     pub(crate) emptying: bool,
 }
@@ -109,6 +111,7 @@
             aside_until: Time::ZERO,
             strikes: BTreeSet::new(),
             asides: 0,
+            busy: now,
             emptying: false,
         }
     }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -33,6 +33,7 @@
 mod how;
 mod incarnation;
 mod instance;
+mod lending;
 mod machine;
 mod machines;
 mod order;
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -1,6 +1,11 @@
+//! What the owner knows of machines, and its orders to the platform about them. One order at a time
+//! concerns a machine; one that had no answer may still be carried out, so it is repeated until it is
+//! answered, and no other order follows before the platform can have carried it out.
+
 use super::*;
+use owner::note;
 
-/// What the owner knows of machines, and what it has under way with them.
+/// Machines and the orders about them.
 #[derive(Debug, Default)]
 pub(crate) struct Machines {
     /// Machines by name, as last listed.
@@ -8,27 +13,29 @@
     /// Whether a whole list was read since this owner leads.
     pub(crate) known: bool,
     /// When the last list was asked for.
-    pub(crate) asked: Option<Time>,
+    asked: Option<Time>,
     /// List under way, and when it was asked for.
-    pub(crate) listing: Option<(CallId, Time)>,
-    /// Calls under way.
-    pub(crate) calls: Map<CallId, MachineCall>,
-    /// Machines that are away, since when.
+    listing: Option<(CallId, Time)>,
+    /// Orders under way.
+    calls: Map<CallId, MachineOrder>,
+    /// Machines that are away since an order was carried out.
     pub(crate) away: BTreeMap<Name, Time>,
     /// Maintenance that has begun and is to be committed.
     pub(crate) begun: Vec<(WaveId, Name)>,
-    /// Machines for which an order had no answer, so that it may still be carried out.
-    pub(crate) unsure: BTreeSet<Name>,
+    /// Orders without an answer, and until when they may be carried out.
+    unsure: BTreeMap<Name, (MachineOrder, Time)>,
     /// When a refused machine may be tried again.
-    pub(crate) retry_at: BTreeMap<Name, Time>,
+    retry_at: BTreeMap<Name, Time>,
 }
 
-/// A call about a machine.
-#[derive(Debug, Clone)]
-pub(crate) struct MachineCall {
-    pub(crate) machine: Name,
-    pub(crate) wave: WaveId,
-}
+/// Between two lists of machines.
+const LIST_INTERVAL: Duration = Duration::from_millis(1000);
+/// How long a list may take.
+const LIST_TIMEOUT: Duration = Duration::from_millis(2000);
+/// After which a machine that was refused is tried again.
+const RETRY: Duration = Duration::from_millis(500);
+/// How late the platform may carry out an order.
+const LATEST: Duration = Duration::from_secs(13);
 
 impl Machines {
     /// Maintenance that has begun, and that the table does not know yet.
@@ -40,4 +47,187 @@
         });
         begun
     }
+
+    /// Whether an order about a machine is under way, or may be.
+    pub(crate) fn is_ordered(&self, machine: &Name) -> bool {
+        self.unsure.contains_key(machine)
+            || self.calls.values().any(|order| order.machine() == Some(machine))
+    }
+
+    /// Orders under way.
+    pub(crate) fn orders(&self) -> impl Iterator<Item = &MachineOrder> {
+        let unsure = self.unsure.values().map(|(order, _)| order);
+        self.calls.values().chain(unsure)
+    }
+
+    /// Whether an order about a machine may be given now.
+    pub(crate) fn may_order(&self, now: Time, machine: &Name) -> bool {
+        !self.is_ordered(machine) && self.retry_at.get(machine).is_none_or(|at| now >= *at)
+    }
+
+    /// Whether the maintenance of a machine may be under way.
+    pub(crate) fn may_be_maintained(&self, machine: &Name) -> bool {
+        let listed = self.listed.get(machine).map(|machine| machine.state);
+        listed == Some(MachineState::Maintained)
+            || self.away.contains_key(machine)
+            || self.is_ordered(machine)
+    }
+}
+
+impl MachineOrder {
+    /// Machine that the order is about.
+    pub fn machine(&self) -> Option<&Name> {
+        match self {
+            Self::List { .. } => None,
+            Self::Move { machine, .. } | Self::Maintain { machine, .. } => Some(machine),
+        }
+    }
+}
+
+impl Owner {
+    /// Asks for the list of machines, and repeats orders that had no answer.
+    pub(crate) fn look_at_machines(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let expired = |(_, sent): &(CallId, Time)| now > *sent + LIST_TIMEOUT;
+        if self.machines.listing.as_ref().is_some_and(expired) {
+            self.machines.listing = None;
+        }
+        let due = self.machines.asked.is_none_or(|asked| now >= asked + LIST_INTERVAL);
+        if self.machines.listing.is_none() && due {
+            self.machines.asked = Some(now);
+            self.list(now, None, effects);
+        }
+        let unsure = self.machines.unsure.iter().filter(|(machine, _)| {
+            let calls = &self.machines.calls;
+            let calling = calls.values().any(|order| order.machine() == Some(*machine));
+            !calling && self.machines.retry_at.get(*machine).is_none_or(|at| now >= *at)
+        });
+        let unsure: Vec<_> = unsure.map(|(_, (order, _))| order.clone()).collect();
+        for order in unsure {
+            self.order_machine(order, effects);
+        }
+    }
+
+    fn list(&mut self, now: Time, page: Option<String>, effects: &mut Vec<Effect>) {
+        let id = self.next_call();
+        self.machines.listing = Some((id, now));
+        effects.push(Effect::Machine { id, order: MachineOrder::List { page } });
+    }
+
+    pub(crate) fn order_machine(&mut self, order: MachineOrder, effects: &mut Vec<Effect>) {
+        let id = self.next_call();
+        self.machines.calls.insert(id, order.clone());
+        effects.push(Effect::Machine { id, order });
+    }
+
+    pub(crate) fn on_machine(
+        &mut self,
+        now: Time,
+        id: CallId,
+        result: Result<MachineReply, Failure>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.machines.listing.is_some_and(|(listing, _)| listing == id) {
+            let sent = self.machines.listing.take().map_or(now, |(_, sent)| sent);
+            if let Ok(MachineReply::Listed { machines, next }) = result {
+                self.on_listed(now, sent, machines, effects);
+                self.machines.known |= next.is_none();
+                if next.is_some() {
+                    self.list(now, next, effects);
+                }
+            }
+            return;
+        }
+        let Some(order) = self.machines.calls.remove(&id) else { return };
+        let Some(machine) = order.machine().cloned() else { return };
+        self.machines.retry_at.insert(machine.clone(), now + RETRY);
+        match result {
+            Ok(MachineReply::Begun) => self.on_begun(now, order, machine, effects),
+            Ok(MachineReply::NotOfWave | MachineReply::Unknown) => {
+                if let MachineOrder::Maintain { wave, .. } = order {
+                    self.machines.begun.push((wave, machine.clone()));
+                }
+                effects.push(note("machine-unknown", machine.to_string(), format!("{order:?}")));
+                self.machines.unsure.remove(&machine);
+            }
+            Err(failure) => {
+                effects.push(note("machine-unsure", machine.to_string(), failure.to_string()));
+                self.machines.unsure.entry(machine).or_insert((order, now + LATEST));
+            }
+            Ok(refused) => {
+                effects.push(note("machine-refused", machine.to_string(), format!("{refused:?}")));
+                // An earlier order without an answer may still come through.
+                if self.machines.unsure.get(&machine).is_some_and(|(_, until)| now > *until) {
+                    self.machines.unsure.remove(&machine);
+                }
+            }
+        }
+    }
+
+    fn on_begun(
+        &mut self,
+        now: Time,
+        order: MachineOrder,
+        machine: Name,
+        effects: &mut Vec<Effect>,
+    ) {
+        effects.push(note("machine-ordered", machine.to_string(), format!("{order:?}")));
+        if let Some((_, until)) = self.machines.unsure.remove(&machine) {
+            // The first order may be carried out once more.
+            self.machines.retry_at.insert(machine.clone(), until);
+        }
+        if let Some((incarnation, _)) = self.on_machine_named(&machine) {
+            let incarnation = incarnation.clone();
+            self.bury(now, &incarnation, "its machine was moved or is maintained", effects);
+        }
+        self.machines.away.insert(machine.clone(), now);
+        match order {
+            MachineOrder::Maintain { wave, .. } => self.machines.begun.push((wave, machine)),
+            MachineOrder::Move { pool, .. } => {
+                if let Some(listed) = self.machines.listed.get_mut(&machine) {
+                    listed.pool = pool;
+                    listed.state = MachineState::Moving;
+                }
+            }
+            MachineOrder::List { .. } => {}
+        }
+        self.dirty = true;
+    }
+
+    /// Takes a list of machines that was asked for at `sent`.
+    fn on_listed(
+        &mut self,
+        now: Time,
+        sent: Time,
+        machines: Vec<Machine>,
+        effects: &mut Vec<Effect>,
+    ) {
+        for machine in machines {
+            let ordered_since = self.machines.away.get(&machine.name).is_some_and(|at| *at > sent);
+            if ordered_since || self.machines.is_ordered(&machine.name) {
+                continue;
+            }
+            if machine.state == MachineState::Up {
+                self.machines.away.remove(&machine.name);
+            }
+            if let Some((incarnation, instance)) = self.on_machine_named(&machine.name) {
+                let other = machine.instance.as_ref().is_some_and(|i| *i != incarnation.name);
+                let down = machine.state != MachineState::Up;
+                if (other || down) && instance.heard < sent {
+                    let incarnation = incarnation.clone();
+                    let why = "the platform lists its machine without it";
+                    self.bury(now, &incarnation, why, effects);
+                }
+            }
+            self.machines.listed.insert(machine.name.clone(), machine);
+        }
+    }
+
+    /// The instance on a machine, where it is known.
+    pub(crate) fn on_machine_named(&self, machine: &Name) -> Option<(&Incarnation, &Instance)> {
+        let there = |instance: &Instance| {
+            instance.announcement.as_ref().is_some_and(|a| a.machine == *machine)
+        };
+        let lives = self.instances.iter().filter(|(_, instance)| there(instance));
+        lives.max_by_key(|(incarnation, _)| incarnation.born)
+    }
 }
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -23,6 +23,8 @@
     /// Whether something changed since the last plan.
     pub(crate) dirty: bool,
     pub(crate) planned: Time,
+    /// When the pools were last looked at.
+    pub(crate) lent: Time,
     pub(crate) machines: machines::Machines,
     pub(crate) timings: planning::Timings,
 }
@@ -96,7 +98,11 @@
             Event::Committed(outcomes) => self.on_committed(table, &outcomes),
             Event::Tick => {
                 self.lapse(now, &mut effects);
-                self.maintain(now, table, &mut effects);
+                if self.leads() {
+                    self.look_at_machines(now, &mut effects);
+                    self.maintain(now, table, &mut effects);
+                    self.lend(now, unix, table, &mut effects);
+                }
             }
         }
         if self.leads() {
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -26,13 +26,29 @@
 
 /// A group of tasks that may start now.
 #[derive(Debug)]
-struct Demand<'a> {
+pub(crate) struct Demand<'a> {
     key: Key,
     job: JobId,
     round: u32,
     group: u16,
     entry: &'a Entry,
-    queue: &'a Queue,
+    pub(crate) queue: &'a Queue,
+}
+
+impl Demand<'_> {
+    /// Work that waits and can still be done in time, in thousandths of a processor times
+    /// milliseconds; lasting tasks count as a second of work.
+    pub(crate) fn backlog(&self) -> u64 {
+        let group = &self.entry.spec.groups[usize::from(self.group)];
+        let Some(round) = self.entry.rounds.get(self.round as usize) else { return 0 };
+        let tasks = u64::from(round.waiting[usize::from(self.group)]);
+        let run_time = match self.key.class {
+            Class::Lasting => 1000,
+            Class::InTime => group.estimate.as_millis() as u64,
+            Class::Late | Class::Owed | Class::Filler => return 0,
+        };
+        tasks * group.size.millicores * run_time
+    }
 }
 
 /// Order in which groups get room; a lower one comes first.
@@ -85,7 +101,12 @@
         claims
     }
 
-    fn demands<'a>(&self, unix: Unix, table: &'a Table, config: &'a Config) -> Vec<Demand<'a>> {
+    pub(crate) fn demands<'a>(
+        &self,
+        unix: Unix,
+        table: &'a Table,
+        config: &'a Config,
+    ) -> Vec<Demand<'a>> {
         let mut demands = Vec::new();
         for job in &table.live {
             let Some(entry) = table.jobs.get(job).filter(|e| !e.standing.is_over()) else {
@@ -239,7 +260,7 @@
             let announcement = instance.announcement.as_ref();
             let near = wanted.is_none() || announcement.and_then(|a| a.rack()) == wanted;
             let fills = u64::from(group.filler) * instance.attempts.len() as u64;
-            (near, std::cmp::Reverse(fills), instance.free().millicores)
+            (near, std::cmp::Reverse(fills), std::cmp::Reverse(instance.free().millicores))
         };
         let best = candidates.max_by_key(|(_, instance)| score(instance))?;
         let near = score(best.1).0;
