Pools size themselves by what arrives; late work yields to pools that lack machines

Change: the need of a pool follows the work that came in within 700 ms; running late tasks do not count and new ones are not started while a pool lacks machines; less is kept free right after a turn.

--- a/crates/job/src/group.rs
+++ b/crates/job/src/group.rs
@@ -38,6 +38,15 @@
 }
 
 impl Group {
+    /// Work of one task, in thousandths of a processor times milliseconds; none for a lasting task
+    /// or a filler.
+    pub fn work(&self) -> u64 {
+        if self.lasting || self.filler {
+            return 0;
+        }
+        self.size.millicores * self.estimate.as_millis() as u64
+    }
+
     /// What a task counts against the room of its instance.
     pub fn room(&self) -> Resources {
         let millicores = if self.filler { 0 } else { self.size.millicores };
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -5,42 +5,62 @@
 //! turn is over, and machines that nobody needs wait in the spare pool, where they cost nothing.
 
 use super::*;
+use owner::note;
 
 /// A pool as lending sees it; amounts are thousandths of a processor.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Display)]
+#[display(
+    "capacity {capacity}, used {used}, backlog {backlog}, arriving {arriving}, idle {}",
+    idle.len()
+)]
 pub(crate) struct Balance {
     /// What the pool has, with what is on its way there.
     pub(crate) capacity: u64,
-    /// What its running tasks take.
+    /// What its running tasks take that can be done in time.
     pub(crate) used: u64,
-    /// Work that could start now and still be done in time, in thousandths of a processor times
+    /// Work that can still be done in time and does not run yet, in thousandths of a processor times
     /// milliseconds.
     pub(crate) backlog: u64,
+    /// Work that has come in within the last [`ARRIVAL_WINDOW`], in the same unit.
+    pub(crate) arriving: u64,
+    /// What the pool keeps free for the beginning of its turn.
+    pub(crate) reserve: u64,
     /// Machines on which nothing runs, longest idle first, with what each has.
     pub(crate) idle: Vec<(Name, u64)>,
 }
 
 /// Time within which a backlog is to be worked off.
 const HORIZON_MS: u64 = 1200;
+/// Over which arriving work is measured: long enough for a few jobs, short against a turn.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(700);
 /// Share of what is used, in percent, that a pool keeps free for what comes next.
 const HEADROOM_PERCENT: u64 = 15;
-/// What every pool keeps free for the beginning of its turn, about three machines.
+/// What a pool keeps free that may have its turn next, about three machines.
 const RESERVE_MILLICORES: u64 = 190_000;
+/// What a pool keeps free whose turn was a short while ago.
+const RESERVE_AFTER_TURN_MILLICORES: u64 = 64_000;
+/// Use above its reserve by which a pool's turn is told, in thousandths of a processor.
+const TURN_MILLICORES: u64 = 500_000;
+/// How long a turn is taken to be the last one of its pool.
+const TURN_MEMORY: Duration = Duration::from_secs(16);
 /// How long a machine is idle before it is parked; a move costs as much as it does in this time.
 const PARK_AFTER: Duration = Duration::from_millis(1200);
 /// How long a machine is idle before it is lent.
-const LEND_AFTER: Duration = Duration::from_millis(150);
+const LEND_AFTER: Duration = Duration::from_millis(100);
 /// Moves under way at once.
-const MOVES_AT_ONCE: usize = 16;
+const MOVES_AT_ONCE: usize = 24;
 
 impl Balance {
     /// What the pool needs.
     pub(crate) fn need(&self) -> u64 {
         let working = self.used + self.used * HEADROOM_PERCENT / 100;
-        (working + self.backlog / HORIZON_MS).max(self.used + RESERVE_MILLICORES)
+        let arriving = self.arriving / ARRIVAL_WINDOW.as_millis() as u64;
+        let working = working.max(arriving) + self.backlog / HORIZON_MS;
+        working.max(self.used + self.reserve)
     }
 
-    fn lacks(&self) -> u64 {
+    /// What the pool lacks.
+    pub(crate) fn lacks(&self) -> u64 {
         self.need().saturating_sub(self.capacity)
     }
 
@@ -100,6 +120,9 @@
     /// Between two looks at the pools.
     const LEND_INTERVAL: Duration = Duration::from_millis(100);
 
+    /// Between two reports of the pools.
+    const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+
     /// Moves machines between pools where it helps.
     pub(crate) fn lend(&mut self, now: Time, unix: Unix, table: &Table, effects: &mut Vec<Effect>) {
         if !self.machines.known || now < self.lent + Self::LEND_INTERVAL {
@@ -113,6 +136,13 @@
         }
         let Some(config) = &table.config else { return };
         let mut pools = self.balances(now, unix, table, config);
+        self.reserve(now, &mut pools);
+        if now >= self.reported + Self::REPORT_INTERVAL {
+            self.reported = now;
+            effects.extend(
+                pools.iter().map(|(name, pool)| note("pool", name.to_string(), pool.to_string())),
+            );
+        }
         let spare = config.pools.iter().find(|(_, pool)| pool.spare).map(|(name, _)| name.clone());
         let mut parked = self.parked(now, spare.as_ref());
         let idle_since: BTreeMap<_, _> = self
@@ -127,6 +157,8 @@
         };
         let mut moves = transfers(&mut pools, &mut parked, spare.as_ref(), park);
         moves.truncate(MOVES_AT_ONCE);
+        let lacking = pools.iter().filter(|(_, pool)| pool.lacks() > 0);
+        self.lacking = lacking.map(|(name, _)| name.clone()).collect();
         for (machine, pool) in moves {
             if let Some((incarnation, _)) = self.on_machine_named(&machine) {
                 let incarnation = incarnation.clone();
@@ -150,12 +182,14 @@
         let pools = config.pools.iter().filter(|(name, pool)| !pool.spare && used.contains(*name));
         let mut pools: BTreeMap<Name, Balance> =
             pools.map(|(name, _)| (name.clone(), Balance::default())).collect();
+        let late = self.weigh(unix, table, config, &mut pools);
         let mut idle = Vec::new();
         for instance in self.instances.values() {
             let Some(announcement) = &instance.announcement else { continue };
             let Some(pool) = pools.get_mut(&announcement.pool) else { continue };
             let size = announcement.capacity.millicores;
-            pool.used += instance.used.millicores;
+            let in_time = instance.attempts.iter().filter(|(task, _)| !late.contains(&task.job));
+            pool.used += in_time.map(|(_, attempt)| attempt.room.millicores).sum::<u64>();
             if !instance.is_usable(now) {
                 continue;
             }
@@ -190,12 +224,50 @@
                 pool.capacity += size;
             }
         }
-        for demand in self.demands(unix, table, config) {
-            if let Some(pool) = pools.get_mut(&demand.queue.pool) {
-                pool.backlog += demand.backlog();
+        pools
+    }
+
+    /// Adds up the work of every job that can still be done in time, and gives the others.
+    fn weigh(
+        &self,
+        unix: Unix,
+        table: &Table,
+        config: &Config,
+        pools: &mut BTreeMap<Name, Balance>,
+    ) -> BTreeSet<JobId> {
+        let mut late = BTreeSet::new();
+        for (id, entry) in table.live.iter().filter_map(|id| Some((*id, table.jobs.get(id)?))) {
+            let queue = config.queue(&entry.queue).filter(|_| !entry.standing.is_over());
+            let Some(queue) = queue else { continue };
+            let Some(pool) = pools.get_mut(&queue.pool) else { continue };
+            for (number, round) in entry.rounds.iter().enumerate() {
+                let due = entry.spec.due(number as u32).unwrap_or(entry.accepted);
+                if due > unix {
+                    break;
+                }
+                if !self.is_in_time(unix, due, entry, queue, round) {
+                    late.insert(id);
+                    continue;
+                }
+                pool.backlog += round.waiting_work(&entry.spec);
+                if unix.saturating_sub(due) <= ARRIVAL_WINDOW.as_millis() as Unix {
+                    pool.arriving += entry.spec.work();
+                }
             }
         }
-        pools
+        late
+    }
+
+    /// Sets what each pool keeps free: less where its turn was a short while ago.
+    fn reserve(&mut self, now: Time, pools: &mut BTreeMap<Name, Balance>) {
+        for (name, pool) in pools {
+            if pool.used > TURN_MILLICORES {
+                self.turns.insert(name.clone(), now);
+            }
+            let turn = self.turns.get(name);
+            let recent = turn.is_some_and(|turn| now < *turn + TURN_MEMORY);
+            pool.reserve = if recent { RESERVE_AFTER_TURN_MILLICORES } else { RESERVE_MILLICORES };
+        }
     }
 
     /// Machines in the spare pool that may be moved.
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -25,6 +25,12 @@
     pub(crate) planned: Time,
     /// When the pools were last looked at.
     pub(crate) lent: Time,
+    /// When each pool last had its turn.
+    pub(crate) turns: BTreeMap<Name, Time>,
+    /// Pools that lack machines.
+    pub(crate) lacking: BTreeSet<Name>,
+    /// When the pools were last reported.
+    pub(crate) reported: Time,
     pub(crate) machines: machines::Machines,
     pub(crate) timings: planning::Timings,
 }
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -35,22 +35,6 @@
     pub(crate) queue: &'a Queue,
 }
 
-impl Demand<'_> {
-    /// Work that waits and can still be done in time, in thousandths of a processor times
-    /// milliseconds; lasting tasks count as a second of work.
-    pub(crate) fn backlog(&self) -> u64 {
-        let group = &self.entry.spec.groups[usize::from(self.group)];
-        let Some(round) = self.entry.rounds.get(self.round as usize) else { return 0 };
-        let tasks = u64::from(round.waiting[usize::from(self.group)]);
-        let run_time = match self.key.class {
-            Class::Lasting => 1000,
-            Class::InTime => group.estimate.as_millis() as u64,
-            Class::Late | Class::Owed | Class::Filler => return 0,
-        };
-        tasks * group.size.millicores * run_time
-    }
-}
-
 /// Order in which groups get room; a lower one comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Key {
@@ -162,6 +146,20 @@
         Key { class, priority: queue.priority, begun: std::cmp::Reverse(begun), slack }
     }
 
+    /// Whether a round can still be done within its objective; one that lasts always is.
+    pub(crate) fn is_in_time(
+        &self,
+        unix: Unix,
+        due: Unix,
+        entry: &Entry,
+        queue: &Queue,
+        round: &Round,
+    ) -> bool {
+        let left = self.remaining(entry, round).as_millis() as u64;
+        let objective = queue.objective(entry.spec.chain()).as_millis() as u64;
+        entry.spec.is_lasting() || unix.saturating_sub(due) + left <= objective
+    }
+
     /// Longest chain of estimates through what is not done yet.
     fn remaining(&self, entry: &Entry, round: &Round) -> Duration {
         let groups = &entry.spec.groups;
@@ -190,6 +188,11 @@
         if misfits.iter().any(known) {
             return;
         }
+        let late = matches!(demand.key.class, Class::Late | Class::Owed);
+        if late && !self.lacking.is_empty() {
+            // Machines are wanted where jobs can still be done in time.
+            return;
+        }
         let Some(round) = demand.entry.rounds.get(demand.round as usize) else { return };
         let slots = &round.groups[usize::from(demand.group)];
         let waits = |slot: &&Slot| slot.phase == Phase::Waiting;
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -28,6 +28,18 @@
         group.after.iter().all(|after| self.open[usize::from(*after)] == 0)
     }
 
+    /// Work of the tasks that wait, in thousandths of a processor times milliseconds; lasting ones
+    /// count as a second of work.
+    pub(crate) fn waiting_work(&self, spec: &Spec) -> u64 {
+        let groups = spec.groups.iter().zip(&self.waiting);
+        let work = |(group, waiting): (&Group, &u16)| {
+            let lasting =
+                if group.lasting && !group.filler { group.size.millicores * 1000 } else { 0 };
+            u64::from(*waiting) * (group.work() + lasting)
+        };
+        groups.map(work).sum()
+    }
+
     pub(crate) fn slot(&self, group: u16, index: u16) -> Option<&Slot> {
         self.groups.get(usize::from(group))?.get(usize::from(index))
     }
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -42,6 +42,12 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Work of one round but for lasting tasks and fillers, in thousandths of a processor times
+    /// milliseconds.
+    pub fn work(&self) -> u64 {
+        self.groups.iter().map(|group| u64::from(group.count) * group.work()).sum()
+    }
+
     /// What is wrong with the job, by place.
     pub fn finding(&self) -> Option<String> {
         if self.groups.is_empty() {
