Reserve counted in machines, backlog only of what could start, refusal at once where nobody is reached

Callers on instances that were cut off waited 1.8 s for a 504, after which they may not try again. Change: backlog counts unblocked groups only; the reserve is 3 machines, 1 after a turn; a daemon that has heard no peer for 900 ms answers 503 at once, before anything is sent.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -12,6 +12,8 @@
     /// Daemons that may know who leads.
     pub(crate) known: BTreeSet<Name>,
     turn: usize,
+    /// When a peer last answered.
+    pub(crate) heard: Option<Time>,
     /// When a leader last said that it serves.
     pub(crate) served: Option<Time>,
 }
@@ -19,6 +21,8 @@
 impl Asks {
     /// After which a call that had no answer is sent again.
     const RESEND: Duration = Duration::from_millis(350);
+    /// After which a daemon that hears nobody takes it that it is cut off; two pings and their answers.
+    const SILENCE: Duration = Duration::from_millis(900);
     /// When to come back after there was no leader.
     pub(crate) const RETRY: Duration = Duration::from_secs(1);
 
@@ -64,9 +68,19 @@
         }
     }
 
-    /// Sends the call `ticket`, if it is due.
+    /// Whether this daemon is cut off from all that it knows.
+    fn is_cut_off(&self, now: Time) -> bool {
+        self.heard.is_some_and(|heard| now > heard + Self::SILENCE)
+    }
+
+    /// Sends the call `ticket`, if it is due; refuses it at once where nobody is in reach.
     pub(crate) fn send(&mut self, now: Time, own: &Name, ticket: Ticket) -> Option<Effect> {
         let ask = self.waiting.get(&ticket)?;
+        if ask.sent.is_none() && !ask.may_have_run && self.is_cut_off(now) {
+            self.waiting.remove(&ticket);
+            let answer = Answer::NotRun { retry: Self::RETRY };
+            return Some(Effect::Answer { ticket, answer });
+        }
         if ask.sent.as_ref().is_some_and(|(_, at)| now < *at + Self::RESEND) {
             return None;
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -31,9 +31,9 @@
 /// Between two looks at peers and membership.
 const BEAT: Duration = Duration::from_millis(200);
 /// Between two questions about who leads.
-const PING: Duration = Duration::from_millis(400);
+const PING: Duration = Duration::from_millis(300);
 /// How long word of a leader that serves keeps this daemon ready.
-const READY: Duration = Duration::from_millis(1500);
+const READY: Duration = Duration::from_millis(1400);
 
 impl State {
     pub(crate) fn new(
@@ -253,6 +253,7 @@
                 }
             }
             Message::Answer { ticket, answer } => {
+                self.asks.heard = Some(now);
                 if self.asks.take(ticket).is_some() {
                     effects.push(Effect::Answer { ticket, answer });
                 }
@@ -277,6 +278,7 @@
                 effects.push(Effect::Send { to: from, message });
             }
             Message::Pong { leader, members, serves } => {
+                self.asks.heard = Some(now);
                 self.asks.known.extend(members);
                 if serves {
                     self.asks.leader = Some(from);
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -18,7 +18,7 @@
     pub(crate) capacity: u64,
     /// What its running tasks take that can be done in time.
     pub(crate) used: u64,
-    /// Work that can still be done in time and does not run yet, in thousandths of a processor times
+    /// Work that could start now and still be done in time, in thousandths of a processor times
     /// milliseconds.
     pub(crate) backlog: u64,
     /// Work that has come in within the last [`ARRIVAL_WINDOW`], in the same unit.
@@ -35,12 +35,12 @@
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(700);
 /// Share of what is used, in percent, that a pool keeps free for what comes next.
 const HEADROOM_PERCENT: u64 = 15;
-/// What a pool keeps free that may have its turn next, about three machines.
-const RESERVE_MILLICORES: u64 = 190_000;
-/// What a pool keeps free whose turn was a short while ago.
-const RESERVE_AFTER_TURN_MILLICORES: u64 = 64_000;
-/// Use above its reserve by which a pool's turn is told, in thousandths of a processor.
-const TURN_MILLICORES: u64 = 500_000;
+/// Machines that a pool keeps free which may have its turn next.
+const RESERVE_MACHINES: u64 = 3;
+/// Machines that a pool keeps free whose turn was a short while ago.
+const RESERVE_AFTER_TURN_MACHINES: u64 = 1;
+/// Machines in use by which a pool's turn is told.
+const TURN_MACHINES: u64 = 8;
 /// How long a turn is taken to be the last one of its pool.
 const TURN_MEMORY: Duration = Duration::from_secs(16);
 /// How long a machine is idle before it is parked; a move costs as much as it does in this time.
@@ -260,13 +260,16 @@
 
     /// Sets what each pool keeps free: less where its turn was a short while ago.
     fn reserve(&mut self, now: Time, pools: &mut BTreeMap<Name, Balance>) {
+        let sizes = self.machines.listed.values().map(|machine| machine.capacity.millicores);
+        let machine = sizes.sum::<u64>() / (self.machines.listed.len() as u64).max(1);
         for (name, pool) in pools {
-            if pool.used > TURN_MILLICORES {
+            if pool.used > TURN_MACHINES * machine {
                 self.turns.insert(name.clone(), now);
             }
             let turn = self.turns.get(name);
             let recent = turn.is_some_and(|turn| now < *turn + TURN_MEMORY);
-            pool.reserve = if recent { RESERVE_AFTER_TURN_MILLICORES } else { RESERVE_MILLICORES };
+            let machines = if recent { RESERVE_AFTER_TURN_MACHINES } else { RESERVE_MACHINES };
+            pool.reserve = machines * machine;
         }
     }
 
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -28,10 +28,11 @@
         group.after.iter().all(|after| self.open[usize::from(*after)] == 0)
     }
 
-    /// Work of the tasks that wait, in thousandths of a processor times milliseconds; lasting ones
+    /// Work of the tasks that could start, in thousandths of a processor times milliseconds; lasting ones
     /// count as a second of work.
     pub(crate) fn waiting_work(&self, spec: &Spec) -> u64 {
         let groups = spec.groups.iter().zip(&self.waiting);
+        let groups = groups.filter(|(group, _)| self.is_unblocked(group));
         let work = |(group, waiting): (&Group, &u16)| {
             let lasting =
                 if group.lasting && !group.filler { group.size.millicores * 1000 } else { 0 };
