--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -21,6 +21,8 @@
     /// Work that could start now and still be done in time, in thousandths of a processor times
     /// milliseconds.
     pub(crate) backlog: u64,
+    /// Work that has come in within the last [`ONSET_WINDOW`], in the same unit.
+    pub(crate) onset: u64,
     /// Work that has come in within the last [`ARRIVAL_WINDOW`], in the same unit.
     pub(crate) arriving: u64,
     /// What the pool keeps free for the beginning of its turn.
@@ -31,8 +33,12 @@
 
 /// Time within which a backlog is to be worked off.
 const HORIZON_MS: u64 = 1200;
-/// Over which arriving work is measured: long enough for a few jobs, short against a turn.
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(700);
+/// Over which the beginning of a turn is told: long enough for a few jobs.
+const ONSET_WINDOW: Duration = Duration::from_millis(700);
+/// How many times what is in use must come in to be taken for the beginning of a turn.
+const ONSET_FACTOR: u64 = 2;
+/// Over which arriving work is measured within a turn: short against it.
+const ARRIVAL_WINDOW: Duration = Duration::from_millis(2000);
 /// Share of what is used, in percent, that a pool keeps free for what comes next.
 const HEADROOM_PERCENT: u64 = 15;
 /// Machines that a pool keeps free which may have its turn next.
@@ -54,7 +60,9 @@
     /// What the pool needs.
     pub(crate) fn need(&self) -> u64 {
         let working = self.used + self.used * HEADROOM_PERCENT / 100;
+        let onset = self.onset / ONSET_WINDOW.as_millis() as u64;
         let arriving = self.arriving / ARRIVAL_WINDOW.as_millis() as u64;
+        let arriving = if onset > ONSET_FACTOR * self.used { onset } else { arriving };
         let working = working.max(arriving) + self.backlog / HORIZON_MS;
         working.max(self.used + self.reserve)
     }
@@ -255,9 +263,10 @@
                     continue;
                 }
                 pool.backlog += round.waiting_work(&entry.spec);
-                if unix.saturating_sub(due) <= ARRIVAL_WINDOW.as_millis() as Unix {
-                    pool.arriving += entry.spec.work();
-                }
+                let age = Duration::from_millis(unix.saturating_sub(due));
+                let work = entry.spec.work();
+                pool.onset += if age <= ONSET_WINDOW { work } else { 0 };
+                pool.arriving += if age <= ARRIVAL_WINDOW { work } else { 0 };
             }
         }
         late
