--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -98,7 +98,9 @@
     let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else { return plain(400) };
     let body = body.to_bytes();
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
-    let left = text("Deadline-Ms").and_then(|left| left.parse().ok()).map(Duration::from_millis);
+    let left = text(platform::TIME_LEFT_HEADER)
+        .and_then(|left| left.parse().ok())
+        .map(Duration::from_millis);
     let request = platform::Request {
         method: head.method.as_str(),
         path: head.uri.path(),
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -8,6 +8,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Membership {
     joining: BTreeMap<Name, Time>,
+    /// When this leader was first asked whether the fleet is settled.
+    since: Option<Time>,
 }
 
 impl Membership {
@@ -15,9 +17,19 @@
     const VOTERS: usize = 5;
     /// After which a voter that does not answer may be replaced.
     const SILENT: Duration = Duration::from_millis(4000);
+    /// How long a fleet that begins waits for a seed that does not come.
+    const MISSING: Duration = Duration::from_secs(2);
     /// How long a wish to join holds.
     const WISH: Duration = Duration::from_millis(1500);
 
+    /// Whether enough daemons vote in a fleet that has just begun: as many as there are seeds, or
+    /// most of them if some do not come.
+    pub(crate) fn is_settled(&mut self, now: Time, quorum: &quorum::State, seeds: usize) -> bool {
+        let since = *self.since.get_or_insert(now);
+        let voters = quorum.members().voters().count();
+        voters >= seeds || voters > seeds / 2 && now > since + Self::MISSING
+    }
+
     pub(crate) fn join(&mut self, now: Time, from: Name) {
         self.joining.insert(from, now);
     }
@@ -56,7 +68,9 @@
         {
             return Some(quorum::Change::Remove(name.clone()));
         }
-        let wanted = voters.is_multiple_of(2) || standby.len() >= 2 && voters < Self::VOTERS;
+        // Two voters keep what one of them loses; beyond that an even number only adds to a majority.
+        let wanted =
+            voters == 1 || voters.is_multiple_of(2) || standby.len() >= 2 && voters < Self::VOTERS;
         let ready = standby.into_iter().find(|_| wanted)?;
         Some(quorum::Change::Voter(ready))
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,6 +11,8 @@
     /// Agreement; `None` for a daemon without a disk.
     pub(crate) quorum: Option<quorum::State>,
     pub(crate) membership: Membership,
+    /// Whether enough daemons vote for anything to be accepted, in a fleet that has just begun.
+    pub(crate) settled: bool,
     pub(crate) table: Table,
     pub(crate) owner: Owner,
     /// Term for which the owner was told that it leads.
@@ -61,6 +63,7 @@
             disk,
             quorum,
             membership: Membership::default(),
+            settled: !founds,
             table: Table::default(),
             owner,
             owns: None,
@@ -112,7 +115,7 @@
     }
 
     pub(crate) fn governs(&self, now: Time) -> bool {
-        self.quorum.as_ref().is_some_and(|quorum| quorum.governs(now))
+        self.settled && self.quorum.as_ref().is_some_and(|quorum| quorum.governs(now))
     }
 
     fn stop(&mut self, effects: &mut Vec<Effect>) {
@@ -217,6 +220,7 @@
         let Some(quorum) = self.quorum.as_mut().filter(|quorum| quorum.governs(now)) else {
             return;
         };
+        self.settled = self.settled || self.membership.is_settled(now, quorum, self.seeds.len());
         let Some(change) = self.membership.change(now, quorum) else { return };
         let about = change.name().to_string();
         effects.push(journal::line("member-change", about, &format!("{change:?}")));
@@ -239,7 +243,7 @@
             Message::Found => self.on_offer(now, from, effects),
             Message::Founder(choice) => self.on_choice(now, from, choice, effects),
             Message::Join { .. } => {
-                if self.governs(now) {
+                if self.quorum.as_ref().is_some_and(|quorum| quorum.governs(now)) {
                     self.membership.join(now, from);
                 }
             }
@@ -378,7 +382,7 @@
             }
             effects.push(journal::line("resigned", self.id.to_string(), "leads no longer"));
         }
-        if self.owns.is_none() && leads && governs {
+        if self.owns.is_none() && leads && governs && self.settled {
             self.owns = Some(term);
             effects.push(journal::line("owns", self.id.to_string(), &format!("epoch {term}")));
             self.own(now, unix, job::Event::Lead { epoch: term }, effects);
--- a/crates/job/tests/fuzz.rs
+++ b/crates/job/tests/fuzz.rs
@@ -51,12 +51,12 @@
         0 => world.crash(&life, true),
         1 => {
             let until = world.now + world.rng.random_range(1000..9000);
-            world.instances.get_mut(&life).unwrap().cut_until = until;
+            world.cut(&life, until);
         }
         2 => {
             // Cut off, and started again behind the cut.
             let until = world.now + world.rng.random_range(1000..4000);
-            world.instances.get_mut(&life).unwrap().cut_until = until;
+            world.cut(&life, until);
             world.crash(&life, true);
         }
         3 | 4 => {
--- a/crates/job/tests/load.rs
+++ b/crates/job/tests/load.rs
@@ -8,13 +8,17 @@
 const QUEUES: [&str; 4] = ["a", "b", "c", "d"];
 const MACHINES_PER_POOL: usize = 10;
 const MACHINE_MILLICORES: u64 = 64_000;
+/// Before the first turn.
+const LEAD_MS: u64 = 10_000;
 const TURN_MS: u64 = 8_000;
+/// After the last turn.
+const FINISH_MS: u64 = 15_000;
 
 struct Day {
     world: World,
     /// Queue and time of hand-in by job.
     jobs: Vec<(JobId, &'static str, u64)>,
-    /// Machine-milliseconds in pools that are not spare.
+    /// Machine-milliseconds in pools that are not spare, over the whole day.
     in_pools: u64,
 }
 
@@ -37,11 +41,11 @@
     for i in 0..8 {
         world.add_machine(&format!("m-s{i}"), "spare", "rs", MACHINE_MILLICORES);
     }
-    world.run(10_000);
     let mut day = Day { world, jobs: Vec::new(), in_pools: 0 };
+    day.run(LEAD_MS);
     let mut next = 1;
     for _ in 0..turns * TURN_MS / 20 {
-        let turn = (day.world.now - 10_000) / TURN_MS;
+        let turn = (day.world.now - LEAD_MS) / TURN_MS;
         for (i, queue) in QUEUES.into_iter().enumerate() {
             let (rate, spec) = shape(queue);
             let share = if turn % 4 == i as u64 { 1.0 } else { 0.02 };
@@ -51,20 +55,27 @@
                 next += 1;
             }
         }
-        day.world.run(20);
-        let on = day.world.machines.values().filter(|machine| &*machine.pool != "spare");
-        day.in_pools += 20 * on.count() as u64;
+        day.run(20);
     }
-    day.world.run(15_000);
+    day.run(FINISH_MS);
     day
 }
 
 impl Day {
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / 20 {
+            self.world.run(20);
+            let on = self.world.machines.values().filter(|machine| &*machine.pool != "spare");
+            self.in_pools += 20 * on.count() as u64;
+        }
+    }
+
     /// Share of the jobs of `queue` that were done within their objective.
     fn in_time(&self, queue: &str) -> f64 {
         let of_queue: Vec<_> = self.jobs.iter().filter(|(_, name, _)| *name == queue).collect();
-        let config = self.world.table.config.as_ref().unwrap();
-        let objective = config.queue(queue).unwrap().objective(shape(queue).1.chain());
+        let config = self.world.table.config.as_ref().expect("the world has a configuration");
+        let objective =
+            config.queue(queue).expect("the queue is configured").objective(shape(queue).1.chain());
         let in_time = of_queue.iter().filter(|(id, _, at)| {
             let over = self.world.over.get(id);
             over.is_some_and(|over| over - at <= objective.as_millis() as u64)
@@ -88,7 +99,7 @@
 #[test]
 fn machines_that_nobody_needs_wait_in_the_spare_pool() {
     let day = play(4, 4);
-    let all = (QUEUES.len() * MACHINES_PER_POOL) as u64 * 4 * TURN_MS;
+    let all = (QUEUES.len() * MACHINES_PER_POOL) as u64 * (LEAD_MS + 4 * TURN_MS + FINISH_MS);
     let share = day.in_pools as f64 / all as f64;
     assert!(share <= 2.0 / 3.0, "machines were in pools for {share:.2} of the time");
 }
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -149,8 +149,8 @@
     }
 
     fn join(&mut self, machine: &Name) {
-        let spare = &self.table.config.as_ref().unwrap().pools;
-        let machine = self.machines.get_mut(machine).unwrap();
+        let spare = &self.table.config.as_ref().expect("the world has a configuration").pools;
+        let machine = self.machines.get_mut(machine).expect("the machine is in the world");
         machine.state = MachineState::Up;
         if spare.get(&machine.pool).is_some_and(|pool| pool.spare) {
             return;
@@ -220,6 +220,13 @@
         }
     }
 
+    /// Cuts an instance off until a time.
+    pub fn cut(&mut self, incarnation: &Incarnation, until: u64) {
+        if let Some(instance) = self.instances.get_mut(incarnation) {
+            instance.cut_until = until;
+        }
+    }
+
     /// Another owner takes over; what the last one had proposed may or may not be committed.
     pub fn take_over(&mut self, commits: bool) {
         self.trace(|| format!("is replaced, batch commits: {commits} {:?}", self.batch));
@@ -432,7 +439,7 @@
             MachineOrder::Maintain { machine, .. } => (machine, None, 2000),
         };
         self.moves += usize::from(pool.is_some());
-        let entry = self.machines.get_mut(&machine).unwrap();
+        let entry = self.machines.get_mut(&machine).expect("the machine is in the world");
         let maintained = pool.is_none();
         let result = if entry.state == MachineState::Up {
             entry.state = if maintained { MachineState::Maintained } else { MachineState::Moving };
@@ -523,8 +530,8 @@
 
     fn start(&mut self, life: &Incarnation, task: Task, number: Number, lease: u64) -> Reply {
         let at = self.now;
-        let group = self.table.jobs[&task.job].group(task).unwrap().clone();
-        let instance = self.instances.get_mut(life).unwrap();
+        let group = self.table.jobs[&task.job].group(task).expect("the task has a group").clone();
+        let instance = self.instances.get_mut(life).expect("the instance is in the world");
         let now = instance.clock(at);
         if instance.running.get(&task).is_some_and(|run| run.number == number) {
             return Reply::Done { clock: now };
@@ -540,7 +547,7 @@
             return Reply::Full { clock: now };
         }
         self.check_start(life, task, &group);
-        let instance = self.instances.get_mut(life).unwrap();
+        let instance = self.instances.get_mut(life).expect("the instance is in the world");
         let until = (!group.lasting).then(|| at + group.estimate.as_millis() as u64);
         let run = Run { number, room: group.room(), until, stopping: None };
         instance.running.insert(task, run);
@@ -579,8 +586,8 @@
     }
 
     fn pool(&self, entry: &Entry) -> Name {
-        let config = self.table.config.as_ref().unwrap();
-        config.queue(&entry.queue).unwrap().pool.clone()
+        let config = self.table.config.as_ref().expect("the world has a configuration");
+        config.queue(&entry.queue).expect("the queue is configured").pool.clone()
     }
 
     /// No task runs twice at the same time.
@@ -588,8 +595,9 @@
         let mut seen = BTreeMap::new();
         for (life, instance) in self.instances.iter().filter(|(_, instance)| instance.alive) {
             for task in instance.running.keys() {
-                let other = seen.insert(*task, life);
-                assert!(other.is_none(), "{task} runs on {life} and {} at once", other.unwrap());
+                if let Some(other) = seen.insert(*task, life) {
+                    panic!("{task} runs on {life} and {other} at once");
+                }
             }
         }
     }
