--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -193,6 +193,7 @@
     }
 
     fn on_offer(&mut self, now: Time, from: Name, effects: &mut Vec<Effect>) {
+        self.asks.known.insert(from.clone());
         if !self.founds || !self.seeds.contains(&self.id) {
             return;
         }
@@ -284,6 +285,7 @@
             Message::Pong { leader, members, serves } => {
                 self.asks.heard = Some(now);
                 self.asks.known.extend(members);
+                self.asks.known.extend(leader.clone());
                 if serves {
                     self.asks.leader = Some(from);
                     self.asks.served = Some(now);
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -27,6 +27,10 @@
     pub(crate) arriving: u64,
     /// What the pool keeps free for the beginning of its turn.
     pub(crate) reserve: u64,
+    /// Machines that its jobs need so that tasks run apart from each other.
+    pub(crate) apart: u32,
+    /// What that many machines have.
+    pub(crate) least: u64,
     /// Machines on which nothing runs, longest idle first, with what each has.
     pub(crate) idle: Vec<(Name, u64)>,
 }
@@ -41,12 +45,12 @@
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(2000);
 /// Share of what is used, in percent, that a pool keeps free for what comes next.
 const HEADROOM_PERCENT: u64 = 15;
-/// Machines that a pool keeps free which may have its turn next.
-const RESERVE_MACHINES: u64 = 3;
-/// Machines that a pool keeps free whose turn was a short while ago.
-const RESERVE_AFTER_TURN_MACHINES: u64 = 1;
-/// Machines in use by which a pool's turn is told.
-const TURN_MACHINES: u64 = 8;
+/// What a pool keeps free which may have its turn next, in thousandths of a mean pool.
+const RESERVE_PERMILLE: u64 = 300;
+/// What a pool keeps free whose turn was a short while ago, in thousandths of a mean pool.
+const RESERVE_AFTER_TURN_PERMILLE: u64 = 100;
+/// What is in use in a pool when it has its turn, in thousandths of a mean pool.
+const TURN_PERMILLE: u64 = 800;
 /// How long a turn is taken to be the last one of its pool.
 const TURN_MEMORY: Duration = Duration::from_secs(16);
 /// How long a machine is idle before it is parked; a move costs as much as it does in this time.
@@ -64,7 +68,7 @@
         let arriving = self.arriving / ARRIVAL_WINDOW.as_millis() as u64;
         let arriving = if onset > ONSET_FACTOR * self.used { onset } else { arriving };
         let working = working.max(arriving) + self.backlog / HORIZON_MS;
-        working.max(self.used + self.reserve)
+        working.max(self.used + self.reserve).max(self.least)
     }
 
     /// What the pool lacks.
@@ -263,6 +267,7 @@
                     continue;
                 }
                 pool.backlog += round.waiting_work(&entry.spec);
+                pool.apart = pool.apart.max(round.machines(&entry.spec));
                 let age = Duration::from_millis(unix.saturating_sub(due));
                 let work = entry.spec.work();
                 pool.onset += if age <= ONSET_WINDOW { work } else { 0 };
@@ -275,15 +280,19 @@
     /// Sets what each pool keeps free: less where its turn was a short while ago.
     fn reserve(&mut self, now: Time, pools: &mut BTreeMap<Name, Balance>) {
         let sizes = self.machines.listed.values().map(|machine| machine.capacity.millicores);
-        let machine = sizes.sum::<u64>() / (self.machines.listed.len() as u64).max(1);
+        let all = sizes.sum::<u64>();
+        // The spare pool counts as one more.
+        let mean = all / (pools.len() as u64 + 1);
+        let machine = all / (self.machines.listed.len() as u64).max(1);
         for (name, pool) in pools {
-            if pool.used > TURN_MACHINES * machine {
+            if pool.used > mean * TURN_PERMILLE / 1000 {
                 self.turns.insert(name.clone(), now);
             }
             let turn = self.turns.get(name);
             let recent = turn.is_some_and(|turn| now < *turn + TURN_MEMORY);
-            let machines = if recent { RESERVE_AFTER_TURN_MACHINES } else { RESERVE_MACHINES };
-            pool.reserve = machines * machine;
+            let permille = if recent { RESERVE_AFTER_TURN_PERMILLE } else { RESERVE_PERMILLE };
+            pool.reserve = mean * permille / 1000;
+            pool.least = u64::from(pool.apart) * machine;
         }
     }
 
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -41,6 +41,18 @@
         groups.map(work).sum()
     }
 
+    /// Machines over which the open tasks of a group must spread at least, with one more so that a
+    /// loss can be made good at once.
+    pub(crate) fn machines(&self, spec: &Spec) -> u32 {
+        let groups = spec.groups.iter().zip(&self.open);
+        let groups = groups.filter(|(group, open)| **open > 0 && self.is_unblocked(group));
+        let machines = groups.filter_map(|(group, open)| {
+            let apart = u32::from(group.apart?.max(1));
+            Some(u32::from(*open).div_ceil(apart) + u32::from(group.lasting))
+        });
+        machines.max().unwrap_or(0)
+    }
+
     pub(crate) fn slot(&self, group: u16, index: u16) -> Option<&Slot> {
         self.groups.get(usize::from(group))?.get(usize::from(index))
     }
