Owner looks only at the instances that an event concerns

Change: indices of attempts and machines, sites by pool for a planning pass, queues by name, chains kept.

--- a/crates/job/src/config.rs
+++ b/crates/job/src/config.rs
@@ -7,8 +7,8 @@
     pub version: u64,
     /// What the operator sent, word for word.
     pub text: Arc<str>,
-    /// Queues.
-    pub queues: Vec<Queue>,
+    /// Queues by name.
+    pub queues: BTreeMap<Name, Queue>,
     /// Pools by name.
     pub pools: BTreeMap<Name, Pool>,
     /// Bounds on callers' requests.
@@ -36,13 +36,13 @@
 impl Config {
     /// The queue that `host` and `path` lead to, with what follows its prefix.
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
-        let matching = self.queues.iter().filter(|queue| *queue.host == *host);
+        let matching = self.queues.values().filter(|queue| *queue.host == *host);
         let found = matching.filter_map(|queue| Some((queue, path.strip_prefix(&*queue.prefix)?)));
         found.max_by_key(|(queue, _)| queue.prefix.len())
     }
 
     /// The queue called `name`.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
-        self.queues.iter().find(|queue| *queue.name == *name)
+        self.queues.get(name)
     }
 }
--- a/crates/job/src/entry.rs
+++ b/crates/job/src/entry.rs
@@ -9,6 +9,8 @@
     pub spec: Arc<Spec>,
     /// When it was accepted.
     pub accepted: Unix,
+    /// Longest chain of estimates through its groups.
+    pub chain: Duration,
     /// Where it stands.
     pub standing: Standing,
     /// When it ended.
@@ -23,6 +25,7 @@
         let rounds = (0..spec.rounds()).map(|_| Round::new(&spec)).collect();
         Self {
             queue,
+            chain: spec.chain(),
             spec: Arc::new(spec),
             accepted,
             standing: Standing::Queued,
@@ -74,7 +77,8 @@
     /// Takes the end of an attempt; `None` where the attempt is not the present one.
     pub(crate) fn end(&mut self, end: &End, max_attempts: u32) -> Option<()> {
         let Task { round: number, group, index, .. } = end.task;
-        let declared = self.spec.groups.get(usize::from(group))?.clone();
+        let spec = self.spec.clone();
+        let declared = spec.groups.get(usize::from(group))?;
         let round = self.rounds.get_mut(number as usize)?;
         let slot = round.slot(group, index)?;
         if !matches!(slot.phase, Phase::Claimed(_)) || slot.number != end.number {
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -195,7 +195,7 @@
         config: &Config,
     ) -> BTreeMap<Name, Balance> {
         let used: std::collections::BTreeSet<_> =
-            config.queues.iter().map(|queue| queue.pool.clone()).collect();
+            config.queues.values().map(|queue| queue.pool.clone()).collect();
         let pools = config.pools.iter().filter(|(name, pool)| !pool.spare && used.contains(*name));
         let mut pools: BTreeMap<Name, Balance> =
             pools.map(|(name, _)| (name.clone(), Balance::default())).collect();
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -219,10 +219,6 @@
 
     /// The instance on a machine, where it is known.
     pub(crate) fn on_machine_named(&self, machine: &Name) -> Option<(&Incarnation, &Instance)> {
-        let there = |instance: &Instance| {
-            instance.announcement.as_ref().is_some_and(|a| a.machine == *machine)
-        };
-        let lives = self.instances.iter().filter(|(_, instance)| there(instance));
-        lives.max_by_key(|(incarnation, _)| incarnation.born)
+        self.instances.get_key_value(self.homes.get(machine)?)
     }
 }
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -10,6 +10,16 @@
     pub(crate) since: Time,
     /// Every life of an instance that may run something.
     pub(crate) instances: BTreeMap<Incarnation, Instance>,
+    /// Who has each attempt without a committed end.
+    pub(crate) placed: BTreeMap<Task, Incarnation>,
+    /// Last life heard on each machine.
+    pub(crate) homes: BTreeMap<Name, Incarnation>,
+    /// Instances to look at after the present event.
+    pub(crate) touched: BTreeSet<Incarnation>,
+    /// Attempts in the batch under way.
+    pub(crate) claiming: Vec<(Task, Number)>,
+    /// Instances with ends in the batch under way.
+    pub(crate) acknowledging: Vec<Incarnation>,
     /// Present life of each instance.
     pub(crate) lives: BTreeMap<Name, Unix>,
     /// What was heard before this owner led, and while it leads.
@@ -23,6 +33,8 @@
     /// Whether something changed since the last plan.
     pub(crate) dirty: bool,
     pub(crate) planned: Time,
+    /// When the waves were last looked at.
+    pub(crate) maintained: Time,
     /// When the pools were last looked at.
     pub(crate) lent: Time,
     /// When each pool last had its turn.
@@ -58,7 +70,7 @@
     /// Between two orders to stop the same attempt.
     pub(crate) const STOP_AGAIN: Duration = Duration::from_millis(250);
     /// Between the events that make one plan.
-    pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(4);
+    pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(8);
     /// After which an idle owner plans again, since time alone changes what is due.
     pub(crate) const PLAN_IDLE: Duration = Duration::from_millis(50);
 
@@ -103,6 +115,7 @@
             }
             Event::Committed(outcomes) => self.on_committed(table, &outcomes),
             Event::Tick => {
+                self.touched.extend(self.instances.keys().cloned());
                 self.lapse(now, &mut effects);
                 if self.leads() {
                     self.look_at_machines(now, &mut effects);
@@ -112,8 +125,9 @@
             }
         }
         if self.leads() {
-            self.stop_due(now, &mut effects);
-            self.renew_due(now, table, &mut effects);
+            let touched = std::mem::take(&mut self.touched);
+            self.stop_due(now, &touched, &mut effects);
+            self.renew_due(now, table, touched, &mut effects);
             self.settle(now, unix, table, &mut effects);
         }
         effects
@@ -131,6 +145,7 @@
                 instance.renew_at = now;
                 self.instances.insert(announcement.incarnation.clone(), instance);
                 let Incarnation { name, born } = announcement.incarnation.clone();
+                self.homes.insert(announcement.machine.clone(), announcement.incarnation.clone());
                 self.lives.insert(name, born);
             }
         }
@@ -142,9 +157,8 @@
                 attempt.settled = Some(now);
                 attempt.stop = entry.standing.is_over();
                 let instance = self.instances.entry(claim.incarnation.clone());
-                instance
-                    .or_insert_with(|| Instance::new(None, now, lapses))
-                    .insert(claim.task, attempt);
+                instance.or_insert_with(|| Instance::new(None, now, lapses));
+                self.put(&claim.incarnation, claim.task, attempt);
             }
         }
         let outdated: Vec<_> = self.outdated().collect();
@@ -164,6 +178,10 @@
         self.epoch = None;
         self.instances.clear();
         self.lives.clear();
+        self.placed.clear();
+        self.homes.clear();
+        self.touched.clear();
+        self.acknowledging.clear();
         self.calls.clear();
         self.ends.clear();
         self.settling = false;
@@ -203,6 +221,8 @@
             self.dirty = true;
         }
         instance.heard = now;
+        self.homes.insert(announcement.machine.clone(), incarnation.clone());
+        self.touched.insert(incarnation);
         instance.take_clock(announcement.clock, now);
         instance.announcement = Some(announcement);
     }
@@ -218,6 +238,7 @@
         let Some(instance) = self.instances.remove(incarnation) else { return };
         self.dirty = true;
         for (task, attempt) in instance.attempts {
+            self.placed.remove(&task);
             if !matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
                 let Attempt { number, checkpoint, .. } = attempt;
                 self.ends.push(End { task, number, how: How::Lost, checkpoint });
@@ -226,6 +247,22 @@
         effects.push(note("instance-lost", incarnation.to_string(), why.into()));
     }
 
+    /// Gives an attempt to an instance.
+    pub(crate) fn put(&mut self, incarnation: &Incarnation, task: Task, attempt: Attempt) {
+        if let Some(instance) = self.instances.get_mut(incarnation) {
+            instance.insert(task, attempt);
+            self.placed.insert(task, incarnation.clone());
+        }
+    }
+
+    /// Takes an attempt away from its instance.
+    pub(crate) fn take(&mut self, task: &Task, number: Number) -> Option<Attempt> {
+        let instance = self.instances.get_mut(self.placed.get(task)?)?;
+        let attempt = instance.remove(task, number)?;
+        self.placed.remove(task);
+        Some(attempt)
+    }
+
     pub(crate) fn call(
         &mut self,
         incarnation: &Incarnation,
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -60,6 +60,21 @@
     Filler,
 }
 
+/// An instance on which tasks may be placed.
+#[derive(Debug)]
+struct Site {
+    incarnation: Incarnation,
+    labels: Vec<Name>,
+    free: Resources,
+    attempts: usize,
+}
+
+impl Site {
+    fn rack(&self) -> Option<&Name> {
+        self.labels.get(1)
+    }
+}
+
 /// Sizes that found no room, so that the next ones of a pool are not tried.
 type Misfits<'a> = Vec<(&'a str, Resources)>;
 
@@ -67,24 +82,40 @@
     /// How many times its objective a job may take and still earn a little.
     const LATE_FACTOR: u32 = 3;
 
-    pub(crate) fn plan(
-        &mut self,
-        now: Time,
-        unix: Unix,
-        table: &Table,
-        effects: &mut Vec<Effect>,
-    ) -> Vec<Claim> {
+    pub(crate) fn plan(&mut self, now: Time, unix: Unix, table: &Table) -> Vec<Claim> {
         let Some(config) = &table.config else { return Vec::new() };
         let mut demands = self.demands(unix, table, config);
+        if demands.is_empty() {
+            return Vec::new();
+        }
         demands.sort_by_key(|demand| (demand.key, demand.job, demand.round, demand.group));
+        let mut sites = self.sites(now);
         let mut claims = Vec::new();
         let mut misfits = Misfits::new();
         for demand in demands {
-            self.place(now, &demand, &mut misfits, &mut claims, effects);
+            let Some(sites) = sites.get_mut(&demand.queue.pool) else { continue };
+            self.place(now, &demand, sites, &mut misfits, &mut claims);
         }
         claims
     }
 
+    /// Instances on which tasks may be placed, by pool.
+    fn sites(&self, now: Time) -> BTreeMap<Name, Vec<Site>> {
+        let mut sites = BTreeMap::<Name, Vec<Site>>::new();
+        for (incarnation, instance) in &self.instances {
+            let Some(announcement) = instance.announcement.as_ref() else { continue };
+            if instance.is_usable(now) {
+                sites.entry(announcement.pool.clone()).or_default().push(Site {
+                    incarnation: incarnation.clone(),
+                    labels: announcement.labels.clone(),
+                    free: instance.free(),
+                    attempts: instance.attempts.len(),
+                });
+            }
+        }
+        sites
+    }
+
     pub(crate) fn demands<'a>(
         &self,
         unix: Unix,
@@ -126,7 +157,7 @@
         round: &Round,
     ) -> Key {
         let group = &entry.spec.groups[usize::from(position)];
-        let objective = queue.objective(entry.spec.chain()).as_millis() as u64;
+        let objective = queue.objective(entry.chain).as_millis() as u64;
         let left = self.remaining(entry, round).as_millis() as u64;
         let age = unix.saturating_sub(due);
         let class = if group.filler {
@@ -156,12 +187,15 @@
         round: &Round,
     ) -> bool {
         let left = self.remaining(entry, round).as_millis() as u64;
-        let objective = queue.objective(entry.spec.chain()).as_millis() as u64;
+        let objective = queue.objective(entry.chain).as_millis() as u64;
         entry.spec.is_lasting() || unix.saturating_sub(due) + left <= objective
     }
 
     /// Longest chain of estimates through what is not done yet.
     fn remaining(&self, entry: &Entry, round: &Round) -> Duration {
+        if entry.spec.groups.iter().zip(&round.open).all(|(group, open)| *open == group.count) {
+            return entry.chain;
+        }
         let groups = &entry.spec.groups;
         let mut ends: Vec<Duration> = Vec::with_capacity(groups.len());
         for (position, group) in groups.iter().enumerate() {
@@ -176,117 +210,99 @@
         &mut self,
         now: Time,
         demand: &Demand<'a>,
+        sites: &mut [Site],
         misfits: &mut Misfits<'a>,
         claims: &mut Vec<Claim>,
-        effects: &mut Vec<Effect>,
     ) {
         let group = &demand.entry.spec.groups[usize::from(demand.group)];
         let room = group.room();
         let known = |(pool, size): &(&str, Resources)| {
             *pool == &*demand.queue.pool && size.fits(room) && group.requirement.is_none()
         };
-        if misfits.iter().any(known) {
-            return;
-        }
         let late = matches!(demand.key.class, Class::Late | Class::Owed);
-        if late && !self.lacking.is_empty() {
-            // Machines are wanted where jobs can still be done in time.
+        // Machines are wanted where jobs can still be done in time.
+        if late && !self.lacking.is_empty() || misfits.iter().any(known) {
             return;
         }
         let Some(round) = demand.entry.rounds.get(demand.round as usize) else { return };
         let slots = &round.groups[usize::from(demand.group)];
-        let waits = |slot: &&Slot| slot.phase == Phase::Waiting;
-        if group.gang && slots.iter().filter(waits).count() < slots.len() {
+        if group.gang && usize::from(round.waiting[usize::from(demand.group)]) < slots.len() {
             return;
         }
         let gang_number = slots.iter().map(|slot| slot.number).max().unwrap_or(0) + 1;
         let first = claims.len();
         let mut rack = None;
         for (index, slot) in slots.iter().enumerate() {
-            if slot.phase != Phase::Waiting {
+            let Demand { job, round, group: position, .. } = *demand;
+            let task = Task { job, round, group: position, index: index as u16 };
+            if slot.phase != Phase::Waiting || self.placed.contains_key(&task) {
                 continue;
             }
-            let task = Task {
-                job: demand.job,
-                round: demand.round,
-                group: demand.group,
-                index: index as u16,
-            };
-            if self.instances.values().any(|instance| instance.attempts.contains_key(&task)) {
-                continue;
-            }
-            let Some(incarnation) = self.choose(now, demand, group, task, rack.as_ref()) else {
-                let constrained = group.apart.is_some() || group.data_rack.is_some();
-                if !constrained && group.requirement.is_none() && rack.is_none() {
+            let Some(site) = self.choose(demand, group, task, rack.as_ref(), sites) else {
+                let free = group.apart.is_none() && group.data_rack.is_none();
+                if free && group.requirement.is_none() && rack.is_none() {
                     misfits.push((&demand.queue.pool, room));
                 }
                 break;
             };
+            let site = &mut sites[site];
             let number = if group.gang { gang_number } else { slot.number + 1 };
-            let Some(instance) = self.instances.get_mut(&incarnation) else { break };
-            instance.insert(task, Attempt::new(number, Stage::Proposed, room, now));
+            let incarnation = site.incarnation.clone();
+            self.put(&incarnation, task, Attempt::new(number, Stage::Proposed, room, now));
+            site.free = site.free.less(room);
+            site.attempts += 1;
             if group.one_rack {
-                rack = instance.announcement.as_ref().and_then(|a| a.rack().cloned());
+                rack = site.rack().cloned();
             }
             claims.push(Claim { task, number, incarnation });
         }
         if group.gang && claims.len() - first < slots.len() {
             for claim in claims.drain(first..) {
-                if let Some(instance) = self.instances.get_mut(&claim.incarnation) {
-                    instance.remove(&claim.task, claim.number);
+                self.take(&claim.task, claim.number);
+                let site = sites.iter_mut().find(|site| site.incarnation == claim.incarnation);
+                if let Some(site) = site {
+                    site.free += room;
+                    site.attempts -= 1;
                 }
             }
         }
-        let _ = effects;
     }
 
+    /// The fullest site that fits, near the data while there is time to wait for it.
     fn choose(
         &self,
-        now: Time,
         demand: &Demand,
         group: &Group,
         task: Task,
         rack: Option<&Name>,
-    ) -> Option<Incarnation> {
+        sites: &[Site],
+    ) -> Option<usize> {
         let room = group.room();
         let wanted = rack.or(group.data_rack.as_ref());
         let strict = rack.is_some() || demand.key.class == Class::InTime;
-        let candidates = self.instances.iter().filter(|(_, instance)| {
-            let Some(announcement) = &instance.announcement else { return false };
-            announcement.pool == demand.queue.pool
-                && instance.is_usable(now)
-                && room.fits(instance.free())
-                && group.requirement.as_ref().is_none_or(|l| announcement.labels.contains(l))
-                && group.apart.is_none_or(|most| instance.siblings(task) < most)
-        });
-        let score = |instance: &Instance| {
-            let announcement = instance.announcement.as_ref();
-            let near = wanted.is_none() || announcement.and_then(|a| a.rack()) == wanted;
-            let fills = u64::from(group.filler) * instance.attempts.len() as u64;
-            (near, std::cmp::Reverse(fills), std::cmp::Reverse(instance.free().millicores))
+        let near = |site: &Site| wanted.is_none() || site.rack() == wanted;
+        let fits = |site: &Site| {
+            room.fits(site.free)
+                && group.requirement.as_ref().is_none_or(|label| site.labels.contains(label))
+                && group.apart.is_none_or(|most| self.siblings(&site.incarnation, task) < most)
         };
-        let best = candidates.max_by_key(|(_, instance)| score(instance))?;
-        let near = score(best.1).0;
-        let rack_is_up = || {
-            self.instances.values().any(|instance| {
-                let announcement = instance.announcement.as_ref();
-                let there =
-                    announcement.is_some_and(|a| a.rack() == wanted && a.pool == demand.queue.pool);
-                there && instance.is_usable(now)
-            })
+        let score = |site: &Site| {
+            let fills = if group.filler { site.attempts } else { 0 };
+            (near(site), std::cmp::Reverse(fills), std::cmp::Reverse(site.free.millicores))
         };
-        if !near && strict && rack_is_up() {
+        let candidates = sites.iter().enumerate().filter(|(_, site)| fits(site));
+        let (best, site) = candidates.max_by_key(|(_, site)| score(site))?;
+        if !near(site) && strict && sites.iter().any(near) {
             return None;
         }
-        Some(best.0.clone())
+        Some(best)
     }
-}
 
-impl Instance {
-    /// Tasks of the same round and group here.
-    fn siblings(&self, task: Task) -> u16 {
+    /// Tasks of the same round and group on an instance.
+    fn siblings(&self, incarnation: &Incarnation, task: Task) -> u16 {
+        let Some(instance) = self.instances.get(incarnation) else { return 0 };
         let first = Task { index: 0, ..task };
         let last = Task { index: u16::MAX, ..task };
-        self.attempts.range(first..=last).count() as u16
+        instance.attempts.range(first..=last).count() as u16
     }
 }
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -23,6 +23,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some((incarnation, pending)) = self.calls.remove(&id) else { return };
+        self.touched.insert(incarnation.clone());
         if result == Ok(Reply::Fenced) {
             effects.push(note(
                 "fenced",
@@ -244,10 +245,11 @@
         }
         self.settling = false;
         self.dirty = true;
-        for instance in self.instances.values_mut() {
-            if instance.acknowledged != instance.proposed {
+        for incarnation in std::mem::take(&mut self.acknowledging) {
+            if let Some(instance) = self.instances.get_mut(&incarnation) {
                 instance.acknowledged = instance.proposed;
                 instance.renew_at = now;
+                self.touched.insert(incarnation);
             }
         }
         for outcome in outcomes {
@@ -255,18 +257,13 @@
                 self.start(now, table, claim, effects);
             }
         }
-        self.drop_refused_claims();
-    }
-
-    /// Attempts that were proposed, and that the table has refused.
-    fn drop_refused_claims(&mut self) {
-        for instance in self.instances.values_mut() {
-            let refused = |(task, attempt): (&Task, &Attempt)| {
-                (attempt.stage == Stage::Proposed).then_some((*task, attempt.number))
-            };
-            let refused: Vec<_> = instance.attempts.iter().filter_map(refused).collect();
-            for (task, number) in refused {
-                instance.remove(&task, number);
+        // Claims that the table has refused.
+        for (task, number) in std::mem::take(&mut self.claiming) {
+            let incarnation = self.placed.get(&task);
+            let instance = incarnation.and_then(|incarnation| self.instances.get(incarnation));
+            let attempt = instance.and_then(|instance| instance.attempts.get(&task));
+            if attempt.is_some_and(|a| a.number == number && a.stage == Stage::Proposed) {
+                self.take(&task, number);
             }
         }
     }
@@ -306,11 +303,7 @@
         for outcome in outcomes {
             match outcome {
                 Outcome::Ended(end) => {
-                    for instance in self.instances.values_mut() {
-                        if instance.remove(&end.task, end.number).is_some() {
-                            break;
-                        }
-                    }
+                    self.take(&end.task, end.number);
                 }
                 Outcome::Cancelled(job) | Outcome::Over(job) => self.stop_job(table, *job),
                 _ => {}
@@ -323,18 +316,25 @@
             return;
         }
         let first = Task { job, round: 0, group: 0, index: 0 };
-        for instance in self.instances.values_mut() {
-            let attempts = instance.attempts.range_mut(first..);
-            for (_, attempt) in attempts.take_while(|(task, _)| task.job == job) {
+        for (task, incarnation) in self.placed.range(first..).take_while(|(t, _)| t.job == job) {
+            let instance = self.instances.get_mut(incarnation);
+            if let Some(attempt) = instance.and_then(|i| i.attempts.get_mut(task)) {
                 attempt.stop = true;
             }
+            self.touched.insert(incarnation.clone());
         }
     }
 
     /// Orders every stop that is due.
-    pub(crate) fn stop_due(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    pub(crate) fn stop_due(
+        &mut self,
+        now: Time,
+        touched: &BTreeSet<Incarnation>,
+        effects: &mut Vec<Effect>,
+    ) {
         let mut due = Vec::new();
-        for (incarnation, instance) in &mut self.instances {
+        for incarnation in touched {
+            let Some(instance) = self.instances.get_mut(incarnation) else { continue };
             if instance.announcement.is_none() {
                 continue;
             }
@@ -358,10 +358,17 @@
     }
 
     /// Sends every renewal that is due.
-    pub(crate) fn renew_due(&mut self, now: Time, table: &Table, effects: &mut Vec<Effect>) {
-        let due = self.instances.iter().filter(|(_, instance)| instance.renewal_is_due(now));
-        let due: Vec<_> = due.map(|(incarnation, _)| incarnation.clone()).collect();
-        for incarnation in due {
+    pub(crate) fn renew_due(
+        &mut self,
+        now: Time,
+        table: &Table,
+        touched: BTreeSet<Incarnation>,
+        effects: &mut Vec<Effect>,
+    ) {
+        for incarnation in touched {
+            if !self.instances.get(&incarnation).is_some_and(|i| i.renewal_is_due(now)) {
+                continue;
+            }
             let wait = self.renewal_wait(table, &incarnation);
             let Some(instance) = self.instances.get_mut(&incarnation) else { continue };
             // An instance that does not answer must not get a longer lease with every try, or it
@@ -438,15 +445,19 @@
         self.dirty = false;
         self.planned = now;
         let ends = std::mem::take(&mut self.ends);
-        let claims = self.plan(now, unix, table, effects);
+        let claims = self.plan(now, unix, table);
         let maintained = self.machines.take_begun(table);
         let batch = Batch { ends, claims, maintained };
         if batch.is_empty() {
             return;
         }
-        for instance in self.instances.values_mut() {
+        for (incarnation, instance) in &mut self.instances {
             instance.proposed = instance.seen;
+            if instance.proposed != instance.acknowledged {
+                self.acknowledging.push(incarnation.clone());
+            }
         }
+        self.claiming = batch.claims.iter().map(|claim| (claim.task, claim.number)).collect();
         self.settling = true;
         effects.push(Effect::Propose(batch));
     }
--- a/crates/job/src/upkeep.rs
+++ b/crates/job/src/upkeep.rs
@@ -4,10 +4,16 @@
 use super::*;
 
 impl Owner {
+    /// Between two looks at the waves.
+    const MAINTAIN_INTERVAL: Duration = Duration::from_millis(60);
     /// Longest wait for the tasks on a machine to end by themselves.
     const EMPTYING: Duration = Duration::from_millis(1500);
 
     pub(crate) fn maintain(&mut self, now: Time, table: &Table, effects: &mut Vec<Effect>) {
+        if now < self.maintained + Self::MAINTAIN_INTERVAL {
+            return;
+        }
+        self.maintained = now;
         for instance in self.instances.values_mut() {
             let machine = instance.announcement.as_ref().map(|a| &a.machine);
             // A machine with an order under way is about to lose everything that runs there.
--- a/crates/job/tests/fuzz.rs
+++ b/crates/job/tests/fuzz.rs
@@ -46,6 +46,10 @@
 fn disturb(world: &mut World, next: JobId, round: usize) {
     let alive = world.instances.iter().filter(|(_, instance)| instance.alive);
     let lives: Vec<_> = alive.map(|(life, _)| life.clone()).collect();
+    if lives.is_empty() {
+        // Every machine is on its way from one pool to another.
+        return;
+    }
     let life = lives[world.rng.random_range(0..lives.len())].clone();
     match world.rng.random_range(0..24) {
         0 => world.crash(&life, true),
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -622,7 +622,7 @@
     Config {
         version: 1,
         text: "".into(),
-        queues: pools.iter().map(queue).collect(),
+        queues: pools.iter().map(|name| ((*name).into(), queue(name))).collect(),
         pools: pools.iter().chain(&["spare"]).map(pool).collect(),
         limits: Limits { body_bytes: 1 << 18, idle: Duration::from_secs(15) },
     }
