Orders about machines are committed before they are given; a repeated one takes no instance away

Change: orders stand in the table until answered, a new owner repeats them; an instance on which something runs is asked before it is given up.

--- a/crates/job/src/batch.rs
+++ b/crates/job/src/batch.rs
@@ -9,11 +9,19 @@
     pub claims: Vec<Claim>,
     /// Machines of waves whose maintenance has begun, or that have left.
     pub maintained: Vec<(WaveId, Name)>,
+    /// Orders about machines that are about to be given.
+    pub orders: Vec<MachineOrder>,
+    /// Machines about which the order given last has its answer.
+    pub answered: Vec<Name>,
 }
 
 impl Batch {
     /// Whether nothing is to be committed.
     pub fn is_empty(&self) -> bool {
-        self.ends.is_empty() && self.claims.is_empty() && self.maintained.is_empty()
+        self.ends.is_empty()
+            && self.claims.is_empty()
+            && self.maintained.is_empty()
+            && self.orders.is_empty()
+            && self.answered.is_empty()
     }
 }
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -183,7 +183,7 @@
                     instance.emptying = true;
                 }
             }
-            self.order_machine(MachineOrder::Move { machine, pool }, effects);
+            self.order_machine(MachineOrder::Move { machine, pool });
         }
     }
 
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -1,6 +1,6 @@
 //! What the owner knows of machines, and its orders to the platform about them. One order at a time
-//! concerns a machine; one that had no answer may still be carried out, so it is repeated until it is
-//! answered, and no other order follows before the platform can have carried it out.
+//! concerns a machine. It is committed before it is given, since one that had no answer may still be
+//! carried out: this owner, or the next, repeats it until it is answered.
 
 use super::*;
 use owner::note;
@@ -16,13 +16,19 @@
     asked: Option<Time>,
     /// List under way, and when it was asked for.
     listing: Option<(CallId, Time)>,
-    /// Orders under way.
-    calls: Map<CallId, MachineOrder>,
+    /// Orders that are to be committed.
+    intents: Vec<MachineOrder>,
+    /// Orders in the batch under way.
+    committing: Vec<MachineOrder>,
+    /// Machines whose orders were answered, to be committed.
+    answered: Vec<Name>,
+    /// Orders under way, with when each was first given.
+    calls: Map<CallId, (MachineOrder, Time)>,
     /// Machines that are away since an order was carried out.
     pub(crate) away: BTreeMap<Name, Time>,
     /// Maintenance that has begun and is to be committed.
     pub(crate) begun: Vec<(WaveId, Name)>,
-    /// Orders without an answer, and until when they may be carried out.
+    /// Orders without an answer, with when each was first given.
     unsure: BTreeMap<Name, (MachineOrder, Time)>,
     /// When a refused machine may be tried again.
     retry_at: BTreeMap<Name, Time>,
@@ -51,14 +57,37 @@
 
     /// Whether an order about a machine is under way, or may be.
     pub(crate) fn is_ordered(&self, machine: &Name) -> bool {
+        let is_about = |order: &MachineOrder| order.machine() == Some(machine);
         self.unsure.contains_key(machine)
-            || self.calls.values().any(|order| order.machine() == Some(machine))
+            || self.intents.iter().chain(&self.committing).any(is_about)
+            || self.calls.values().any(|(order, _)| is_about(order))
+    }
+
+    /// Takes what is to be committed.
+    pub(crate) fn commit(&mut self, table: &Table, batch: &mut Batch) {
+        batch.maintained = self.take_begun(table);
+        batch.orders = std::mem::take(&mut self.intents);
+        batch.answered = std::mem::take(&mut self.answered);
+        batch.answered.retain(|machine| table.orders.contains_key(machine));
+        self.committing = batch.orders.clone();
+    }
+
+    /// Whether anything is to be committed soon.
+    pub(crate) fn is_urgent(&self) -> bool {
+        !self.intents.is_empty()
+    }
+
+    /// Takes over the orders that an earlier owner may have given.
+    pub(crate) fn recover(&mut self, now: Time, table: &Table) {
+        for (machine, order) in &table.orders {
+            self.unsure.insert(machine.clone(), (order.clone(), now));
+        }
     }
 
     /// Orders under way.
     pub(crate) fn orders(&self) -> impl Iterator<Item = &MachineOrder> {
-        let unsure = self.unsure.values().map(|(order, _)| order);
-        self.calls.values().chain(unsure)
+        let given = self.calls.values().chain(self.unsure.values()).map(|(order, _)| order);
+        given.chain(&self.intents).chain(&self.committing)
     }
 
     /// Whether an order about a machine may be given now.
@@ -99,12 +128,12 @@
         }
         let unsure = self.machines.unsure.iter().filter(|(machine, _)| {
             let calls = &self.machines.calls;
-            let calling = calls.values().any(|order| order.machine() == Some(*machine));
+            let calling = calls.values().any(|(order, _)| order.machine() == Some(*machine));
             !calling && self.machines.retry_at.get(*machine).is_none_or(|at| now >= *at)
         });
-        let unsure: Vec<_> = unsure.map(|(_, (order, _))| order.clone()).collect();
-        for order in unsure {
-            self.order_machine(order, effects);
+        let unsure: Vec<_> = unsure.map(|(_, unsure)| unsure.clone()).collect();
+        for (order, first) in unsure {
+            self.send_order(order, first, effects);
         }
     }
 
@@ -114,9 +143,22 @@
         effects.push(Effect::Machine { id, order: MachineOrder::List { page } });
     }
 
-    pub(crate) fn order_machine(&mut self, order: MachineOrder, effects: &mut Vec<Effect>) {
+    /// Gives an order once it is committed.
+    pub(crate) fn order_machine(&mut self, order: MachineOrder) {
+        self.machines.intents.push(order);
+    }
+
+    /// Gives the orders that were just committed.
+    pub(crate) fn give_orders(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        for order in std::mem::take(&mut self.machines.committing) {
+            self.send_order(order, now, effects);
+        }
+    }
+
+    /// Sends an order that was first given at `first`.
+    fn send_order(&mut self, order: MachineOrder, first: Time, effects: &mut Vec<Effect>) {
         let id = self.next_call();
-        self.machines.calls.insert(id, order.clone());
+        self.machines.calls.insert(id, (order.clone(), first));
         effects.push(Effect::Machine { id, order });
     }
 
@@ -138,27 +180,30 @@
             }
             return;
         }
-        let Some(order) = self.machines.calls.remove(&id) else { return };
+        let Some((order, first)) = self.machines.calls.remove(&id) else { return };
         let Some(machine) = order.machine().cloned() else { return };
         self.machines.retry_at.insert(machine.clone(), now + RETRY);
         match result {
-            Ok(MachineReply::Begun) => self.on_begun(now, order, machine, effects),
+            Ok(MachineReply::Begun) => self.on_begun(now, order, first, machine, effects),
             Ok(MachineReply::NotOfWave | MachineReply::Unknown) => {
                 if let MachineOrder::Maintain { wave, .. } = order {
                     self.machines.begun.push((wave, machine.clone()));
                 }
                 effects.push(note("machine-unknown", machine.to_string(), format!("{order:?}")));
                 self.machines.unsure.remove(&machine);
+                self.machines.answered.push(machine);
             }
             Err(failure) => {
                 effects.push(note("machine-unsure", machine.to_string(), failure.to_string()));
-                self.machines.unsure.entry(machine).or_insert((order, now + LATEST));
+                self.machines.unsure.entry(machine).or_insert((order, first));
             }
             Ok(refused) => {
                 effects.push(note("machine-refused", machine.to_string(), format!("{refused:?}")));
                 // An earlier order without an answer may still come through.
-                if self.machines.unsure.get(&machine).is_some_and(|(_, until)| now > *until) {
+                let unsure = self.machines.unsure.get(&machine).map(|(_, first)| *first);
+                if unsure.is_none_or(|first| now > first + LATEST) {
                     self.machines.unsure.remove(&machine);
+                    self.machines.answered.push(machine);
                 }
             }
         }
@@ -168,17 +213,18 @@
         &mut self,
         now: Time,
         order: MachineOrder,
+        first: Time,
         machine: Name,
         effects: &mut Vec<Effect>,
     ) {
         effects.push(note("machine-ordered", machine.to_string(), format!("{order:?}")));
-        if let Some((_, until)) = self.machines.unsure.remove(&machine) {
+        if self.machines.unsure.remove(&machine).is_some() {
             // The first order may be carried out once more.
-            self.machines.retry_at.insert(machine.clone(), until);
+            self.machines.retry_at.insert(machine.clone(), first + LATEST);
         }
-        if let Some((incarnation, _)) = self.on_machine_named(&machine) {
-            let incarnation = incarnation.clone();
-            self.bury(&incarnation, "its machine was moved or is maintained", effects);
+        self.machines.answered.push(machine.clone());
+        if let Some(incarnation) = self.homes.get(&machine).cloned() {
+            self.look_after(now, &incarnation);
         }
         self.machines.away.insert(machine.clone(), now);
         match order {
@@ -194,6 +240,19 @@
         self.dirty = true;
     }
 
+    /// Takes away an instance whose machine was ordered away. One on which something runs has come
+    /// after the order was first given and carried out; its answer to a renewal will say so.
+    fn look_after(&mut self, now: Time, incarnation: &Incarnation) {
+        let Some(instance) = self.instances.get_mut(incarnation) else { return };
+        if instance.attempts.is_empty() {
+            self.instances.remove(incarnation);
+            return;
+        }
+        instance.silent = true;
+        instance.renewal = None;
+        instance.renew_at = now;
+    }
+
     /// Takes a list of machines that was asked for at `sent`.
     fn on_listed(&mut self, sent: Time, machines: Vec<Machine>, effects: &mut Vec<Effect>) {
         for machine in machines {
--- a/crates/job/src/order.rs
+++ b/crates/job/src/order.rs
@@ -44,7 +44,7 @@
 }
 
 /// What the platform is told of a machine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MachineOrder {
     /// List the machines.
     List {
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -119,7 +119,7 @@
                 self.lapse(now, &mut effects);
                 if self.leads() {
                     self.look_at_machines(now, &mut effects);
-                    self.maintain(now, table, &mut effects);
+                    self.maintain(now, table);
                     self.lend(now, unix, table, &mut effects);
                 }
             }
@@ -138,6 +138,7 @@
         self.resign();
         self.epoch = Some(epoch);
         self.since = now;
+        self.machines.recover(now, table);
         let lapses = Instance::lapse_after(now, self.bounds.max_lease);
         for (announcement, heard) in self.roster.values() {
             if announcement.condition != Condition::Gone {
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -257,6 +257,7 @@
                 self.start(now, table, claim, effects);
             }
         }
+        self.give_orders(now, effects);
         // Claims that the table has refused.
         for (task, number) in std::mem::take(&mut self.claiming) {
             let incarnation = self.placed.get(&task);
@@ -439,15 +440,15 @@
     ) {
         let due = self.dirty && now >= self.planned + Self::PLAN_INTERVAL
             || now >= self.planned + Self::PLAN_IDLE;
-        if self.settling || !due && self.ends.is_empty() {
+        if self.settling || !due && self.ends.is_empty() && !self.machines.is_urgent() {
             return;
         }
         self.dirty = false;
         self.planned = now;
         let ends = std::mem::take(&mut self.ends);
         let claims = self.plan(now, unix, table);
-        let maintained = self.machines.take_begun(table);
-        let batch = Batch { ends, claims, maintained };
+        let mut batch = Batch { ends, claims, ..Batch::default() };
+        self.machines.commit(table, &mut batch);
         if batch.is_empty() {
             return;
         }
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -11,6 +11,8 @@
     pub live: BTreeSet<JobId>,
     /// Waves by number.
     pub waves: BTreeMap<WaveId, Wave>,
+    /// Orders about machines that may still be carried out, by machine.
+    pub orders: BTreeMap<Name, MachineOrder>,
     /// Jobs that ended, in order, until they are forgotten.
     ended: std::collections::VecDeque<(Unix, JobId)>,
 }
@@ -82,6 +84,14 @@
                 outcomes.push(Outcome::Claimed(claim));
             }
         }
+        for machine in batch.answered {
+            self.orders.remove(&machine);
+        }
+        for order in batch.orders {
+            if let Some(machine) = order.machine().cloned() {
+                self.orders.insert(machine, order);
+            }
+        }
         for (wave, machine) in batch.maintained {
             if let Some(wave) = self.waves.get_mut(&wave) {
                 wave.machines.insert(machine, Progress::Begun);
--- a/crates/job/src/upkeep.rs
+++ b/crates/job/src/upkeep.rs
@@ -9,7 +9,7 @@
     /// Longest wait for the tasks on a machine to end by themselves.
     const EMPTYING: Duration = Duration::from_millis(1500);
 
-    pub(crate) fn maintain(&mut self, now: Time, table: &Table, effects: &mut Vec<Effect>) {
+    pub(crate) fn maintain(&mut self, now: Time, table: &Table) {
         if now < self.maintained + Self::MAINTAIN_INTERVAL {
             return;
         }
@@ -23,18 +23,11 @@
             return;
         }
         for (id, wave) in table.waves.iter().filter(|(_, wave)| !wave.is_complete()) {
-            self.carry_on(now, table, *id, wave, effects);
+            self.carry_on(now, table, *id, wave);
         }
     }
 
-    fn carry_on(
-        &mut self,
-        now: Time,
-        table: &Table,
-        id: WaveId,
-        wave: &Wave,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn carry_on(&mut self, now: Time, table: &Table, id: WaveId, wave: &Wave) {
         let machines = &self.machines;
         let down = wave.machines.keys().filter(|machine| machines.may_be_maintained(machine));
         let free = (wave.budget as usize).saturating_sub(down.count());
@@ -48,7 +41,7 @@
         due.sort_by_key(|machine| (self.load(machine), machine.clone()));
         for machine in due.into_iter().take(free) {
             if self.empty(now, table, &machine) {
-                self.order_machine(MachineOrder::Maintain { machine, wave: id }, effects);
+                self.order_machine(MachineOrder::Maintain { machine, wave: id });
             }
         }
     }
--- a/crates/job/tests/fuzz.rs
+++ b/crates/job/tests/fuzz.rs
@@ -16,7 +16,12 @@
     }
     world.add_machine("m8", "spare", "r0", 16_000);
     world.run(200);
-    world.trouble = Trouble { request_lost: 15, answer_lost: 15, carried_out_late: 15 };
+    world.trouble = Trouble {
+        request_lost: 15,
+        answer_lost: 15,
+        carried_out_late: 15,
+        machine_answer_lost: 200,
+    };
     let mut next = 1;
     for round in 0..120 {
         if world.rng.random_range(0..3) > 0 {
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -217,3 +217,18 @@
     world.run(10_000);
     assert!(world.table.waves[&1].is_complete());
 }
+
+#[test]
+fn an_order_about_a_machine_that_is_repeated_takes_nothing_from_its_next_instance() {
+    let mut world = one_pool(15, 3);
+    world.trouble.machine_answer_lost = 1000;
+    world.maintain(1, &["m0"], 1);
+    world.run(3500);
+    world.trouble.machine_answer_lost = 0;
+    for id in 1..=12 {
+        world.submit(id, "a", chain(&[1], 4000, 3000));
+    }
+    world.run(12_000);
+    assert!(world.table.waves[&1].is_complete());
+    assert_eq!(world.starts.len(), 12, "nothing starts twice");
+}
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -25,6 +25,8 @@
     pub request_lost: u32,
     pub answer_lost: u32,
     pub carried_out_late: u32,
+    /// Answers of the platform.
+    pub machine_answer_lost: u32,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -34,6 +36,7 @@
     Answer { owner: Epoch, call: usize },
     Commit { owner: Epoch },
     Machine { owner: Epoch, id: CallId },
+    MachineAnswer { owner: Epoch, id: CallId },
     Joins { machine: Name },
 }
 
@@ -80,6 +83,9 @@
     sent: Vec<Sent>,
     batch: Option<Batch>,
     machine_calls: BTreeMap<CallId, MachineOrder>,
+    machine_answers: BTreeMap<CallId, Result<MachineReply, Failure>>,
+    /// The order carried out last on each machine.
+    carried_out: BTreeMap<Name, MachineOrder>,
     /// Tasks whose end as done was acknowledged.
     done: BTreeSet<Task>,
 }
@@ -105,6 +111,8 @@
             sent: Vec::new(),
             batch: None,
             machine_calls: BTreeMap::new(),
+            machine_answers: BTreeMap::new(),
+            carried_out: BTreeMap::new(),
             done: BTreeSet::new(),
         };
         world.table.apply(Command::Configure(config));
@@ -237,6 +245,7 @@
         self.epoch += 1;
         self.owner = Owner::new(Bounds::default());
         self.machine_calls.clear();
+        self.machine_answers.clear();
         self.step(Event::Lead { epoch: self.epoch });
         let lives: Vec<_> = self.instances.keys().cloned().collect();
         for incarnation in lives {
@@ -301,6 +310,12 @@
                 }
             }
             Happening::Machine { owner, id } => self.on_machine(owner, id),
+            Happening::MachineAnswer { owner, id } => {
+                let result = self.machine_answers.remove(&id);
+                if let Some(result) = result.filter(|_| owner == self.epoch) {
+                    self.step(Event::MachineAnswered { id, result });
+                }
+            }
             Happening::Joins { machine } => self.join(&machine),
         }
     }
@@ -426,7 +441,8 @@
 
     fn on_machine(&mut self, owner: Epoch, id: CallId) {
         let Some(order) = self.machine_calls.remove(&id) else { return };
-        let (machine, pool, away) = match order {
+        self.trace(|| format!("platform gets {order:?} of owner {owner}"));
+        let (machine, pool, away) = match order.clone() {
             MachineOrder::List { .. } => {
                 let machines = self.machines.values().cloned().collect();
                 let result = Ok(MachineReply::Listed { machines, next: None });
@@ -438,10 +454,13 @@
             MachineOrder::Move { machine, pool } => (machine, Some(pool), 1500),
             MachineOrder::Maintain { machine, .. } => (machine, None, 2000),
         };
-        self.moves += usize::from(pool.is_some());
         let entry = self.machines.get_mut(&machine).expect("the machine is in the world");
         let maintained = pool.is_none();
-        let result = if entry.state == MachineState::Up {
+        let result = if self.carried_out.get(&machine) == Some(&order) {
+            Ok(MachineReply::Begun)
+        } else if entry.state == MachineState::Up {
+            self.moves += usize::from(pool.is_some());
+            self.carried_out.insert(machine.clone(), order);
             entry.state = if maintained { MachineState::Maintained } else { MachineState::Moving };
             entry.pool = pool.unwrap_or(entry.pool.clone());
             entry.instance = None;
@@ -466,9 +485,10 @@
         } else {
             Ok(MachineReply::Busy)
         };
-        if owner == self.epoch {
-            self.step(Event::MachineAnswered { id, result });
-        }
+        let lost = self.chance(self.trouble.machine_answer_lost);
+        let result = if lost { Err(Failure::Timeout) } else { result };
+        self.schedule(if lost { 1500 } else { 0 }, Happening::MachineAnswer { owner, id });
+        self.machine_answers.insert(id, result);
     }
 
     /// A planned order ends nothing that runs.
