--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -41,14 +41,14 @@
         groups.map(work).sum()
     }
 
-    /// Machines over which the open tasks of a group must spread at least, with one more so that a
-    /// loss can be made good at once.
+    /// Machines over which lasting tasks must spread at least, with one more so that a loss can be
+    /// made good at once.
     pub(crate) fn machines(&self, spec: &Spec) -> u32 {
         let groups = spec.groups.iter().zip(&self.open);
-        let groups = groups.filter(|(group, open)| **open > 0 && self.is_unblocked(group));
+        let groups = groups.filter(|(group, _)| group.lasting && self.is_unblocked(group));
         let machines = groups.filter_map(|(group, open)| {
             let apart = u32::from(group.apart?.max(1));
-            Some(u32::from(*open).div_ceil(apart) + u32::from(group.lasting))
+            Some(u32::from(*open).div_ceil(apart) + 1)
         });
         machines.max().unwrap_or(0)
     }
