--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -126,7 +126,22 @@
             self.machines.asked = Some(now);
             self.list(now, None, effects);
         }
+        let (unused, given_up): (Vec<_>, Vec<_>) = self
+            .machines
+            .unsure
+            .iter()
+            .filter(|(machine, (_, first))| self.is_empty(machine) || now > *first + LATEST)
+            .map(|(machine, _)| machine.clone())
+            .partition(|machine| self.is_empty(machine));
+        for machine in given_up {
+            // Something runs there, and the order is not under way any more.
+            self.machines.unsure.remove(&machine);
+            self.machines.answered.push(machine);
+        }
         let unsure = self.machines.unsure.iter().filter(|(machine, _)| {
+            if !unused.contains(machine) {
+                return false;
+            }
             let calls = &self.machines.calls;
             let calling = calls.values().any(|(order, _)| order.machine() == Some(*machine));
             !calling && self.machines.retry_at.get(*machine).is_none_or(|at| now >= *at)
@@ -172,7 +187,7 @@
         if self.machines.listing.is_some_and(|(listing, _)| listing == id) {
             let sent = self.machines.listing.take().map_or(now, |(_, sent)| sent);
             if let Ok(MachineReply::Listed { machines, next }) = result {
-                self.on_listed(sent, machines, effects);
+                self.on_listed(now, sent, machines, effects);
                 self.machines.known |= next.is_none();
                 if next.is_some() {
                     self.list(now, next, effects);
@@ -254,7 +269,13 @@
     }
 
     /// Takes a list of machines that was asked for at `sent`.
-    fn on_listed(&mut self, sent: Time, machines: Vec<Machine>, effects: &mut Vec<Effect>) {
+    fn on_listed(
+        &mut self,
+        now: Time,
+        sent: Time,
+        machines: Vec<Machine>,
+        effects: &mut Vec<Effect>,
+    ) {
         for machine in machines {
             let ordered_since = self.machines.away.get(&machine.name).is_some_and(|at| *at > sent);
             if ordered_since || self.machines.is_ordered(&machine.name) {
@@ -269,13 +290,18 @@
                 if (other || down) && instance.heard < sent {
                     let incarnation = incarnation.clone();
                     let why = "the platform lists its machine without it";
-                    self.bury(&incarnation, why, effects);
+                    self.bury(now, &incarnation, why, effects);
                 }
             }
             self.machines.listed.insert(machine.name.clone(), machine);
         }
     }
 
+    /// Whether nothing of ours runs on a machine, as far as this owner knows.
+    fn is_empty(&self, machine: &Name) -> bool {
+        self.on_machine_named(machine).is_none_or(|(_, instance)| instance.attempts.is_empty())
+    }
+
     /// The instance on a machine, where it is known.
     pub(crate) fn on_machine_named(&self, machine: &Name) -> Option<(&Incarnation, &Instance)> {
         self.instances.get_key_value(self.homes.get(machine)?)
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -164,7 +164,7 @@
         }
         let outdated: Vec<_> = self.outdated().collect();
         for incarnation in outdated {
-            self.bury(&incarnation, "a later life has announced itself", effects);
+            self.bury(now, &incarnation, "a later life has announced itself", effects);
         }
         self.dirty = true;
     }
@@ -202,14 +202,15 @@
         }
         let incarnation = announcement.incarnation.clone();
         if announcement.condition == Condition::Gone {
-            return self.bury(&incarnation, "the instance has left", effects);
+            return self.bury(now, &incarnation, "the instance has left", effects);
         }
         let former = self.lives.insert(name.clone(), incarnation.born);
         if let Some(born) = former.filter(|born| *born < incarnation.born) {
             let former = Incarnation { name, born };
-            self.bury(&former, "a later life has announced itself", effects);
+            self.bury(now, &former, "a later life has announced itself", effects);
         }
         let lapses = now;
+        let ordered = self.machines.is_ordered(&announcement.machine);
         let instance = self.instances.entry(incarnation.clone()).or_insert_with(|| {
             effects.push(note(
                 "instance-joined",
@@ -221,6 +222,7 @@
         if instance.announcement.as_ref().map(|a| a.condition) != Some(announcement.condition) {
             self.dirty = true;
         }
+        instance.emptying |= ordered;
         instance.heard = now;
         self.homes.insert(announcement.machine.clone(), incarnation.clone());
         self.touched.insert(incarnation);
@@ -228,21 +230,38 @@
         instance.announcement = Some(announcement);
     }
 
-    /// Takes it that a life of an instance is over: what ran there is lost, and an order that it left
-    /// unanswered is not carried out any more.
+    /// Takes it that a life of an instance is over: what ran there is lost.
+    ///
+    /// An order to start that has no answer may have reached a later life of the same instance, since
+    /// orders go by its name. Such an attempt moves there, to be stopped.
     pub(crate) fn bury(
         &mut self,
+        now: Time,
         incarnation: &Incarnation,
         why: &'static str,
         effects: &mut Vec<Effect>,
     ) {
         let Some(instance) = self.instances.remove(incarnation) else { return };
         self.dirty = true;
-        for (task, attempt) in instance.attempts {
+        let later = self.lives.get(&incarnation.name).filter(|born| **born > incarnation.born);
+        let heir = later.map(|born| Incarnation { name: incarnation.name.clone(), born: *born });
+        for (task, mut attempt) in instance.attempts {
             self.placed.remove(&task);
-            if !matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
-                let Attempt { number, checkpoint, .. } = attempt;
-                self.ends.push(End { task, number, how: How::Lost, checkpoint });
+            match (attempt.stage, &heir) {
+                (Stage::Ending | Stage::Proposed, _) => {}
+                (Stage::Starting | Stage::Unanswered, Some(heir)) => {
+                    attempt.stage = Stage::Unanswered;
+                    attempt.stop = true;
+                    attempt.stop_sent = None;
+                    attempt.settled = None;
+                    let instance = self.instances.entry(heir.clone());
+                    instance.or_insert_with(|| Instance::new(None, now, now));
+                    self.put(heir, task, attempt);
+                }
+                _ => {
+                    let Attempt { number, checkpoint, .. } = attempt;
+                    self.ends.push(End { task, number, how: How::Lost, checkpoint });
+                }
             }
         }
         effects.push(note("instance-lost", incarnation.to_string(), why.into()));
