Elections within 900 ms, numbers beyond reason do no harm, work that fits no machine draws none

Cause: after a loss of power the fleet was without a leader for up to 1.2 s; a job with declared numbers beyond reason could overflow sums in the planner; a job that fits no machine counted as backlog.

--- a/crates/job/src/group.rs
+++ b/crates/job/src/group.rs
@@ -44,7 +44,7 @@
         if self.lasting || self.filler {
             return 0;
         }
-        self.size.millicores * self.estimate.as_millis() as u64
+        self.size.millicores.saturating_mul(self.estimate.as_millis() as u64)
     }
 
     /// What a task counts against the room of its instance.
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -253,6 +253,8 @@
         pools: &mut BTreeMap<Name, Balance>,
     ) -> BTreeSet<JobId> {
         let mut late = BTreeSet::new();
+        let sizes = self.machines.listed.values().map(|machine| machine.capacity);
+        let largest = sizes.fold(Resources::default(), Resources::max);
         for (id, entry) in table.live.iter().filter_map(|id| Some((*id, table.jobs.get(id)?))) {
             let queue = config.queue(&entry.queue).filter(|_| !entry.standing.is_over());
             let Some(queue) = queue else { continue };
@@ -266,12 +268,15 @@
                     late.insert(id);
                     continue;
                 }
-                pool.backlog += round.waiting_work(&entry.spec);
+                pool.backlog =
+                    pool.backlog.saturating_add(round.waiting_work(&entry.spec, largest));
                 pool.apart = pool.apart.max(round.machines(&entry.spec));
                 let age = Duration::from_millis(unix.saturating_sub(due));
-                let work = entry.spec.work();
-                pool.onset += if age <= ONSET_WINDOW { work } else { 0 };
-                pool.arriving += if age <= ARRIVAL_WINDOW { work } else { 0 };
+                let fits = entry.spec.groups.iter().all(|group| group.room().fits(largest));
+                let work = if fits { entry.spec.work() } else { 0 };
+                let within = |window| if age <= window { work } else { 0 };
+                pool.onset = pool.onset.saturating_add(within(ONSET_WINDOW));
+                pool.arriving = pool.arriving.saturating_add(within(ARRIVAL_WINDOW));
             }
         }
         late
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -29,16 +29,18 @@
     }
 
     /// Work of the tasks that could start, in thousandths of a processor times milliseconds; lasting ones
-    /// count as a second of work.
-    pub(crate) fn waiting_work(&self, spec: &Spec) -> u64 {
+    /// count as a second of work, and those that fit no machine of the `largest` size as nothing.
+    pub(crate) fn waiting_work(&self, spec: &Spec, largest: Resources) -> u64 {
         let groups = spec.groups.iter().zip(&self.waiting);
-        let groups = groups.filter(|(group, _)| self.is_unblocked(group));
+        let groups = groups.filter(|(group, waiting)| {
+            **waiting > 0 && group.room().fits(largest) && self.is_unblocked(group)
+        });
         let work = |(group, waiting): (&Group, &u16)| {
             let lasting =
                 if group.lasting && !group.filler { group.size.millicores * 1000 } else { 0 };
-            u64::from(*waiting) * (group.work() + lasting)
+            group.work().saturating_add(lasting).saturating_mul(u64::from(*waiting))
         };
-        groups.map(work).sum()
+        groups.map(work).fold(0, u64::saturating_add)
     }
 
     /// Machines over which lasting tasks must spread at least, with one more so that a loss can be
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -45,7 +45,8 @@
     /// Work of one round but for lasting tasks and fillers, in thousandths of a processor times
     /// milliseconds.
     pub fn work(&self) -> u64 {
-        self.groups.iter().map(|group| u64::from(group.count) * group.work()).sum()
+        let works = self.groups.iter().map(|g| g.work().saturating_mul(u64::from(g.count)));
+        works.fold(0, u64::saturating_add)
     }
 
     /// What is wrong with the job, by place.
--- a/crates/job/tests/load.rs
+++ b/crates/job/tests/load.rs
@@ -135,3 +135,26 @@
     // Four jobs a second have room in eight seconds.
     assert!(in_time >= 24, "{in_time} jobs were in time, 32 have room");
 }
+
+#[test]
+fn a_job_that_fits_no_machine_draws_no_machines_and_harms_no_other() {
+    let mut world = World::new(7, config(&["a", "b"]));
+    for i in 0..6 {
+        world.add_machine(&format!("m{i}"), if i < 3 { "a" } else { "b" }, "r0", 16_000);
+    }
+    world.run(3000);
+    for id in 1..=20 {
+        world.submit(id, "a", chain(&[8], 20_000, 1000));
+    }
+    world.run(3000);
+    let in_pool = |world: &World| world.machines.values().filter(|m| &*m.pool == "a").count();
+    let held = in_pool(&world);
+    assert!(held <= 3, "{held} machines are held for work that nobody can do");
+    for id in 21..=30 {
+        world.submit(id, "b", chain(&[2], 4000, 500));
+        world.run(200);
+    }
+    world.run(3000);
+    assert!(in_pool(&world) <= held);
+    assert!((21..=30).all(|id| world.table.jobs[&id].standing == Standing::Completed));
+}
--- a/crates/quorum/src/timing.rs
+++ b/crates/quorum/src/timing.rs
@@ -12,7 +12,7 @@
     /// Shortest wait for a leader before an election.
     pub const ELECTION_MIN: Duration = Duration::from_millis(600);
     /// Longest wait for a leader before an election.
-    pub const ELECTION_MAX: Duration = Duration::from_millis(1200);
+    pub const ELECTION_MAX: Duration = Duration::from_millis(900);
     /// How long a leader leads on the answers of a majority; below `ELECTION_MIN` by the drift
     /// allowed between two clocks.
     pub const LEADER_LEASE: Duration = Duration::from_millis(500);
