--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -11,6 +11,8 @@
     pub(crate) leader: Option<Name>,
     /// Daemons that may know who leads.
     pub(crate) known: BTreeSet<Name>,
+    /// Daemons that take part in the agreement, as one of them said last.
+    pub(crate) members: BTreeSet<Name>,
     turn: usize,
     /// When a peer last answered.
     pub(crate) heard: Option<Time>,
@@ -23,6 +25,8 @@
     const RESEND: Duration = Duration::from_millis(350);
     /// After which a daemon that hears nobody takes it that it is cut off; two pings and their answers.
     const SILENCE: Duration = Duration::from_millis(900);
+    /// Of how many questions one goes to any daemon known, and not to a member.
+    const ELSEWHERE: usize = 4;
     /// When to come back after there was no leader.
     pub(crate) const RETRY: Duration = Duration::from_secs(1);
 
@@ -43,13 +47,22 @@
         self.waiting.get(&ticket)
     }
 
+    /// Who leads, if it has said so a moment ago.
+    pub(crate) fn present_leader(&self, now: Time) -> Option<Name> {
+        let fresh = self.served.is_some_and(|at| now < at + Self::SILENCE);
+        self.leader.clone().filter(|_| fresh)
+    }
+
     /// Someone who may lead, or know who does.
     pub(crate) fn whom(&mut self, own: &Name) -> Option<Name> {
         if let Some(leader) = self.leader.clone().filter(|leader| leader != own) {
             return Some(leader);
         }
         self.turn += 1;
-        let others: Vec<_> = self.known.iter().filter(|name| *name != own).collect();
+        // Members know best; now and then somebody else is asked, in case all of them are gone.
+        let elsewhere = self.members.is_empty() || self.turn.is_multiple_of(Self::ELSEWHERE);
+        let asked = if elsewhere { &self.known } else { &self.members };
+        let others: Vec<_> = asked.iter().filter(|name| *name != own).collect();
         others.get(self.turn % others.len().max(1)).map(|name| (*name).clone())
     }
 
@@ -98,11 +111,11 @@
     }
 
     /// Takes every call whose edge has given up.
-    pub(crate) fn give_up(&mut self, now: Time) -> Vec<(Ticket, Answer)> {
+    pub(crate) fn give_up(&mut self, now: Time) -> Vec<(Ticket, Call, Answer)> {
         let late = self.waiting.extract_if(.., |_, ask| ask.until <= now);
         let answer = |ask: &Ask| {
             if ask.may_have_run { Answer::Unknown } else { Answer::NotRun { retry: Self::RETRY } }
         };
-        late.map(|(ticket, ask)| (ticket, answer(&ask))).collect()
+        late.map(|(ticket, ask)| (ticket, ask.call.clone(), answer(&ask))).collect()
     }
 }
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -32,6 +32,10 @@
     Ready(bool),
     /// A line for whoever explains a failure.
     Note(Note),
+    /// An attempt has ended.
+    Ended(job::How),
+    /// A job has ended.
+    Finished { queue: Name, end: job::Standing, took: Duration },
     /// Nothing is left to do before the process ends.
     Stopped,
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -33,7 +33,7 @@
     pub(crate) ready: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) in_flight: Cell<usize>,
-    pub(crate) served: Cell<u64>,
+    pub(crate) metrics: Rc<Metrics>,
 }
 
 /// Who may call an address.
@@ -42,6 +42,7 @@
     Callers,
     Control,
     Balancer,
+    Scraper,
 }
 
 /// Serves `address` until the process ends.
@@ -86,14 +87,21 @@
         let ready = request.uri().path() == platform::READY_PATH && edge.ready.get();
         return Ok(plain(if ready { 200 } else { 503 }));
     }
+    if audience == Audience::Scraper {
+        let mut response = plain(200);
+        let kind = header::HeaderValue::from_static(metrics::CONTENT_TYPE);
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        *response.body_mut() = Full::new(edge.metrics.text().into());
+        return Ok(response);
+    }
     edge.in_flight.set(edge.in_flight.get() + 1);
     let response = respond(request, audience, &edge).await;
     edge.in_flight.set(edge.in_flight.get() - 1);
-    edge.served.set(edge.served.get() + 1);
     Ok(response)
 }
 
 async fn respond(request: Request<Incoming>, audience: Audience, edge: &Edge) -> Response<Body> {
+    let started = std::time::Instant::now();
     let (head, body) = request.into_parts();
     let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else { return plain(400) };
     let body = body.to_bytes();
@@ -119,6 +127,8 @@
             platform::answer(&answer.unwrap_or(Answer::Unknown))
         }
     };
+    let call = if callers { "callers" } else { "control" };
+    edge.metrics.answered(call, response.status, started.elapsed());
     let mut builder = Response::builder().status(response.status);
     if let Some(seconds) = response.retry_after {
         builder = builder.header(header::RETRY_AFTER, seconds);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod journal;
 mod membership;
 mod message;
+mod metrics;
 mod origin;
 mod outbound;
 mod run;
@@ -45,7 +46,8 @@
 pub use run::run;
 use {
     ask::Ask, asks::Asks, clock::Clock, effect::Effect, event::Event, founding::Founding,
-    membership::Membership, message::Message, origin::Origin, state::State, timer::Timer,
+    membership::Membership, message::Message, metrics::Metrics, origin::Origin, state::State,
+    timer::Timer,
 };
 
 /// Number of a call that waits for an answer at an edge.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -75,9 +75,7 @@
 async fn serve(settings: settings::Station, gateway: bool) -> eyre::Result<()> {
     let boot: u64 = rand::random();
     let clock = Clock::start();
-    let mut peers = settings.peers;
-    // Two daemons of one instance share its ports.
-    peers.set_port(peers.port() + u16::from(gateway));
+    let peers = shifted(settings.peers, gateway);
     let id: Name = peers.to_string().into();
     let (store, restored) = match settings.data.as_ref().filter(|_| !gateway) {
         Some(folder) => {
@@ -96,17 +94,19 @@
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, asked) = mpsc::unbounded_channel();
+    let metrics = Rc::new(Metrics::new());
     let edge = Rc::new(Edge {
         calls,
+        metrics: metrics.clone(),
         ready: Cell::new(false),
         stopping: Cell::new(false),
         in_flight: Cell::new(0),
-        served: Cell::new(0),
     });
     let addresses = [
         (settings.callers, Audience::Callers),
         (settings.control, Audience::Control),
         (settings.ready, Audience::Balancer),
+        (settings.metrics.map(|address| shifted(address, gateway)), Audience::Scraper),
     ];
     for (address, audience) in addresses {
         if let Some(address) = address {
@@ -123,6 +123,7 @@
         disk,
         edge,
         journal: Journal::new(&settings.id),
+        metrics: metrics.clone(),
         timers: ::timer::Queue::default(),
         outbound: Rc::default(),
         machines: settings.machines.map(|address| address.to_string().into()),
@@ -139,6 +140,12 @@
     Ok(())
 }
 
+/// The address that a daemon uses where a voter and a gateway of one instance share its ports.
+fn shifted(mut address: SocketAddr, gateway: bool) -> SocketAddr {
+    address.set_port(address.port() + u16::from(gateway));
+    address
+}
+
 /// Where the daemon that serves control at `seed` takes peers' traffic: ports are the same on all
 /// instances.
 fn peer_of(seed: SocketAddr, settings: &settings::Station) -> Name {
@@ -165,6 +172,7 @@
     disk: Option<disk::Disk>,
     edge: Rc<Edge>,
     journal: Journal,
+    metrics: Rc<Metrics>,
     timers: ::timer::Queue<Timer>,
     outbound: Rc<Outbound>,
     machines: Option<Name>,
@@ -288,12 +296,14 @@
             }
             Effect::Call { id, incarnation, address, order, epoch, timeout } => {
                 let (outbound, events) = (self.outbound.clone(), self.events.clone());
+                let metrics = self.metrics.clone();
                 spawn_local(async move {
                     let outgoing = platform::request(&order, epoch, &incarnation);
                     let patient = matches!(order, job::Order::Renew { .. });
                     let answer = outbound.call(&address, outgoing, patient, timeout).await;
                     let result =
                         answer.and_then(|(status, body)| platform::reply(&order, status, &body));
+                    metrics.ordered(&order, result.is_ok());
                     events.send(Event::Answered { id, result }).ok();
                 });
             }
@@ -308,9 +318,12 @@
             }
             Effect::Ready(ready) => {
                 self.edge.ready.set(ready);
+                self.metrics.set_ready(ready);
                 self.note(if ready { "ready" } else { "not-ready" }, "", "");
             }
-            Effect::Note(note) => self.journal.write(Clock::unix(), &note),
+            Effect::Note(note) => self.write(&note),
+            Effect::Ended(how) => self.metrics.ended(how),
+            Effect::Finished { queue, end, took } => self.metrics.finished(&queue, end, took),
             Effect::Stopped => self.stopped = true,
         }
     }
@@ -336,7 +349,12 @@
     }
 
     fn note(&mut self, what: &'static str, about: &str, why: &str) {
-        let note = Note { what, about: about.into(), why: why.into() };
-        self.journal.write(Clock::unix(), &note);
+        self.write(&Note { what, about: about.into(), why: why.into() });
+    }
+
+    fn write(&mut self, note: &Note) {
+        self.metrics.decided(note.what);
+        self.metrics.set_leads(self.state.leads());
+        self.journal.write(Clock::unix(), note);
     }
 }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -32,6 +32,10 @@
         effects: &mut Vec<Effect>,
     ) {
         let not_run = Answer::NotRun { retry: Asks::RETRY };
+        let about = match &call {
+            Call::Submit { path, .. } => Some(path.clone()),
+            _ => None,
+        };
         let answer = match call {
             Call::Submit { host, path, spec } => match (self.place(&host, &path), spec) {
                 (Err(answer), _) => answer,
@@ -101,9 +105,18 @@
                 None => Answer::NoWave,
             },
         };
+        if let Some(path) = about.filter(|_| answer != Answer::Done) {
+            let why = format!("{answer:?}, configuration {:?}", self.version());
+            effects.push(journal::line("job-refused", path.to_string(), &why));
+        }
         self.answer(origin, answer, effects);
     }
 
+    /// Version of the configuration in force.
+    fn version(&self) -> Option<u64> {
+        self.table.config.as_ref().map(|config| config.version)
+    }
+
     /// The queue and the job that an address leads to.
     fn place(&self, host: &str, path: &str) -> Result<(Name, Option<job::JobId>), Answer> {
         let config = self.table.config.as_ref();
@@ -178,6 +191,7 @@
         if self.owns.is_none() {
             return;
         }
+        self.explain(unix, &outcomes, effects);
         let event = if self.batch == Some(index) {
             self.batch = None;
             job::Event::Settled(outcomes)
@@ -187,6 +201,42 @@
         self.own(now, unix, event, effects);
     }
 
+    /// Says what became of jobs and of the configuration.
+    fn explain(&self, unix: job::Unix, outcomes: &[job::Outcome], effects: &mut Vec<Effect>) {
+        for outcome in outcomes {
+            let id = match outcome {
+                job::Outcome::Ended(end) => {
+                    effects.push(Effect::Ended(end.how));
+                    continue;
+                }
+                job::Outcome::Configured => {
+                    let why = format!("version {:?}", self.version());
+                    effects.push(journal::line("configured", String::new(), &why));
+                    continue;
+                }
+                job::Outcome::Accepted(id) | job::Outcome::Over(id) => id,
+                _ => continue,
+            };
+            let Some(entry) = self.table.jobs.get(id) else { continue };
+            let took = Duration::from_millis(unix.saturating_sub(entry.accepted));
+            let what = if entry.over.is_some() { "job-over" } else { "job-accepted" };
+            let config = self.table.config.as_ref();
+            let objective = config.and_then(|config| config.queue(&entry.queue));
+            let objective = objective.map_or(0, |q| q.objective(entry.chain).as_millis());
+            let why = format!(
+                "{} in {}, {} ms after hand-in, wanted within {objective} ms",
+                entry.standing,
+                entry.queue,
+                took.as_millis()
+            );
+            effects.push(journal::line(what, format!("{id:016x}"), &why));
+            if entry.over.is_some() {
+                let (queue, end) = (entry.queue.clone(), entry.standing);
+                effects.push(Effect::Finished { queue, end, took });
+            }
+        }
+    }
+
     /// Hands an event to the owner of the instances, and its wishes on.
     pub(crate) fn own(
         &mut self,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -114,6 +114,10 @@
         effects
     }
 
+    pub(crate) fn leads(&self) -> bool {
+        self.owns.is_some()
+    }
+
     pub(crate) fn governs(&self, now: Time) -> bool {
         self.settled && self.quorum.as_ref().is_some_and(|quorum| quorum.governs(now))
     }
@@ -135,7 +139,9 @@
         for ticket in self.asks.tickets() {
             self.pursue(now, unix, ticket, effects);
         }
-        for (ticket, answer) in self.asks.give_up(now) {
+        for (ticket, call, answer) in self.asks.give_up(now) {
+            let why = format!("{answer:?}, leader {:?}", self.asks.leader);
+            effects.push(journal::line("call-given-up", call.subject(), &why));
             effects.push(Effect::Answer { ticket, answer });
         }
     }
@@ -252,7 +258,7 @@
                 if self.governs(now) {
                     self.serve(now, unix, Origin::Peer(from, ticket), call, effects);
                 } else {
-                    let leader = self.leader();
+                    let leader = self.leader(now);
                     let message = Message::Elsewhere { ticket, leader };
                     effects.push(Effect::Send { to: from, message });
                 }
@@ -270,21 +276,20 @@
                 }
             }
             Message::Ping => {
-                let members = self
-                    .quorum
-                    .as_ref()
-                    .map(|quorum| quorum.members().iter().map(|(name, _)| name.clone()).collect());
-                let serves = self.governs(now) && self.table.config.is_some();
-                let message = Message::Pong {
-                    leader: self.leader(),
-                    members: members.unwrap_or_default(),
-                    serves,
+                let members = match &self.quorum {
+                    Some(q) => q.members().iter().map(|(name, _)| name.clone()).collect(),
+                    None => self.asks.members.iter().cloned().collect(),
                 };
+                let serves = self.governs(now) && self.table.config.is_some();
+                let message = Message::Pong { leader: self.leader(now), members, serves };
                 effects.push(Effect::Send { to: from, message });
             }
             Message::Pong { leader, members, serves } => {
                 self.asks.heard = Some(now);
-                self.asks.known.extend(members);
+                self.asks.known.extend(members.iter().cloned());
+                if !members.is_empty() {
+                    self.asks.members = members.into_iter().collect();
+                }
                 self.asks.known.extend(leader.clone());
                 if serves {
                     self.asks.leader = Some(from);
@@ -299,10 +304,11 @@
         }
     }
 
-    pub(crate) fn leader(&self) -> Option<Name> {
+    pub(crate) fn leader(&self, now: Time) -> Option<Name> {
         match &self.quorum {
             Some(quorum) => quorum.leader().cloned(),
-            None => self.asks.leader.clone(),
+            // Word that is passed on for long would lead others to a daemon that leads no longer.
+            None => self.asks.present_leader(now),
         }
     }
 
--- a/crates/job/src/call.rs
+++ b/crates/job/src/call.rs
@@ -54,6 +54,22 @@
     Wave(WaveId),
 }
 
+impl Call {
+    /// What the call is about, for the log.
+    pub fn subject(&self) -> String {
+        match self {
+            Self::Submit { path, .. } | Self::Show { path, .. } | Self::Cancel { path, .. } => {
+                path.to_string()
+            }
+            Self::Announce(announcement) => announcement.incarnation.to_string(),
+            Self::Leave { name, .. } => name.to_string(),
+            Self::Configure(config) => format!("version {}", config.version),
+            Self::Config => "configuration".into(),
+            Self::Maintain { id, .. } | Self::Wave(id) => format!("wave {id}"),
+        }
+    }
+}
+
 /// What the fleet answers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
