--- a/crates/job/src/group.rs
+++ b/crates/job/src/group.rs
@@ -38,6 +38,11 @@
 }
 
 impl Group {
+    /// Whether its tasks stay for long.
+    pub fn stays(&self) -> bool {
+        self.lasting || self.filler
+    }
+
     /// Work of one task, in thousandths of a processor times milliseconds; none for a lasting task
     /// or a filler.
     pub fn work(&self) -> u64 {
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -50,6 +50,10 @@
     pub(crate) stage: Stage,
     /// What it takes.
     pub(crate) room: Resources,
+    /// Whether it stays for long, so that its machine cannot be lent.
+    pub(crate) stays: bool,
+    /// Whether it serves users of its own, whom a filler beside it would slow down.
+    pub(crate) serves: bool,
     /// From when on its absence in a report proves that it will never run; `None` while an order to
     /// start it may still be carried out.
     pub(crate) settled: Option<Time>,
@@ -179,11 +183,13 @@
 }
 
 impl Attempt {
-    pub(crate) fn new(number: Number, stage: Stage, room: Resources, now: Time) -> Self {
+    pub(crate) fn new(number: Number, stage: Stage, group: Option<&Group>, now: Time) -> Self {
         Self {
             number,
             stage,
-            room,
+            room: group.map(Group::room).unwrap_or_default(),
+            stays: group.is_some_and(Group::stays),
+            serves: group.is_some_and(|group| group.target.is_some()),
             settled: None,
             stop: false,
             stop_sent: None,
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -153,8 +153,8 @@
         for id in &table.live {
             let Some(entry) = table.jobs.get(id) else { continue };
             for claim in entry.claims(*id) {
-                let room = entry.group(claim.task).map(Group::room).unwrap_or_default();
-                let mut attempt = Attempt::new(claim.number, Stage::Recovered, room, now);
+                let group = entry.group(claim.task);
+                let mut attempt = Attempt::new(claim.number, Stage::Recovered, group, now);
                 attempt.settled = Some(now);
                 attempt.stop = entry.standing.is_over();
                 let instance = self.instances.entry(claim.incarnation.clone());
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -5,6 +5,7 @@
 //! first, then those go ahead that can still make it in time, and the late ones take what is left.
 
 use super::*;
+use owner::note;
 
 /// Run times that were seen, by queue and group.
 #[derive(Debug, Default)]
@@ -35,6 +36,16 @@
     pub(crate) queue: &'a Queue,
 }
 
+impl Demand<'_> {
+    /// A line about tasks of the group that were given to instances.
+    fn placed(&self, tasks: usize) -> Effect {
+        let about = format!("{:016x}.{}.{}", self.job, self.round, self.group);
+        let Key { class, slack, .. } = self.key;
+        let why = format!("{tasks} tasks, {class:?}, {} ms to spare", slack.0);
+        note("group-placed", about, why)
+    }
+}
+
 /// Order in which groups get room; a lower one comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Key {
@@ -66,7 +77,10 @@
     incarnation: Incarnation,
     labels: Vec<Name>,
     free: Resources,
-    attempts: usize,
+    /// Attempts that stay for long.
+    staying: usize,
+    /// Whether a task there serves users of its own.
+    serves: bool,
 }
 
 impl Site {
@@ -82,7 +96,13 @@
     /// How many times its objective a job may take and still earn a little.
     const LATE_FACTOR: u32 = 3;
 
-    pub(crate) fn plan(&mut self, now: Time, unix: Unix, table: &Table) -> Vec<Claim> {
+    pub(crate) fn plan(
+        &mut self,
+        now: Time,
+        unix: Unix,
+        table: &Table,
+        effects: &mut Vec<Effect>,
+    ) -> Vec<Claim> {
         let Some(config) = &table.config else { return Vec::new() };
         let mut demands = self.demands(unix, table, config);
         if demands.is_empty() {
@@ -94,7 +114,11 @@
         let mut misfits = Misfits::new();
         for demand in demands {
             let Some(sites) = sites.get_mut(&demand.queue.pool) else { continue };
+            let before = claims.len();
             self.place(now, &demand, sites, &mut misfits, &mut claims);
+            if claims.len() > before {
+                effects.push(demand.placed(claims.len() - before));
+            }
         }
         claims
     }
@@ -109,7 +133,8 @@
                     incarnation: incarnation.clone(),
                     labels: announcement.labels.clone(),
                     free: instance.free(),
-                    attempts: instance.attempts.len(),
+                    staying: instance.attempts.values().filter(|a| a.stays).count(),
+                    serves: instance.attempts.values().any(|a| a.serves),
                 });
             }
         }
@@ -248,9 +273,10 @@
             let site = &mut sites[site];
             let number = if group.gang { gang_number } else { slot.number + 1 };
             let incarnation = site.incarnation.clone();
-            self.put(&incarnation, task, Attempt::new(number, Stage::Proposed, room, now));
+            self.put(&incarnation, task, Attempt::new(number, Stage::Proposed, Some(group), now));
             site.free = site.free.less(room);
-            site.attempts += 1;
+            site.staying += usize::from(group.stays());
+            site.serves |= group.target.is_some();
             if group.one_rack {
                 rack = site.rack().cloned();
             }
@@ -262,7 +288,7 @@
                 let site = sites.iter_mut().find(|site| site.incarnation == claim.incarnation);
                 if let Some(site) = site {
                     site.free += room;
-                    site.attempts -= 1;
+                    site.staying -= usize::from(group.stays());
                 }
             }
         }
@@ -287,8 +313,10 @@
                 && group.apart.is_none_or(|most| self.siblings(&site.incarnation, task) < most)
         };
         let score = |site: &Site| {
-            let fills = if group.filler { site.attempts } else { 0 };
-            (near(site), std::cmp::Reverse(fills), std::cmp::Reverse(site.free.millicores))
+            // What stays is kept together, so that the other machines can be lent.
+            let together = if group.stays() { site.staying } else { 0 };
+            let quiet = !group.filler || !site.serves;
+            (near(site), quiet, together, std::cmp::Reverse(site.free.millicores))
         };
         let candidates = sites.iter().enumerate().filter(|(_, site)| fits(site));
         let (best, site) = candidates.max_by_key(|(_, site)| score(site))?;
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -446,7 +446,7 @@
         self.dirty = false;
         self.planned = now;
         let ends = std::mem::take(&mut self.ends);
-        let claims = self.plan(now, unix, table);
+        let claims = self.plan(now, unix, table, effects);
         let mut batch = Batch { ends, claims, ..Batch::default() };
         self.machines.commit(table, &mut batch);
         if batch.is_empty() {
--- a/crates/job/tests/load.rs
+++ b/crates/job/tests/load.rs
@@ -158,3 +158,29 @@
     assert!(in_pool(&world) <= held);
     assert!((21..=30).all(|id| world.table.jobs[&id].standing == Standing::Completed));
 }
+
+#[test]
+fn what_stays_for_long_is_kept_together_on_few_machines() {
+    let mut world = World::new(8, config(&["a"]));
+    for i in 0..8 {
+        world.add_machine(&format!("m{i}"), "a", "r0", 64_000);
+    }
+    world.run(300);
+    for id in 1..=12 {
+        world.submit(id, "a", chain(&[8], 3500, 900));
+    }
+    world.run(40);
+    for id in 21..=24 {
+        let mut spec = chain(&[4, 2], 6000, 500);
+        spec.groups[0].lasting = true;
+        spec.groups[0].apart = Some(1);
+        spec.groups[1].filler = true;
+        spec.groups[1].lasting = true;
+        spec.groups[1].after.clear();
+        world.submit(id, "a", spec);
+        world.run(100);
+    }
+    world.run(3000);
+    let busy = world.instances.values().filter(|i| i.alive && !i.running.is_empty()).count();
+    assert!(busy <= 5, "{busy} machines are held by tasks that four could hold");
+}
