--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -3,11 +3,11 @@
 use std::process::{Command, Output};
 
 fn check(text: &str) -> Output {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = tempfile::tempdir().expect("folder");
     let path = folder.path().join("entry.ini");
-    std::fs::write(&path, text).unwrap();
+    std::fs::write(&path, text).expect("settings are written");
     let program = env!("CARGO_BIN_EXE_sardinevalve-entry");
-    Command::new(program).arg("--check").arg(&path).output().unwrap()
+    Command::new(program).arg("--check").arg(&path).output().expect("the program runs")
 }
 
 #[test]
@@ -33,7 +33,8 @@
 #[test]
 fn a_file_that_is_not_there_is_named() {
     let program = env!("CARGO_BIN_EXE_sardinevalve-entry");
-    let output = Command::new(program).arg("/nowhere/entry.ini").output().unwrap();
+    let output =
+        Command::new(program).arg("/nowhere/entry.ini").output().expect("the program runs");
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("/nowhere/entry.ini"));
 }
