A voter whose disk fails goes on without a vote, and joins again once the disk works

Change: the daemon drops its part in the agreement and tries the folder again each 500 ms, as after a restart; log lines go through a thread and are dropped when the reader stalls.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -30,6 +30,11 @@
     /// When to come back after there was no leader.
     pub(crate) const RETRY: Duration = Duration::from_secs(1);
 
+    /// Calls of a daemon that knows only its seeds.
+    pub(crate) fn new(seeds: &[Name]) -> Self {
+        Self { known: seeds.iter().cloned().collect(), ..Self::default() }
+    }
+
     pub(crate) fn insert(&mut self, ticket: Ticket, call: Call, until: Time) {
         let ask = Ask { call, until, sent: None, may_have_run: false };
         self.waiting.insert(ticket, ask);
--- a/crates/entry/src/disk.rs
+++ b/crates/entry/src/disk.rs
@@ -1,10 +1,9 @@
 use super::*;
 
-/// Exit code after the data folder has failed.
-const EXIT_DISK: i32 = 3;
-
 /// The thread that makes records durable, one batch at a time.
 pub(crate) struct Disk {
+    /// Tells this disk from those that failed before.
+    pub(crate) number: u64,
     orders: crossbeam::channel::Sender<Vec<quorum::Record>>,
     /// Records that wait for the batch under way.
     waiting: Vec<quorum::Record>,
@@ -16,6 +15,9 @@
     after_waiting: Vec<(Name, Message)>,
 }
 
+/// Which disk has written a batch, and whether it could.
+pub(crate) type Synced = (u64, Result<(), String>);
+
 /// What follows once a batch is durable.
 pub(crate) struct Durable {
     /// Messages that may go now.
@@ -27,7 +29,8 @@
 impl Disk {
     pub(crate) fn start(
         mut store: store::Store,
-        synced: mpsc::UnboundedSender<Result<(), String>>,
+        number: u64,
+        synced: mpsc::UnboundedSender<Synced>,
     ) -> Self {
         let (orders, inbox) = crossbeam::channel::unbounded::<Vec<quorum::Record>>();
         std::thread::spawn(move || {
@@ -36,12 +39,14 @@
                     store.append(record);
                 }
                 let result = store.sync().map_err(|error| error.to_string());
-                if synced.send(result).is_err() {
+                let failed = result.is_err();
+                if synced.send((number, result)).is_err() || failed {
                     return;
                 }
             }
         });
         Self {
+            number,
             orders,
             waiting: Vec::new(),
             writing: None,
@@ -78,11 +83,7 @@
     }
 
     /// Takes word that the batch under way is durable: messages that may go, and the last entry.
-    pub(crate) fn synced(&mut self, result: Result<(), String>) -> Durable {
-        if let Err(error) = result {
-            eprintln!("data folder failed, the daemon ends: {error}");
-            std::process::exit(EXIT_DISK);
-        }
+    pub(crate) fn synced(&mut self) -> Durable {
         let last = self.writing.take().flatten();
         Durable { messages: std::mem::take(&mut self.after_writing), last }
     }
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -36,6 +36,8 @@
     Ended(job::How),
     /// A job has ended.
     Finished { queue: Name, end: job::Standing, took: Duration },
+    /// Try to open the data folder.
+    OpenDisk,
     /// Nothing is left to do before the process ends.
     Stopped,
 }
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -31,6 +31,13 @@
         id: job::CallId,
         result: Result<job::MachineReply, job::Failure>,
     },
+    /// The data folder failed.
+    DiskLost,
+    /// The data folder was opened.
+    DiskFound {
+        restored: Box<quorum::Restored>,
+        boot: u64,
+    },
     /// The process is to stop.
     Stop,
 }
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -1,20 +1,30 @@
-//! JSON lines on standard output. A line that cannot be written at once is dropped and counted, and
-//! each kind of line has a budget a second, so that logging never delays a request.
+//! JSON lines on standard output, written by a thread of their own. Lines that the reader does not
+//! take in time are dropped and counted, and each kind of line has a budget a second, so that logging
+//! never delays a request.
 
-use {super::*, std::io::Write};
+use {super::*, crossbeam::channel, std::io::Write, std::thread::JoinHandle};
 
 /// Lines of one kind in a second.
 const LINES_PER_SECOND: u32 = 40;
 
+/// Batches of lines that may wait for the reader.
+const WAITING_BATCHES: usize = 256;
+
 /// Makes a line about a decision.
 pub(crate) fn line(what: &'static str, about: String, why: &str) -> Effect {
     Effect::Note(Note { what, about, why: why.into() })
 }
 
 /// Writes lines of one daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Journal {
     daemon: String,
+    /// Lines since the last batch.
+    batch: Vec<u8>,
+    lines: u64,
+    /// `None` once the journal is closed.
+    writer: Option<channel::Sender<Vec<u8>>>,
+    thread: Option<JoinHandle<()>>,
     second: u64,
     counts: BTreeMap<&'static str, u32>,
     dropped: u64,
@@ -39,7 +49,26 @@
 
 impl Journal {
     pub(crate) fn new(daemon: &str) -> Self {
-        Self { daemon: daemon.into(), ..Self::default() }
+        let (writer, batches) = channel::bounded::<Vec<u8>>(WAITING_BATCHES);
+        let thread = std::thread::spawn(move || {
+            let mut out = std::io::stdout();
+            for batch in batches {
+                // Nobody reads any more: there is nowhere to say so.
+                if out.write_all(&batch).is_err() {
+                    return;
+                }
+            }
+        });
+        Self {
+            daemon: daemon.into(),
+            batch: Vec::new(),
+            lines: 0,
+            writer: Some(writer),
+            thread: Some(thread),
+            second: 0,
+            counts: BTreeMap::new(),
+            dropped: 0,
+        }
     }
 
     pub(crate) fn write(&mut self, unix: job::Unix, note: &Note) {
@@ -61,11 +90,30 @@
             why: &note.why,
             dropped: self.dropped,
         };
-        let Ok(mut text) = serde_json::to_vec(&line) else { return };
-        text.push(b'\n');
-        match std::io::stdout().lock().write_all(&text) {
-            Ok(()) => self.dropped = 0,
-            Err(_) => self.dropped += 1,
+        if serde_json::to_writer(&mut self.batch, &line).is_ok() {
+            self.batch.push(b'\n');
+            self.lines += 1;
+            self.dropped = 0;
+        }
+    }
+
+    /// Hands the lines so far to the writer, or drops them if the reader has stalled.
+    pub(crate) fn flush(&mut self) {
+        if self.batch.is_empty() {
+            return;
+        }
+        let batch = std::mem::take(&mut self.batch);
+        let lines = std::mem::take(&mut self.lines);
+        let taken = self.writer.as_ref().is_some_and(|writer| writer.try_send(batch).is_ok());
+        self.dropped += if taken { 0 } else { lines };
+    }
+
+    /// Writes what is left before the process ends.
+    pub(crate) fn close(&mut self) {
+        self.flush();
+        self.writer = None;
+        if let Some(thread) = self.thread.take() {
+            thread.join().ok();
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -77,20 +77,13 @@
     let clock = Clock::start();
     let peers = shifted(settings.peers, gateway);
     let id: Name = peers.to_string().into();
-    let (store, restored) = match settings.data.as_ref().filter(|_| !gateway) {
-        Some(folder) => {
-            let (store, restored) = store::Store::open(folder, &id, boot)?;
-            (Some(store), Some(restored))
-        }
-        None => (None, None),
-    };
     let seeds = settings.seeds.iter().map(|seed| peer_of(*seed, &settings)).collect();
     let bounds = bounds(&settings.bounds);
     let grace = match settings.bounds.stop_grace {
         Duration::ZERO => STOP_GRACE,
         limit => STOP_GRACE.min(limit.saturating_sub(STOP_RESERVE)),
     };
-    let state = State::new(id, seeds, settings.founding, restored, boot, Owner::new(bounds), grace);
+    let state = State::new(id, seeds, settings.founding, Owner::new(bounds), grace);
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, asked) = mpsc::unbounded_channel();
@@ -114,13 +107,15 @@
         }
     }
     let (synced, durable) = mpsc::unbounded_channel();
-    let disk = store.map(|store| disk::Disk::start(store, synced.clone()));
     let (events, pending) = mpsc::unbounded_channel();
     let mut engine = Engine {
         state,
         clock,
         mesh,
-        disk,
+        data: settings.data.clone().filter(|_| !gateway),
+        disk: None,
+        disks: 0,
+        synced,
         edge,
         journal: Journal::new(&settings.id),
         metrics: metrics.clone(),
@@ -136,7 +131,7 @@
     engine.note("started", &settings.id, &format!("boot {boot:x}"));
     engine.run(inbox, asked, durable, pending).await?;
     engine.note("stopped", &settings.id, "asked to");
-    drop(synced);
+    engine.journal.close();
     Ok(())
 }
 
@@ -169,7 +164,11 @@
     state: State,
     clock: Clock,
     mesh: Rc<wire::Mesh>,
+    data: Option<PathBuf>,
     disk: Option<disk::Disk>,
+    /// Disks that were opened so far.
+    disks: u64,
+    synced: mpsc::UnboundedSender<disk::Synced>,
     edge: Rc<Edge>,
     journal: Journal,
     metrics: Rc<Metrics>,
@@ -195,13 +194,16 @@
         &mut self,
         mut frames: mpsc::UnboundedReceiver<(SocketAddr, Vec<u8>)>,
         mut asked: mpsc::UnboundedReceiver<Asked>,
-        mut durable: mpsc::UnboundedReceiver<Result<(), String>>,
+        mut durable: mpsc::UnboundedReceiver<disk::Synced>,
         mut pending: mpsc::UnboundedReceiver<Event>,
     ) -> eyre::Result<()> {
         use tokio::signal::unix::{SignalKind, signal};
         let mut terminate = signal(SignalKind::terminate())?;
         let mut reload = signal(SignalKind::hangup())?;
         let mut stopped: Option<Time> = None;
+        if self.data.is_some() {
+            self.open_disk();
+        }
         self.step(Event::Start);
         loop {
             let now = self.clock.now();
@@ -236,6 +238,7 @@
             if let Some(disk) = &mut self.disk {
                 disk.flush();
             }
+            self.journal.flush();
         }
     }
 
@@ -253,9 +256,31 @@
         }
     }
 
-    fn on_synced(&mut self, result: Result<(), String>) {
-        let Some(disk) = &mut self.disk else { return };
-        let disk::Durable { messages, last } = disk.synced(result);
+    /// Opens the data folder, or tries again later.
+    fn open_disk(&mut self) {
+        let Some(folder) = self.data.clone() else { return };
+        let boot = rand::random();
+        match store::Store::open(&folder, &self.state.id, boot) {
+            Ok((store, restored)) => {
+                self.disks += 1;
+                self.disk = Some(disk::Disk::start(store, self.disks, self.synced.clone()));
+                self.step(Event::DiskFound { restored: Box::new(restored), boot });
+            }
+            Err(error) => {
+                self.note("disk-not-opened", &folder.display().to_string(), &error.to_string());
+                self.step(Event::DiskLost);
+            }
+        }
+    }
+
+    fn on_synced(&mut self, (number, result): disk::Synced) {
+        let Some(disk) = self.disk.as_mut().filter(|disk| disk.number == number) else { return };
+        if let Err(error) = result {
+            self.disk = None;
+            self.note("disk-failed", "", &error);
+            return self.step(Event::DiskLost);
+        }
+        let disk::Durable { messages, last } = disk.synced();
         for (to, message) in messages {
             self.send(&to, &message);
         }
@@ -324,6 +349,7 @@
             Effect::Note(note) => self.write(&note),
             Effect::Ended(how) => self.metrics.ended(how),
             Effect::Finished { queue, end, took } => self.metrics.finished(&queue, end, took),
+            Effect::OpenDisk => self.open_disk(),
             Effect::Stopped => self.stopped = true,
         }
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -34,6 +34,8 @@
 const BEAT: Duration = Duration::from_millis(200);
 /// Between two questions about who leads.
 const PING: Duration = Duration::from_millis(300);
+/// Between two tries to open the data folder.
+const DISK_RETRY: Duration = Duration::from_millis(500);
 /// How long word of a leader that serves keeps this daemon ready.
 const READY: Duration = Duration::from_millis(1400);
 
@@ -42,26 +44,17 @@
         id: Name,
         seeds: Vec<Name>,
         founds: bool,
-        restored: Option<quorum::Restored>,
-        boot: u64,
         owner: Owner,
         grace: Duration,
     ) -> Self {
-        let disk = restored.as_ref().and_then(|restored| restored.disk);
-        let quorum = restored
-            .map(|restored| quorum::State::new(id.clone(), BTreeMap::new(), restored, boot));
-        let mut asks = Asks::default();
-        asks.known.extend(seeds.iter().cloned());
-        if let Some(quorum) = &quorum {
-            asks.known.extend(quorum.members().iter().map(|(name, _)| name.clone()));
-        }
+        let asks = Asks::new(&seeds);
         Self {
             id,
             seeds,
             founds,
             founding: Founding::default(),
-            disk,
-            quorum,
+            disk: None,
+            quorum: None,
             membership: Membership::default(),
             settled: !founds,
             table: Table::default(),
@@ -108,6 +101,11 @@
             Event::MachineAnswered { id, result } => {
                 self.own(now, unix, job::Event::MachineAnswered { id, result }, &mut effects);
             }
+            Event::Timer(Timer::Disk) => effects.push(Effect::OpenDisk),
+            Event::DiskLost => self.lose_disk(now, unix, &mut effects),
+            Event::DiskFound { restored, boot } => {
+                self.find_disk(now, unix, *restored, boot, &mut effects);
+            }
             Event::Stop => self.stop(&mut effects),
         }
         self.look_at_leadership(now, unix, &mut effects);
@@ -131,6 +129,31 @@
         effects.push(Effect::Subscribe { timer: Timer::Grace, after: self.grace });
     }
 
+    /// Takes no part in the agreement any more. What was not durable is as good as never received, so
+    /// that the next try begins with what the folder holds, as after a restart.
+    fn lose_disk(&mut self, now: Time, unix: job::Unix, effects: &mut Vec<Effect>) {
+        self.quorum = None;
+        self.disk = None;
+        self.look_at_leadership(now, unix, effects);
+        self.table = Table::default();
+        effects.push(Effect::Subscribe { timer: Timer::Disk, after: DISK_RETRY });
+    }
+
+    fn find_disk(
+        &mut self,
+        now: Time,
+        unix: job::Unix,
+        restored: quorum::Restored,
+        boot: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.disk = restored.disk;
+        let quorum = quorum::State::new(self.id.clone(), BTreeMap::new(), restored, boot);
+        self.asks.known.extend(quorum.members().iter().map(|(name, _)| name.clone()));
+        self.quorum = Some(quorum);
+        self.agree(now, unix, quorum::Event::Start, effects);
+    }
+
     fn tick(&mut self, now: Time, unix: job::Unix, effects: &mut Vec<Effect>) {
         effects.push(Effect::Subscribe { timer: Timer::Tick, after: TICK });
         if self.governs(now) {
@@ -378,9 +401,10 @@
 
     /// Tells the owner when it begins and ends to lead, and whoever waits when it ends.
     fn look_at_leadership(&mut self, now: Time, unix: job::Unix, effects: &mut Vec<Effect>) {
-        let Some(quorum) = &self.quorum else { return };
-        let (leads, governs) = (quorum.leads(), quorum.governs(now));
-        let term = quorum.term();
+        let quorum = self.quorum.as_ref();
+        let leads = quorum.is_some_and(|quorum| quorum.leads());
+        let governs = quorum.is_some_and(|quorum| quorum.governs(now));
+        let term = quorum.map_or(0, |quorum| quorum.term());
         if self.owns.is_some() && (!leads || self.owns != Some(term)) {
             self.owns = None;
             self.batch = None;
--- a/crates/entry/src/timer.rs
+++ b/crates/entry/src/timer.rs
@@ -7,6 +7,8 @@
     Tick,
     /// Peers, founding and membership.
     Beat,
+    /// The data folder failed, and is to be tried again.
+    Disk,
     /// The daemon has refused new callers for long enough to stop.
     Grace,
 }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -18,6 +18,7 @@
 };
 
 mod announcement;
+mod answers;
 mod batch;
 mod bounds;
 mod call;
