--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -7,9 +7,9 @@
     /// Ends that an instance names at most in one report.
     const ENDS_IN_REPORT: usize = 500;
     /// Failures of different jobs in a row after which an instance is set aside.
-    const STRIKES: usize = 3;
+    const FAILED_JOBS: usize = 3;
     /// How long an instance is set aside for the first time; each further time doubles it.
-    const ASIDE: Duration = Duration::from_secs(3);
+    const AVOIDED: Duration = Duration::from_secs(3);
     /// How long an instance that says it is unwell is left alone.
     const UNWELL: Duration = Duration::from_millis(1500);
     /// How long an instance that had no room for a task is left alone.
@@ -86,7 +86,7 @@
             instance.renewal = None;
             instance.silent = true;
             instance.renew_at = now + Self::LEASE;
-            instance.aside_until = now + Self::LEASE;
+            instance.avoided_until = now + Self::LEASE;
         }
     }
 
@@ -114,11 +114,11 @@
                 return;
             }
             Ok(Reply::Full { .. }) => {
-                instance.aside_until = instance.aside_until.max(now + Self::FULL);
+                instance.avoided_until = instance.avoided_until.max(now + Self::FULL);
                 "no room"
             }
             Ok(Reply::Unwell) => {
-                instance.aside_until = instance.aside_until.max(now + Self::UNWELL);
+                instance.avoided_until = instance.avoided_until.max(now + Self::UNWELL);
                 "unwell"
             }
             Ok(Reply::Late { .. }) => "lease over",
@@ -174,10 +174,10 @@
             attempt.stage = Stage::Ending;
             match end.how {
                 How::Failed => {
-                    instance.strikes.insert(task.job);
+                    instance.failed_jobs.insert(task.job);
                 }
                 How::Done => {
-                    instance.strikes.clear();
+                    instance.failed_jobs.clear();
                     let took = now.saturating_sub(attempt.started);
                     self.timings.learn(table, task, took);
                 }
@@ -186,19 +186,19 @@
             let checkpoint = end.checkpoint.or(attempt.checkpoint.take());
             self.ends.push(End { task, number: end.number, how: end.how, checkpoint });
         }
-        if instance.strikes.len() >= Self::STRIKES {
-            instance.strikes.clear();
-            instance.asides += 1;
-            instance.aside_until = now + Self::ASIDE * (1 << instance.asides.min(4)) / 2;
+        if instance.failed_jobs.len() >= Self::FAILED_JOBS {
+            instance.failed_jobs.clear();
+            instance.times_avoided += 1;
+            instance.avoided_until = now + Self::AVOIDED * (1 << instance.times_avoided.min(4)) / 2;
             let why = "tasks of different jobs failed in a row".into();
-            effects.push(note("instance-set-aside", incarnation.to_string(), why));
+            effects.push(note("instance-avoided", incarnation.to_string(), why));
         }
-        let mut strays = Vec::new();
+        let mut unclaimed = Vec::new();
         let mut present = BTreeSet::new();
         for row in running {
             let attempt = instance.attempts.get_mut(&row.task);
             let Some(attempt) = attempt.filter(|a| a.number == row.number) else {
-                strays.push((row.task, row.number));
+                unclaimed.push((row.task, row.number));
                 continue;
             };
             present.insert(row.task);
@@ -226,7 +226,7 @@
                 effects.push(note("attempt-absent", about, "neither running nor ended".into()));
             }
         }
-        for (task, number) in strays {
+        for (task, number) in unclaimed {
             let pending = Pending::Stop(task, number);
             let order = Order::Stop { task, number };
             self.call(incarnation, pending, order, Self::ANSWER, effects);
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -32,15 +32,15 @@
     /// What these take.
     pub(crate) used: Resources,
     /// Until when nothing new is placed here.
-    pub(crate) aside_until: Time,
+    pub(crate) avoided_until: Time,
     /// Jobs whose tasks failed here since one was done.
-    pub(crate) strikes: BTreeSet<JobId>,
+    pub(crate) failed_jobs: BTreeSet<JobId>,
     /// How often it was set aside.
-    pub(crate) asides: u32,
+    pub(crate) times_avoided: u32,
     /// When something last ran here.
     pub(crate) busy: Time,
     /// Whether its machine is to be emptied.
-    pub(crate) emptying: bool,
+    pub(crate) evacuating: bool,
 }
 
 /// An attempt as the owner follows it.
@@ -112,11 +112,11 @@
             seen: 0,
             attempts: BTreeMap::new(),
             used: Resources::default(),
-            aside_until: Time::ZERO,
-            strikes: BTreeSet::new(),
-            asides: 0,
+            avoided_until: Time::ZERO,
+            failed_jobs: BTreeSet::new(),
+            times_avoided: 0,
             busy: now,
-            emptying: false,
+            evacuating: false,
         }
     }
 
@@ -173,7 +173,7 @@
     /// Whether new tasks may be placed here.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         let ready = self.announcement.as_ref().is_some_and(|a| a.condition == Condition::Ready);
-        ready && self.fenced && !self.silent && !self.emptying && now >= self.aside_until
+        ready && self.fenced && !self.silent && !self.evacuating && now >= self.avoided_until
     }
 
     /// What is free here.
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -180,7 +180,7 @@
             if let Some((incarnation, _)) = self.on_machine_named(&machine) {
                 let incarnation = incarnation.clone();
                 if let Some(instance) = self.instances.get_mut(&incarnation) {
-                    instance.emptying = true;
+                    instance.evacuating = true;
                 }
             }
             self.order_machine(MachineOrder::Move { machine, pool });
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -238,8 +238,8 @@
             self.machines.retry_at.insert(machine.clone(), first + LATEST);
         }
         self.machines.answered.push(machine.clone());
-        if let Some(incarnation) = self.homes.get(&machine).cloned() {
-            self.look_after(now, &incarnation);
+        if let Some(incarnation) = self.machine_lives.get(&machine).cloned() {
+            self.verify(now, &incarnation);
         }
         self.machines.away.insert(machine.clone(), now);
         match order {
@@ -257,7 +257,7 @@
 
     /// Takes away an instance whose machine was ordered away. One on which something runs has come
     /// after the order was first given and carried out; its answer to a renewal will say so.
-    fn look_after(&mut self, now: Time, incarnation: &Incarnation) {
+    fn verify(&mut self, now: Time, incarnation: &Incarnation) {
         let Some(instance) = self.instances.get_mut(incarnation) else { return };
         if instance.attempts.is_empty() {
             self.instances.remove(incarnation);
@@ -290,7 +290,7 @@
                 if (other || down) && instance.heard < sent {
                     let incarnation = incarnation.clone();
                     let why = "the platform lists its machine without it";
-                    self.bury(now, &incarnation, why, effects);
+                    self.end_life(now, &incarnation, why, effects);
                 }
             }
             self.machines.listed.insert(machine.name.clone(), machine);
@@ -304,6 +304,6 @@
 
     /// The instance on a machine, where it is known.
     pub(crate) fn on_machine_named(&self, machine: &Name) -> Option<(&Incarnation, &Instance)> {
-        self.instances.get_key_value(self.homes.get(machine)?)
+        self.instances.get_key_value(self.machine_lives.get(machine)?)
     }
 }
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -13,7 +13,7 @@
     /// Who has each attempt without a committed end.
     pub(crate) placed: BTreeMap<Task, Incarnation>,
     /// Last life heard on each machine.
-    pub(crate) homes: BTreeMap<Name, Incarnation>,
+    pub(crate) machine_lives: BTreeMap<Name, Incarnation>,
     /// Instances to look at after the present event.
     pub(crate) touched: BTreeSet<Incarnation>,
     /// Attempts in the batch under way.
@@ -21,7 +21,7 @@
     /// Instances with ends in the batch under way.
     pub(crate) acknowledging: Vec<Incarnation>,
     /// Present life of each instance.
-    pub(crate) lives: BTreeMap<Name, Unix>,
+    pub(crate) current: BTreeMap<Name, Unix>,
     /// What was heard before this owner led, and while it leads.
     pub(crate) roster: BTreeMap<Name, (Announcement, Time)>,
     pub(crate) calls: Map<CallId, (Incarnation, Pending)>,
@@ -87,7 +87,7 @@
     /// What it amounts to that the instance `name` says it has ended, `None` where it is of no
     /// present life. A word that names no life counts only for one that was draining, since it may
     /// have been on its way while the instance started again.
-    pub fn farewell(&self, name: &Name, born: Option<Unix>) -> Option<Announcement> {
+    pub fn departure(&self, name: &Name, born: Option<Unix>) -> Option<Announcement> {
         let (known, _) = self.roster.get(name)?;
         let leaves = match born {
             Some(born) => born == known.incarnation.born,
@@ -146,8 +146,9 @@
                 instance.renew_at = now;
                 self.instances.insert(announcement.incarnation.clone(), instance);
                 let Incarnation { name, born } = announcement.incarnation.clone();
-                self.homes.insert(announcement.machine.clone(), announcement.incarnation.clone());
-                self.lives.insert(name, born);
+                self.machine_lives
+                    .insert(announcement.machine.clone(), announcement.incarnation.clone());
+                self.current.insert(name, born);
             }
         }
         for id in &table.live {
@@ -164,23 +165,23 @@
         }
         let outdated: Vec<_> = self.outdated().collect();
         for incarnation in outdated {
-            self.bury(now, &incarnation, "a later life has announced itself", effects);
+            self.end_life(now, &incarnation, "a later life has announced itself", effects);
         }
         self.dirty = true;
     }
 
     /// Lives that are over, since a later one of the same instance is known.
     fn outdated(&self) -> impl Iterator<Item = Incarnation> {
-        let later = |i: &&Incarnation| self.lives.get(&i.name).is_some_and(|born| *born > i.born);
+        let later = |i: &&Incarnation| self.current.get(&i.name).is_some_and(|born| *born > i.born);
         self.instances.keys().filter(later).cloned()
     }
 
     fn resign(&mut self) {
         self.epoch = None;
         self.instances.clear();
-        self.lives.clear();
+        self.current.clear();
         self.placed.clear();
-        self.homes.clear();
+        self.machine_lives.clear();
         self.touched.clear();
         self.acknowledging.clear();
         self.calls.clear();
@@ -202,12 +203,12 @@
         }
         let incarnation = announcement.incarnation.clone();
         if announcement.condition == Condition::Gone {
-            return self.bury(now, &incarnation, "the instance has left", effects);
+            return self.end_life(now, &incarnation, "the instance has left", effects);
         }
-        let former = self.lives.insert(name.clone(), incarnation.born);
+        let former = self.current.insert(name.clone(), incarnation.born);
         if let Some(born) = former.filter(|born| *born < incarnation.born) {
             let former = Incarnation { name, born };
-            self.bury(now, &former, "a later life has announced itself", effects);
+            self.end_life(now, &former, "a later life has announced itself", effects);
         }
         let lapses = now;
         let ordered = self.machines.is_ordered(&announcement.machine);
@@ -222,9 +223,9 @@
         if instance.announcement.as_ref().map(|a| a.condition) != Some(announcement.condition) {
             self.dirty = true;
         }
-        instance.emptying |= ordered;
+        instance.evacuating |= ordered;
         instance.heard = now;
-        self.homes.insert(announcement.machine.clone(), incarnation.clone());
+        self.machine_lives.insert(announcement.machine.clone(), incarnation.clone());
         self.touched.insert(incarnation);
         instance.take_clock(announcement.clock, now);
         instance.announcement = Some(announcement);
@@ -234,7 +235,7 @@
     ///
     /// An order to start that has no answer may have reached a later life of the same instance, since
     /// orders go by its name. Such an attempt moves there, to be stopped.
-    pub(crate) fn bury(
+    pub(crate) fn end_life(
         &mut self,
         now: Time,
         incarnation: &Incarnation,
@@ -243,20 +244,21 @@
     ) {
         let Some(instance) = self.instances.remove(incarnation) else { return };
         self.dirty = true;
-        let later = self.lives.get(&incarnation.name).filter(|born| **born > incarnation.born);
-        let heir = later.map(|born| Incarnation { name: incarnation.name.clone(), born: *born });
+        let later = self.current.get(&incarnation.name).filter(|born| **born > incarnation.born);
+        let successor =
+            later.map(|born| Incarnation { name: incarnation.name.clone(), born: *born });
         for (task, mut attempt) in instance.attempts {
             self.placed.remove(&task);
-            match (attempt.stage, &heir) {
+            match (attempt.stage, &successor) {
                 (Stage::Ending | Stage::Proposed, _) => {}
-                (Stage::Starting | Stage::Unanswered, Some(heir)) => {
+                (Stage::Starting | Stage::Unanswered, Some(successor)) => {
                     attempt.stage = Stage::Unanswered;
                     attempt.stop = true;
                     attempt.stop_sent = None;
                     attempt.settled = None;
-                    let instance = self.instances.entry(heir.clone());
+                    let instance = self.instances.entry(successor.clone());
                     instance.or_insert_with(|| Instance::new(None, now, now));
-                    self.put(heir, task, attempt);
+                    self.put(successor, task, attempt);
                 }
                 _ => {
                     let Attempt { number, checkpoint, .. } = attempt;
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -310,7 +310,7 @@
         let fits = |site: &Site| {
             room.fits(site.free)
                 && group.requirement.as_ref().is_none_or(|label| site.labels.contains(label))
-                && group.apart.is_none_or(|most| self.siblings(&site.incarnation, task) < most)
+                && group.apart.is_none_or(|most| self.beside(&site.incarnation, task) < most)
         };
         let score = |site: &Site| {
             // What stays is kept together, so that the other machines can be lent.
@@ -327,7 +327,7 @@
     }
 
     /// Tasks of the same round and group on an instance.
-    fn siblings(&self, incarnation: &Incarnation, task: Task) -> u16 {
+    fn beside(&self, incarnation: &Incarnation, task: Task) -> u16 {
         let Some(instance) = self.instances.get(incarnation) else { return 0 };
         let first = Task { index: 0, ..task };
         let last = Task { index: u16::MAX, ..task };
--- a/crates/job/src/upkeep.rs
+++ b/crates/job/src/upkeep.rs
@@ -7,7 +7,7 @@
     /// Between two looks at the waves.
     const MAINTAIN_INTERVAL: Duration = Duration::from_millis(60);
     /// Longest wait for the tasks on a machine to end by themselves.
-    const EMPTYING: Duration = Duration::from_millis(1500);
+    const EVACUATION: Duration = Duration::from_millis(1500);
 
     pub(crate) fn maintain(&mut self, now: Time, table: &Table) {
         if now < self.maintained + Self::MAINTAIN_INTERVAL {
@@ -17,7 +17,7 @@
         for instance in self.instances.values_mut() {
             let machine = instance.announcement.as_ref().map(|a| &a.machine);
             // A machine with an order under way is about to lose everything that runs there.
-            instance.emptying = machine.is_some_and(|machine| self.machines.is_ordered(machine));
+            instance.evacuating = machine.is_some_and(|machine| self.machines.is_ordered(machine));
         }
         if !self.machines.known {
             return;
@@ -60,12 +60,12 @@
         let next = instance.attempts.iter().find(|(task, attempt)| {
             let entry = table.jobs.get(&task.job);
             let Some(group) = entry.and_then(|entry| entry.group(**task)) else { return false };
-            let moves = group.lasting || now > attempt.started + Self::EMPTYING;
+            let moves = group.lasting || now > attempt.started + Self::EVACUATION;
             moves && !attempt.stop && self.may_stop(table, **task, group)
         });
         let next = next.map(|(task, _)| *task);
         let Some(instance) = self.instances.get_mut(&incarnation) else { return true };
-        instance.emptying = true;
+        instance.evacuating = true;
         if let Some(attempt) = next.and_then(|task| instance.attempts.get_mut(&task)) {
             attempt.stop = true;
         }
