--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -78,7 +78,10 @@
     let peers = shifted(settings.peers, gateway);
     let id: Name = peers.to_string().into();
     let seeds = settings.seeds.iter().map(|seed| peer_of(*seed, &settings)).collect();
-    let bounds = bounds(&settings.bounds);
+    let bounds = match settings.bounds.max_lease {
+        Duration::ZERO => job::Bounds::default(),
+        max_lease => job::Bounds { max_lease },
+    };
     let grace = match settings.bounds.stop_grace {
         Duration::ZERO => STOP_GRACE,
         limit => STOP_GRACE.min(limit.saturating_sub(STOP_RESERVE)),
@@ -147,18 +150,6 @@
     SocketAddr::new(seed.ip(), settings.peers.port()).to_string().into()
 }
 
-fn bounds(bounds: &settings::Bounds) -> job::Bounds {
-    job::Bounds {
-        max_lease: bounds.max_lease,
-        stop: bounds.stop,
-        notice: bounds.notice,
-        maintenance: bounds.maintenance,
-        migration: bounds.migration,
-        remote_permille: bounds.remote_permille,
-        early: bounds.early,
-    }
-}
-
 /// The loop that reduces events and carries out effects.
 struct Engine {
     state: State,
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -25,7 +25,7 @@
     let output = check(
         "[daemon]\nid = a\ndata-center = dc\ndata =\n[listen]\ncallers =\n\
          [peers]\naddress = 127.0.0.1\nport = 7000\nseeds = 127.0.0.1:1,127.0.0.2:1\n\
-         founding = true\n[machines]\naddress =\n[bounds]\nmigration-s = 1.5\n",
+         founding = true\n[machines]\naddress =\n[bounds]\nstop-grace-s = 1.5\n",
     );
     assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
 }
--- a/crates/settings/src/station.rs
+++ b/crates/settings/src/station.rs
@@ -34,18 +34,6 @@
 pub struct Bounds {
     /// Longest lease that an instance grants.
     pub max_lease: Duration,
-    /// How long an attempt may take to stop.
-    pub stop: Duration,
-    /// How long a lasting task may be interrupted before it counts as unavailable.
-    pub notice: Duration,
-    /// How long a machine is away for maintenance.
-    pub maintenance: Duration,
-    /// How long a machine is away for a move to another pool.
-    pub migration: Duration,
-    /// How early a round may start.
-    pub early: Duration,
-    /// How much longer a task takes away from its data, in thousandths.
-    pub remote_permille: u32,
     /// How long a daemon may take to stop.
     pub stop_grace: Duration,
 }
@@ -126,14 +114,7 @@
     fn read_bounds(&mut self, reader: &mut Reader) {
         let bounds = &mut self.bounds;
         bounds.max_lease = reader.milliseconds("max-lease-ms").unwrap_or_default();
-        bounds.stop = reader.milliseconds("stop-ms").unwrap_or_default();
-        bounds.notice = reader.milliseconds("notice-ms").unwrap_or_default();
-        bounds.early = reader.milliseconds("early-ms").unwrap_or_default();
-        bounds.maintenance = reader.seconds("maintenance-s").unwrap_or_default();
-        bounds.migration = reader.seconds("migration-s").unwrap_or_default();
         bounds.stop_grace = reader.seconds("stop-grace-s").unwrap_or_default();
-        let factor = reader.present::<f64>("remote-factor").unwrap_or(1.0);
-        bounds.remote_permille = (factor * 1000.0).round() as u32;
     }
 
     fn check(&self, document: &Document, findings: &mut Vec<Finding>) {
