Dead run times removed; one check for missing sections of the settings

The owner learned run times that nothing read. Both kinds of settings report sections that are missing by the same piece of code now.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -176,11 +176,7 @@
                 How::Failed => {
                     instance.failed_jobs.insert(task.job);
                 }
-                How::Done => {
-                    instance.failed_jobs.clear();
-                    let took = now.saturating_sub(attempt.started);
-                    self.timings.learn(table, task, took);
-                }
+                How::Done => instance.failed_jobs.clear(),
                 _ => {}
             }
             let checkpoint = end.checkpoint.or(attempt.checkpoint.take());
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -194,8 +194,7 @@
         table: &Table,
         config: &Config,
     ) -> BTreeMap<Name, Balance> {
-        let used: std::collections::BTreeSet<_> =
-            config.queues.values().map(|queue| queue.pool.clone()).collect();
+        let used: BTreeSet<_> = config.queues.values().map(|queue| queue.pool.clone()).collect();
         let pools = config.pools.iter().filter(|(name, pool)| !pool.spare && used.contains(*name));
         let mut pools: BTreeMap<Name, Balance> =
             pools.map(|(name, _)| (name.clone(), Balance::default())).collect();
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -44,7 +44,6 @@
     /// When the pools were last reported.
     pub(crate) reported: Time,
     pub(crate) machines: machines::Machines,
-    pub(crate) timings: planning::Timings,
 }
 
 /// A call that has no answer yet.
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -7,24 +7,6 @@
 use super::*;
 use owner::note;
 
-/// Run times that were seen, by queue and group.
-#[derive(Debug, Default)]
-pub(crate) struct Timings {
-    /// Mean over the last runs, by queue and position of the group.
-    means: BTreeMap<(Name, u16), Duration>,
-}
-
-impl Timings {
-    /// Weight of a new run against the mean so far.
-    const WEIGHT: u32 = 8;
-
-    pub(crate) fn learn(&mut self, table: &Table, task: Task, took: Duration) {
-        let Some(entry) = table.jobs.get(&task.job) else { return };
-        let mean = self.means.entry((entry.queue.clone(), task.group)).or_insert(took);
-        *mean = (*mean * (Self::WEIGHT - 1) + took) / Self::WEIGHT;
-    }
-}
-
 /// A group of tasks that may start now.
 #[derive(Debug)]
 pub(crate) struct Demand<'a> {
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -125,6 +125,7 @@
     }
 
     fn check(&self, document: &Document, findings: &mut Vec<Finding>) {
+        findings.extend(document.missing(&Self::REQUIRED, &self.seen));
         let mut report = |section: &str, key: Option<&str>, problem| {
             findings.push(Finding {
                 file: document.file.clone(),
@@ -134,11 +135,6 @@
                 problem,
             });
         };
-        for section in Self::REQUIRED {
-            if !self.seen.contains(&section) {
-                report(section, None, Problem::MissingSection);
-            }
-        }
         let open = self.operators.is_none()
             && self.listen.as_ref().is_some_and(|listen| !listen.operators.ip().is_loopback());
         if open {
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -54,6 +54,22 @@
         former.map(|line_before| self.finding(line, Some(key), Problem::DuplicateKey(line_before)))
     }
 
+    /// Findings for those of the `required` sections that were not `seen`.
+    pub(crate) fn missing<'a>(
+        &'a self,
+        required: &'a [&str],
+        seen: &'a [&str],
+    ) -> impl Iterator<Item = Finding> + 'a {
+        let missing = required.iter().filter(|kind| !seen.contains(kind));
+        missing.map(|kind| Finding {
+            file: self.file.clone(),
+            line: 0,
+            section: Some((*kind).into()),
+            key: None,
+            problem: Problem::MissingSection,
+        })
+    }
+
     fn finding(&self, line: u32, key: Option<&str>, problem: Problem) -> Finding {
         Finding {
             file: self.file.clone(),
--- a/crates/settings/src/station.rs
+++ b/crates/settings/src/station.rs
@@ -47,7 +47,7 @@
         for section in &document.sections {
             draft.read(section, Reader::new(&document, section, &mut findings));
         }
-        draft.check(&document, &mut findings);
+        findings.extend(document.missing(&Draft::REQUIRED, &draft.seen));
         Findings::none_or(findings, draft.finish())
     }
 }
@@ -117,18 +117,6 @@
         bounds.stop_grace = reader.seconds("stop-grace-s").unwrap_or_default();
     }
 
-    fn check(&self, document: &Document, findings: &mut Vec<Finding>) {
-        for section in Self::REQUIRED.into_iter().filter(|kind| !self.seen.contains(kind)) {
-            findings.push(Finding {
-                file: document.file.clone(),
-                line: 0,
-                section: Some(section.into()),
-                key: None,
-                problem: Problem::MissingSection,
-            });
-        }
-    }
-
     fn finish(self) -> Option<Station> {
         let port = self.port?;
         let peers = SocketAddr::new(self.address?, port);
