Admission: tasks run only where the policy of their queue lets them

Cause: a queue may have a policy that lets its tasks run on some instances only, and a start without a ticket is refused. Nothing asked for tickets, so such a queue would never have run anything.

Change: job::admission asks as soon as a job is accepted, in the order of planning, 30 instances a question, ahead for groups whose predecessors run. Questions are spread over the daemons that the leader hears, one for each machine. Orders to start carry the ticket; leave that runs out is asked for again. A pool all of whose instances are refused gets up to six machines.

Open: not measured against the platform's own service; real daemons ask it in no test yet.

--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -24,6 +24,13 @@
     },
     /// Call the platform.
     Machine { id: job::CallId, order: job::MachineOrder, epoch: job::Epoch },
+    /// Ask the policy of a queue.
+    Ask {
+        id: job::CallId,
+        question: job::Question,
+        /// Leader that it is asked for; `None` where this daemon is the leader.
+        leader: Option<Name>,
+    },
     /// A call to an instance was not sent, since another daemon may lead.
     Unsent { id: job::CallId },
     /// A call to the platform was not sent, since another daemon may lead.
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -31,6 +31,13 @@
         id: job::CallId,
         result: Result<job::MachineReply, job::Failure>,
     },
+    /// A question to the policy of a queue has ended.
+    Decided {
+        id: job::CallId,
+        result: job::Decided,
+        /// Leader that it was asked for; `None` where this daemon is the leader.
+        leader: Option<Name>,
+    },
     /// The data folder failed.
     DiskLost,
     /// The data folder was opened.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod effect;
 mod event;
 mod founding;
+mod helpers;
 mod http;
 mod journal;
 mod membership;
@@ -46,8 +47,8 @@
 pub use run::run;
 use {
     ask::Ask, asks::Asks, clock::Clock, effect::Effect, event::Event, founding::Founding,
-    membership::Membership, message::Message, metrics::Metrics, origin::Origin, state::State,
-    timer::Timer,
+    helpers::Helpers, membership::Membership, message::Message, metrics::Metrics, origin::Origin,
+    state::State, timer::Timer,
 };
 
 /// Number of a call that waits for an answer at an edge.
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -46,6 +46,20 @@
         /// Whether the sender leads for certain, and has a configuration.
         serves: bool,
     },
+    /// Asks the platform for the leader.
+    Question {
+        /// Number at the leader.
+        id: job::CallId,
+        /// What to ask.
+        question: job::Question,
+    },
+    /// Answers `Question`.
+    Decided {
+        /// Number at the leader.
+        id: job::CallId,
+        /// What it brought.
+        result: job::Decided,
+    },
     /// What an instance has said of itself, for voters that may lead later.
     Heard(job::Announcement),
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -124,6 +124,7 @@
         metrics: metrics.clone(),
         timers: ::timer::Queue::default(),
         outbound: Rc::default(),
+        admission: settings.admission.map(|address| address.to_string().into()),
         machines: settings.machines.map(|address| address.to_string().into()),
         holder: settings.id.clone(),
         events,
@@ -165,6 +166,7 @@
     metrics: Rc<Metrics>,
     timers: ::timer::Queue<Timer>,
     outbound: Rc<Outbound>,
+    admission: Option<Name>,
     machines: Option<Name>,
     holder: Name,
     events: mpsc::UnboundedSender<Event>,
@@ -324,6 +326,7 @@
                 });
             }
             Effect::Machine { id, order, epoch } => self.call_platform(id, order, epoch),
+            Effect::Ask { id, question, leader } => self.ask(id, &question, leader),
             Effect::Unsent { id } => {
                 let result = Err(job::Failure::Timeout);
                 self.events.send(Event::Answered { id, result }).ok();
@@ -357,6 +360,22 @@
         });
     }
 
+    fn ask(&self, id: job::CallId, question: &job::Question, leader: Option<Name>) {
+        let events = self.events.clone();
+        let Some(address) = self.admission.clone() else {
+            let result = Err(job::Failure::Broken);
+            events.send(Event::Decided { id, result, leader }).ok();
+            return;
+        };
+        let (outbound, timeout) = (self.outbound.clone(), question.timeout);
+        let outgoing = platform::question(question);
+        spawn_local(async move {
+            let answer = outbound.call(&address, outgoing, false, timeout).await;
+            let result = answer.and_then(|(status, body)| platform::decided(status, &body));
+            events.send(Event::Decided { id, result, leader }).ok();
+        });
+    }
+
     fn send(&mut self, to: &Name, message: &Message) {
         let Ok(address) = to.parse::<SocketAddr>() else { return };
         match wire::Codec::encode(message) {
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -260,6 +260,14 @@
                 job::Effect::Machine { id, order } if governs => {
                     effects.push(Effect::Machine { id, order, epoch });
                 }
+                job::Effect::Ask { id, question } => {
+                    effects.push(match self.helpers.choose(now, id, question.timeout) {
+                        Some(to) => {
+                            Effect::Send { to, message: Message::Question { id, question } }
+                        }
+                        None => Effect::Ask { id, question, leader: None },
+                    });
+                }
                 job::Effect::Call { id, .. } => effects.push(Effect::Unsent { id }),
                 job::Effect::Machine { id, .. } => effects.push(Effect::UnsentMachine { id }),
                 job::Effect::Note(note) => effects.push(Effect::Note(note)),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -20,6 +20,7 @@
     /// Entry with the owner's batch.
     pub(crate) batch: Option<Index>,
     pub(crate) asks: Asks,
+    pub(crate) helpers: Helpers,
     /// Who waits for an entry of the log.
     pub(crate) commits: BTreeMap<Index, Origin>,
     pub(crate) ready: bool,
@@ -62,6 +63,7 @@
             owns: None,
             batch: None,
             asks,
+            helpers: Helpers::default(),
             commits: BTreeMap::new(),
             ready: false,
             stopping: false,
@@ -101,6 +103,9 @@
             Event::MachineAnswered { id, result } => {
                 self.own(now, unix, job::Event::MachineAnswered { id, result }, &mut effects);
             }
+            Event::Decided { id, result, leader } => {
+                self.on_decided(now, unix, id, result, leader, &mut effects);
+            }
             Event::Timer(Timer::Disk) => effects.push(Effect::OpenDisk),
             Event::DiskLost => self.lose_disk(now, unix, &mut effects),
             Event::DiskFound { restored, boot } => {
@@ -177,6 +182,8 @@
         let serves = self.governs(now) && self.table.config.is_some();
         if serves {
             self.asks.served = Some(now);
+            let askers = self.helpers.count(now);
+            self.own(now, unix, job::Event::Askers(askers), effects);
         }
         let ready = self.asks.served.is_some_and(|at| now < at + READY) && !self.stopping;
         if ready != self.ready {
@@ -298,7 +305,14 @@
                     self.pursue(now, unix, ticket, effects);
                 }
             }
+            Message::Question { id, question } => {
+                effects.push(Effect::Ask { id, question, leader: Some(from) });
+            }
+            Message::Decided { id, result } => {
+                self.on_decided(now, unix, id, result, None, effects);
+            }
             Message::Ping => {
+                self.helpers.hear(now, &self.id, &from);
                 let members = match &self.quorum {
                     Some(q) => q.members().iter().map(|(name, _)| name.clone()).collect(),
                     None => self.asks.members.iter().cloned().collect(),
@@ -327,6 +341,23 @@
         }
     }
 
+    /// Takes the answer to a question, or passes it on to the leader that wanted it asked.
+    fn on_decided(
+        &mut self,
+        now: Time,
+        unix: job::Unix,
+        id: job::CallId,
+        result: job::Decided,
+        leader: Option<Name>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(to) = leader {
+            return effects.push(Effect::Send { to, message: Message::Decided { id, result } });
+        }
+        self.helpers.end(id);
+        self.own(now, unix, job::Event::Decided { id, result }, effects);
+    }
+
     pub(crate) fn leader(&self, now: Time) -> Option<Name> {
         match &self.quorum {
             Some(quorum) => quorum.leader().cloned(),
--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -121,6 +121,10 @@
                 instance.avoided_until = instance.avoided_until.max(now + Self::UNWELL);
                 "unwell"
             }
+            Ok(Reply::NoLeave { .. }) => {
+                self.policy.forget(task.cohort(), incarnation);
+                "no leave"
+            }
             Ok(Reply::Late { .. }) => "lease over",
             Ok(Reply::Old { .. }) => "attempt refused as old",
             Ok(Reply::Invalid) => "order refused as invalid",
@@ -238,6 +242,7 @@
             | Self::Report { clock, .. }
             | Self::Old { clock }
             | Self::Late { clock }
+            | Self::NoLeave { clock }
             | Self::Full { clock } => Some(*clock),
             _ => None,
         }
--- a/crates/job/src/effect.rs
+++ b/crates/job/src/effect.rs
@@ -25,6 +25,13 @@
         /// What to say.
         order: MachineOrder,
     },
+    /// Ask the platform on which instances tasks may run.
+    Ask {
+        /// Number of the question.
+        id: CallId,
+        /// What to ask.
+        question: Question,
+    },
     /// A line for whoever explains a failure.
     Note(Note),
 }
--- a/crates/job/src/entry.rs
+++ b/crates/job/src/entry.rs
@@ -9,7 +9,7 @@
     pub spec: Arc<Spec>,
     /// When it was accepted.
     pub accepted: Unix,
-    /// Longest chain of estimates through its groups.
+    /// Longest chain of estimates through its groups, with the delay of its queue's policy.
     pub chain: Duration,
     /// Where it stands.
     pub standing: Standing,
@@ -21,11 +21,11 @@
 }
 
 impl Entry {
-    pub(crate) fn new(queue: Name, spec: Spec, accepted: Unix) -> Self {
+    pub(crate) fn new(queue: Name, spec: Spec, delay: Duration, accepted: Unix) -> Self {
         let rounds = (0..spec.rounds()).map(|_| Round::new(&spec)).collect();
         Self {
             queue,
-            chain: spec.chain(),
+            chain: spec.chain(delay),
             spec: Arc::new(spec),
             accepted,
             standing: Standing::Queued,
--- a/crates/job/src/event.rs
+++ b/crates/job/src/event.rs
@@ -26,6 +26,15 @@
         /// What it brought.
         result: Result<MachineReply, Failure>,
     },
+    /// A question about leave has ended.
+    Decided {
+        /// Number of the question.
+        id: CallId,
+        /// What it brought.
+        result: Decided,
+    },
+    /// So many questions about leave may be under way at once.
+    Askers(usize),
     /// The batch proposed last is committed.
     Settled(Vec<Outcome>),
     /// Another command is committed.
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -57,6 +57,8 @@
 const PARK_AFTER: Duration = Duration::from_millis(1200);
 /// How long a machine is idle before it is lent.
 const LEND_AFTER: Duration = Duration::from_millis(100);
+/// Machines that a pool gets at most for tasks that the policy of their queue has refused all it has.
+const MACHINES_WHILE_REFUSED: u64 = 6;
 /// Moves under way at once.
 const MOVES_AT_ONCE: usize = 24;
 
@@ -297,6 +299,10 @@
             let permille = if recent { RESERVE_AFTER_TURN_PERMILLE } else { RESERVE_PERMILLE };
             pool.reserve = mean * permille / 1000;
             pool.least = u64::from(pool.apart) * machine;
+            if self.policy.has_refused(name) {
+                let most = MACHINES_WHILE_REFUSED * machine;
+                pool.least = pool.least.max((pool.capacity + machine).min(most));
+            }
         }
     }
 
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -17,12 +17,14 @@
     },
 };
 
+mod admission;
 mod announcement;
 mod answers;
 mod batch;
 mod bounds;
 mod call;
 mod claim;
+mod cohort;
 mod command;
 mod config;
 mod effect;
@@ -55,12 +57,19 @@
 mod upkeep;
 mod wave;
 
+use {
+    admission::Policy,
+    instance::{Attempt, Instance, Stage},
+    progress::Round,
+};
 pub use {
+    admission::{Admission, Decided, Leave, Question},
     announcement::{Announcement, Condition},
     batch::Batch,
     bounds::Bounds,
     call::{Answer, Call},
     claim::Claim,
+    cohort::Cohort,
     command::Command,
     config::{Config, Limits, Pool},
     effect::{Effect, Note},
@@ -85,10 +94,6 @@
     task::Task,
     wave::{Progress, Wave},
 };
-use {
-    instance::{Attempt, Instance, Stage},
-    progress::Round,
-};
 
 /// Identity of a job, chosen by its caller.
 pub type JobId = u64;
--- a/crates/job/src/order.rs
+++ b/crates/job/src/order.rs
@@ -13,6 +13,8 @@
         payload: Arc<str>,
         /// Until when everything on the instance may run.
         lease: Clock,
+        /// Leave to run there, where the queue's policy asks for it.
+        ticket: Option<Name>,
         /// Where to resume.
         checkpoint: Option<Arc<str>>,
     },
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -44,6 +44,8 @@
     /// When the pools were last reported.
     pub(crate) reported: Time,
     pub(crate) machines: machines::Machines,
+    /// On which instances the policies of queues let tasks run.
+    pub(crate) policy: Policy,
 }
 
 /// A call that has no answer yet.
@@ -113,6 +115,8 @@
                 self.on_committed(table, &outcomes);
             }
             Event::Committed(outcomes) => self.on_committed(table, &outcomes),
+            Event::Decided { id, result } => self.on_decided(now, id, result, &mut effects),
+            Event::Askers(askers) => self.on_askers(askers),
             Event::Tick => {
                 self.touched.extend(self.instances.keys().cloned());
                 self.lapse(now, &mut effects);
@@ -128,6 +132,7 @@
             self.stop_due(now, &touched, &mut effects);
             self.renew_due(now, table, touched, &mut effects);
             self.settle(now, unix, table, &mut effects);
+            self.seek_leave(now, unix, table, &mut effects);
         }
         effects
     }
@@ -187,6 +192,7 @@
         self.ends.clear();
         self.settling = false;
         self.machines = machines::Machines::default();
+        self.policy.resign();
     }
 
     fn on_announced(&mut self, now: Time, announcement: Announcement, effects: &mut Vec<Effect>) {
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -30,7 +30,7 @@
 
 /// Order in which groups get room; a lower one comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Key {
+pub(crate) struct Key {
     class: Class,
     priority: u8,
     begun: std::cmp::Reverse<bool>,
@@ -154,7 +154,7 @@
         demands
     }
 
-    fn key(
+    pub(crate) fn key(
         &self,
         unix: Unix,
         due: Unix,
@@ -245,8 +245,9 @@
             if slot.phase != Phase::Waiting || self.placed.contains_key(&task) {
                 continue;
             }
-            let Some(site) = self.choose(demand, group, task, rack.as_ref(), sites) else {
+            let Some(site) = self.choose(now, demand, group, task, rack.as_ref(), sites) else {
                 let free = group.apart.is_none() && group.data_rack.is_none();
+                let free = free && demand.queue.admission.is_none();
                 if free && group.requirement.is_none() && rack.is_none() {
                     misfits.push((&demand.queue.pool, room));
                 }
@@ -279,6 +280,7 @@
     /// The fullest site that fits, near the data while there is time to wait for it.
     fn choose(
         &self,
+        now: Time,
         demand: &Demand,
         group: &Group,
         task: Task,
@@ -289,8 +291,13 @@
         let wanted = rack.or(group.data_rack.as_ref());
         let strict = rack.is_some() || demand.key.class == Class::InTime;
         let near = |site: &Site| wanted.is_none() || site.rack() == wanted;
+        let has_leave = |site: &Site| {
+            demand.queue.admission.is_none()
+                || self.policy.ticket(now, task.cohort(), &site.incarnation).is_some()
+        };
         let fits = |site: &Site| {
             room.fits(site.free)
+                && has_leave(site)
                 && group.requirement.as_ref().is_none_or(|label| site.labels.contains(label))
                 && group.apart.is_none_or(|most| self.beside(&site.incarnation, task) < most)
         };
@@ -302,7 +309,7 @@
         };
         let candidates = sites.iter().enumerate().filter(|(_, site)| fits(site));
         let (best, site) = candidates.max_by_key(|(_, site)| score(site))?;
-        if !near(site) && strict && sites.iter().any(near) {
+        if !near(site) && strict && sites.iter().any(|site| near(site) && has_leave(site)) {
             return None;
         }
         Some(best)
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -28,6 +28,11 @@
         group.after.iter().all(|after| self.open[usize::from(*after)] == 0)
     }
 
+    /// Whether every task of what `group` comes after has begun at least.
+    pub(crate) fn is_nearly_unblocked(&self, group: &Group) -> bool {
+        group.after.iter().all(|after| self.waiting[usize::from(*after)] == 0)
+    }
+
     /// Work of the tasks that could start, in thousandths of a processor times milliseconds; lasting ones
     /// count as a second of work, and those that fit no machine of the `largest` size as nothing.
     pub(crate) fn waiting_work(&self, spec: &Spec, largest: Resources) -> u64 {
--- a/crates/job/src/queue.rs
+++ b/crates/job/src/queue.rs
@@ -19,6 +19,8 @@
     pub stretch_permille: u32,
     /// How much longer still.
     pub slack: Duration,
+    /// How its policy is asked on which instances a group may run; `None` where it may on any.
+    pub admission: Option<Admission>,
 }
 
 impl Queue {
--- a/crates/job/src/reply.rs
+++ b/crates/job/src/reply.rs
@@ -36,6 +36,11 @@
         /// Its clock.
         clock: Clock,
     },
+    /// The ticket is missing or holds no more.
+    NoLeave {
+        /// Its clock.
+        clock: Clock,
+    },
     /// It is unwell and has done nothing.
     Unwell,
     /// Another life, or another instance, has this address.
@@ -76,7 +81,7 @@
 }
 
 /// Why no answer came; the call may still be carried out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 pub enum Failure {
     /// No answer in time.
     #[display("no answer in time")]
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -64,7 +64,9 @@
         }
         let checkpoint = entry.slot(task).and_then(|slot| slot.checkpoint.clone());
         let payload = entry.spec.payload.clone();
-        let order = Order::Start { task, number, payload, lease: instance.lease, checkpoint };
+        let lease = instance.lease;
+        let ticket = self.policy.ticket(now, task.cohort(), incarnation).cloned();
+        let order = Order::Start { task, number, payload, lease, ticket, checkpoint };
         self.call(incarnation, Pending::Start(task, number), order, Self::ANSWER, effects);
     }
 
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -32,12 +32,12 @@
         self.groups.iter().any(|group| group.lasting)
     }
 
-    /// Longest chain of estimates through the groups.
-    pub fn chain(&self) -> Duration {
+    /// Longest chain of estimates through the groups, each of them after a delay.
+    pub fn chain(&self, delay: Duration) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.groups.len());
         for group in &self.groups {
             let before = group.after.iter().filter_map(|i| ends.get(usize::from(*i))).max();
-            ends.push(before.copied().unwrap_or_default() + group.estimate);
+            ends.push(before.copied().unwrap_or_default() + delay + group.estimate);
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -56,8 +56,11 @@
 
     fn submit(&mut self, id: JobId, queue: Name, spec: Spec, at: Unix) -> Vec<Outcome> {
         self.forget(at);
+        let config = self.config.as_ref();
+        let admission = config.and_then(|config| config.queue(&queue)?.admission);
+        let delay = admission.map_or(Duration::ZERO, |admission| admission.delay());
         if let std::collections::btree_map::Entry::Vacant(vacant) = self.jobs.entry(id) {
-            vacant.insert(Entry::new(queue, spec, at));
+            vacant.insert(Entry::new(queue, spec, delay, at));
             self.live.insert(id);
         }
         vec![Outcome::Accepted(id)]
--- a/crates/job/src/task.rs
+++ b/crates/job/src/task.rs
@@ -15,3 +15,11 @@
     /// Number within the group.
     pub index: u16,
 }
+
+impl Task {
+    /// The tasks among which it is.
+    pub fn cohort(self) -> Cohort {
+        let Self { job, round, group, .. } = self;
+        Cohort { job, round, group }
+    }
+}
--- a/crates/job/tests/fuzz.rs
+++ b/crates/job/tests/fuzz.rs
@@ -9,7 +9,11 @@
 const SEEDS: u64 = 40;
 
 fn play(seed: u64) {
-    let mut world = World::new(seed, config(&["a", "b"]));
+    let mut config = config(&["a", "b"]);
+    if seed % 2 == 1 {
+        config.queues.get_mut("b").expect("a queue").admission = Some(ADMISSION);
+    }
+    let mut world = World::new(seed, config);
     for i in 0..8 {
         let pool = if i % 2 == 0 { "a" } else { "b" };
         world.add_machine(&format!("m{i}"), pool, &format!("r{}", i % 3), 16_000);
--- a/crates/job/tests/load.rs
+++ b/crates/job/tests/load.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use {job::*, rand::Rng, world::*};
+use {job::*, rand::Rng, std::time::Duration, world::*};
 
 const QUEUES: [&str; 4] = ["a", "b", "c", "d"];
 const MACHINES_PER_POOL: usize = 10;
@@ -74,8 +74,10 @@
     fn in_time(&self, queue: &str) -> f64 {
         let of_queue: Vec<_> = self.jobs.iter().filter(|(_, name, _)| *name == queue).collect();
         let config = self.world.table.config.as_ref().expect("the world has a configuration");
-        let objective =
-            config.queue(queue).expect("the queue is configured").objective(shape(queue).1.chain());
+        let objective = config
+            .queue(queue)
+            .expect("the queue is configured")
+            .objective(shape(queue).1.chain(Duration::ZERO));
         let in_time = of_queue.iter().filter(|(id, _, at)| {
             let over = self.world.over.get(id);
             over.is_some_and(|over| over - at <= objective.as_millis() as u64)
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -38,6 +38,7 @@
     Machine { owner: Epoch, id: CallId },
     MachineAnswer { owner: Epoch, id: CallId },
     Joins { machine: Name },
+    Decide { owner: Epoch, id: CallId },
 }
 
 #[derive(Debug, Clone)]
@@ -86,6 +87,13 @@
     machine_answers: BTreeMap<CallId, Result<MachineReply, Failure>>,
     /// The order carried out last on each machine.
     carried_out: BTreeMap<Name, MachineOrder>,
+    questions: BTreeMap<CallId, Question>,
+    /// When the policy of queues takes its next question.
+    admission_free_at: u64,
+    /// Until when each ticket holds.
+    tickets: BTreeMap<Name, u64>,
+    /// Orders to start that were refused for want of a ticket.
+    pub refused_tickets: usize,
     /// Tasks whose end as done was acknowledged.
     done: BTreeSet<Task>,
 }
@@ -113,10 +121,15 @@
             machine_calls: BTreeMap::new(),
             machine_answers: BTreeMap::new(),
             carried_out: BTreeMap::new(),
+            questions: BTreeMap::new(),
+            admission_free_at: 0,
+            tickets: BTreeMap::new(),
+            refused_tickets: 0,
             done: BTreeSet::new(),
         };
         world.table.apply(Command::Configure(config));
         world.step(Event::Lead { epoch: 1 });
+        world.step(Event::Askers(1));
         world.schedule(TICK_MS, Happening::Tick);
         world
     }
@@ -247,6 +260,7 @@
         self.machine_calls.clear();
         self.machine_answers.clear();
         self.step(Event::Lead { epoch: self.epoch });
+        self.step(Event::Askers(1));
         let lives: Vec<_> = self.instances.keys().cloned().collect();
         for incarnation in lives {
             self.announce(&incarnation);
@@ -317,6 +331,7 @@
                 }
             }
             Happening::Joins { machine } => self.join(&machine),
+            Happening::Decide { owner, id } => self.decide(owner, id),
         }
     }
 
@@ -429,6 +444,14 @@
                     let owner = self.epoch;
                     self.schedule(TRAVEL_MS, Happening::Machine { owner, id });
                 }
+                Effect::Ask { id, question } => {
+                    let at = self.admission_free_at.max(self.now);
+                    let took = ADMISSION.duration(question.instances.len()).as_millis() as u64;
+                    self.admission_free_at = at + took;
+                    let (after, owner) = (at + took - self.now, self.epoch);
+                    self.questions.insert(id, question);
+                    self.schedule(after, Happening::Decide { owner, id });
+                }
                 Effect::Note(note) => self.notes.push(note),
             }
         }
@@ -542,7 +565,14 @@
                 }
                 Reply::Done { clock: instance.clock(now) }
             }
-            Order::Start { task, number, lease, .. } => self.start(&life, task, number, lease),
+            Order::Start { task, number, lease, ticket, .. } => {
+                if self.has_leave(&life, task, &ticket) {
+                    self.start(&life, task, number, lease)
+                } else {
+                    self.refused_tickets += 1;
+                    Reply::NoLeave { clock: self.instances[&life].clock(now) }
+                }
+            }
             Order::Throttle { .. } => Reply::Done { clock: instance.clock(now) },
         };
         self.answer(call, reply);
@@ -575,6 +605,38 @@
         Reply::Done { clock: now }
     }
 
+    /// The policy lets tasks run on two of three machines.
+    pub fn allows(name: &Name) -> bool {
+        name.bytes().map(u64::from).sum::<u64>() % 3 > 0
+    }
+
+    fn decide(&mut self, owner: Epoch, id: CallId) {
+        let Some(question) = self.questions.remove(&id).filter(|_| owner == self.epoch) else {
+            return;
+        };
+        if self.chance(self.trouble.answer_lost) {
+            return self.step(Event::Decided { id, result: Err(Failure::Timeout) });
+        }
+        let until = self.now + ADMISSION.validity.as_millis() as u64;
+        let mut leaves = Vec::new();
+        for name in question.instances.iter().filter(|name| Self::allows(name)) {
+            let ticket: Name = format!("{}/{name}", question.cohort).into();
+            self.tickets.insert(ticket.clone(), until);
+            leaves.push((name.clone(), ticket));
+        }
+        self.step(Event::Decided { id, result: Ok(leaves) });
+    }
+
+    fn has_leave(&self, life: &Incarnation, task: Task, ticket: &Option<Name>) -> bool {
+        let config = self.table.config.as_ref().expect("the world has a configuration");
+        let queue = config.queue(&self.table.jobs[&task.job].queue).expect("a queue");
+        let wanted: Name = format!("{}/{}", task.cohort(), life.name).into();
+        let holds = |ticket: &Name| {
+            *ticket == wanted && self.tickets.get(ticket).is_some_and(|until| self.now < *until)
+        };
+        queue.admission.is_none() || ticket.as_ref().is_some_and(holds)
+    }
+
     /// What must hold whenever a task starts.
     fn check_start(&self, life: &Incarnation, task: Task, group: &Group) {
         let entry = &self.table.jobs[&task.job];
@@ -623,6 +685,13 @@
     }
 }
 
+/// How the policy of queues is asked, where it is.
+pub const ADMISSION: Admission = Admission {
+    decision: Duration::from_millis(20),
+    per_instance: Duration::from_millis(2),
+    validity: Duration::from_millis(2500),
+};
+
 /// Longest lease that an instance grants.
 const MAX_LEASE_MS: u64 = 6000;
 
@@ -637,6 +706,7 @@
         max_attempts: 4,
         stretch_permille: 1600,
         slack: Duration::from_millis(600),
+        admission: None,
     };
     let pool = |name: &&str| ((*name).into(), Pool { checks_room: true, spare: *name == "spare" });
     Config {
--- a/crates/model/src/resources.rs
+++ b/crates/model/src/resources.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// How many times `part` fits into this amount.
+    pub fn holds(self, part: Self) -> u64 {
+        let times = |whole: u64, part: u64| whole.checked_div(part).unwrap_or(u64::MAX);
+        times(self.millicores, part.millicores)
+            .min(times(self.memory_mb, part.memory_mb))
+            .min(times(self.accelerators, part.accelerators))
+    }
+
     /// The greater of each.
     pub fn max(self, other: Self) -> Self {
         Self {
--- a/crates/settings/src/station.rs
+++ b/crates/settings/src/station.rs
@@ -25,6 +25,8 @@
     pub founding: bool,
     /// Where machines are moved and maintained.
     pub machines: Option<SocketAddr>,
+    /// Where the policies of queues are asked.
+    pub admission: Option<SocketAddr>,
     /// What the platform promises.
     pub bounds: Bounds,
 }
@@ -67,6 +69,7 @@
     seeds: Vec<SocketAddr>,
     founding: bool,
     machines: Option<SocketAddr>,
+    admission: Option<SocketAddr>,
     bounds: Bounds,
     seen: Vec<&'static str>,
 }
@@ -80,6 +83,7 @@
             "listen" => self.read_listen(&mut reader),
             "peers" => self.read_peers(&mut reader),
             "machines" => self.machines = reader.present("address"),
+            "admission" => self.admission = reader.present("address"),
             "bounds" => self.read_bounds(&mut reader),
             _ => return reader.unknown(),
         }
@@ -132,6 +136,7 @@
             seeds: self.seeds,
             founding: self.founding,
             machines: self.machines,
+            admission: self.admission,
             bounds: self.bounds,
         })
     }
