A leader sends what a member missed once, and little waits for a peer that stands still

A member that stands still for seconds, and misses one message, refuses every later one that was on its way. Each refusal made the leader go back and send up to 256 KiB of its log again; 300 entries of 4 KiB became 19,373. The outbox of the mesh was bounded by frames, 4,096, not by bytes.

Change: refusals of what was sent before the leader last went back bring nothing; at most 4 MiB wait for a peer, and what is dropped is counted (frames_dropped).

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -54,6 +54,7 @@
     orders: Family<Kind, Counter>,
     unanswered: Family<Kind, Counter>,
     job_seconds: Family<InQueue, Histogram>,
+    frames_dropped: Counter,
     ready: Gauge,
     leads: Gauge,
     queues: RefCell<BTreeSet<Name>>,
@@ -74,6 +75,7 @@
             orders: Family::default(),
             unanswered: Family::default(),
             job_seconds: Family::new_with_constructor(histogram as fn() -> Histogram),
+            frames_dropped: Counter::default(),
             ready: Gauge::default(),
             leads: Gauge::default(),
             queues: RefCell::default(),
@@ -89,6 +91,8 @@
         registry.register("orders_unanswered", help, metrics.unanswered.clone());
         let help = "Seconds from hand-in to the end of a job";
         registry.register("job_seconds", help, metrics.job_seconds.clone());
+        let help = "Messages to daemons that did not keep up";
+        registry.register("frames_dropped", help, metrics.frames_dropped.clone());
         registry.register("ready", "Whether callers should come here", metrics.ready.clone());
         registry.register("leads", "Whether this daemon leads", metrics.leads.clone());
         Self { registry, ..metrics }
@@ -137,6 +141,10 @@
         self.job_seconds.get_or_create(&labels).observe(took.as_secs_f64());
     }
 
+    pub(crate) fn dropped_frame(&self) {
+        self.frames_dropped.inc();
+    }
+
     pub(crate) fn set_ready(&self, ready: bool) {
         self.ready.set(ready.into());
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -379,7 +379,11 @@
     fn send(&mut self, to: &Name, message: &Message) {
         let Ok(address) = to.parse::<SocketAddr>() else { return };
         match wire::Codec::encode(message) {
-            Ok(body) => self.mesh.send(address, body),
+            Ok(body) => {
+                if !self.mesh.send(address, body) {
+                    self.metrics.dropped_frame();
+                }
+            }
             Err(error) => self.note("message-not-sent", to, &error.to_string()),
         }
     }
--- a/crates/quorum/src/leading.rs
+++ b/crates/quorum/src/leading.rs
@@ -127,10 +127,13 @@
         if matched {
             peer.matched = peer.matched.max(index.min(last));
             peer.next = peer.next.max(peer.matched + 1);
-        } else {
+        } else if sent >= peer.went_back {
             peer.matched = peer.matched.min(index);
             peer.next = index.min(last) + 1;
+            peer.went_back = now;
         }
+        // Whatever else was on its way when the member missed something is refused as well. What it
+        // lacks is sent again only once, or each refusal would bring the whole rest of the log.
         let behind = peer.next <= last;
         self.commit_majority(now, effects);
         self.advance_forced(now);
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -13,6 +13,8 @@
     pub applied: Index,
     /// When the leader last sent a message.
     pub sent: Time,
+    /// When the leader last went back to what the member lacks.
+    pub went_back: Time,
     /// When the leader sent the last message that was answered.
     pub answered: Option<Time>,
     /// Member's clock in its last answer.
@@ -32,6 +34,7 @@
             next,
             applied: 0,
             sent: Time::ZERO,
+            went_back: Time::ZERO,
             answered: None,
             stamp: None,
             granted_until,
--- /dev/null
+++ b/crates/quorum/tests/replication.rs
@@ -0,0 +1,77 @@
+//! What a leader sends again to a member that has missed something.
+
+use {
+    model::Name,
+    quorum::{Effect, Event, Message, Restored, Role, State, Timer},
+    std::{collections::VecDeque, time::Duration},
+};
+
+fn member(id: &str) -> State {
+    let members = ["a", "b"].map(|name| (Name::from(name), Role::Voter)).into();
+    let disk = Some(id.len() as u64 + 1);
+    let restored = Restored { disk, ..Restored::default() };
+    State::new(id.into(), members, restored, 1)
+}
+
+/// Messages among effects; what is to be durable is durable at once.
+fn carry_out(state: &mut State, now: Duration, effects: Vec<Effect>, out: &mut VecDeque<Message>) {
+    for effect in effects {
+        match effect {
+            Effect::Send { message, .. } => out.push_back(message),
+            Effect::Persist(quorum::Record::Entries { first, entries }) => {
+                let Some(last) = entries.last() else { continue };
+                let index = first + entries.len() as u64 - 1;
+                let synced = Event::Synced { term: last.term, index };
+                let effects = state.reduce(now, synced);
+                carry_out(state, now, effects, out);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn step(state: &mut State, now: Duration, event: Event) -> VecDeque<Message> {
+    let mut out = VecDeque::new();
+    let effects = state.reduce(now, event);
+    carry_out(state, now, effects, &mut out);
+    out
+}
+
+/// Passes messages to and fro until there are none left.
+fn exchange(a: &mut State, b: &mut State, now: Duration, mut to_b: VecDeque<Message>) -> usize {
+    let mut entries = 0;
+    while let Some(message) = to_b.pop_front() {
+        if let Message::Append { entries: sent, .. } = &message {
+            entries += sent.len();
+        }
+        for message in step(b, now, Event::Message { from: "a".into(), message }) {
+            to_b.extend(step(a, now, Event::Message { from: "b".into(), message }));
+        }
+    }
+    entries
+}
+
+const COMMANDS: usize = 300;
+
+#[test]
+fn what_a_member_missed_is_sent_again_once_however_much_was_on_its_way() {
+    let second = Duration::from_secs(1);
+    let (mut a, mut b) = (member("a"), member("b"));
+    a.reduce(Duration::ZERO, Event::Start);
+    b.reduce(Duration::ZERO, Event::Start);
+    let asked = step(&mut a, 5 * second, Event::Timer(Timer::Election));
+    exchange(&mut a, &mut b, 5 * second, asked);
+    assert!(a.leads());
+
+    // The member stands still: everything waits, and the first message is lost.
+    let mut waiting = VecDeque::new();
+    for i in 0..COMMANDS {
+        let now = 6 * second + Duration::from_millis(10 * i as u64);
+        waiting.extend(step(&mut a, now, Event::Propose(vec![0; 4096])));
+    }
+    waiting.pop_front();
+    let sent = exchange(&mut a, &mut b, 10 * second, waiting);
+    assert!(sent <= 3 * COMMANDS, "{sent} entries were sent for {COMMANDS}");
+    let last = a.last_index();
+    assert_eq!(b.last_index(), last);
+}
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -6,13 +6,19 @@
         crypto::{CryptoProvider, verify_tls12_signature, verify_tls13_signature},
         pki_types::UnixTime,
     },
-    std::{cell::RefCell, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
     tokio::task::spawn_local,
 };
 
 /// Frames that may wait for one peer.
 const OUTBOX_FRAMES: usize = 4096;
 
+/// Bytes that may wait for one peer: a second of the busiest link of a leader, small against its memory.
+const OUTBOX_BYTES: usize = 4 * 1024 * 1024;
+
 /// Time within which a connection must stand.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -34,11 +40,50 @@
 }
 
 struct Peer {
-    outbox: mpsc::Sender<Vec<u8>>,
+    outbox: Outbox,
     /// Connection in use; the dialler's own has none until it stands.
     connection: Option<usize>,
 }
 
+/// Frames on their way to one peer.
+#[derive(Clone)]
+struct Outbox {
+    frames: mpsc::Sender<Vec<u8>>,
+    /// Bytes of the frames that wait.
+    bytes: Rc<Cell<usize>>,
+}
+
+/// The other end of an [`Outbox`].
+struct Waiting {
+    frames: mpsc::Receiver<Vec<u8>>,
+    bytes: Rc<Cell<usize>>,
+}
+
+impl Outbox {
+    fn new() -> (Self, Waiting) {
+        let (sender, receiver) = mpsc::channel(OUTBOX_FRAMES);
+        let bytes = Rc::<Cell<usize>>::default();
+        (Self { frames: sender, bytes: bytes.clone() }, Waiting { frames: receiver, bytes })
+    }
+
+    fn put(&self, body: Vec<u8>) -> bool {
+        let bytes = self.bytes.get() + body.len();
+        let fits = bytes <= OUTBOX_BYTES && self.frames.try_send(body).is_ok();
+        if fits {
+            self.bytes.set(bytes);
+        }
+        fits
+    }
+}
+
+impl Waiting {
+    async fn take(&mut self) -> Option<Vec<u8>> {
+        let body = self.frames.recv().await?;
+        self.bytes.set(self.bytes.get() - body.len());
+        Some(body)
+    }
+}
+
 impl Mesh {
     /// Listens on `address`, and hands every frame received to `inbox`.
     pub fn start(
@@ -54,21 +99,22 @@
         Ok(mesh)
     }
 
-    /// Sends `body` to `to`; drops it where the peer cannot keep up.
-    pub fn send(self: &Rc<Self>, to: SocketAddr, body: Vec<u8>) {
+    /// Sends `body` to `to`; drops it, and returns false, where the peer cannot keep up.
+    pub fn send(self: &Rc<Self>, to: SocketAddr, body: Vec<u8>) -> bool {
         let known = self.peers.borrow().get(&to).map(|peer| peer.outbox.clone());
-        let outbox = known.filter(|outbox| !outbox.is_closed()).unwrap_or_else(|| self.dial(to));
-        outbox.try_send(body).ok();
+        let outbox =
+            known.filter(|outbox| !outbox.frames.is_closed()).unwrap_or_else(|| self.dial(to));
+        outbox.put(body)
     }
 
-    fn dial(self: &Rc<Self>, to: SocketAddr) -> mpsc::Sender<Vec<u8>> {
-        let (outbox, waiting) = mpsc::channel(OUTBOX_FRAMES);
+    fn dial(self: &Rc<Self>, to: SocketAddr) -> Outbox {
+        let (outbox, waiting) = Outbox::new();
         self.peers.borrow_mut().insert(to, Peer { outbox: outbox.clone(), connection: None });
         spawn_local(self.clone().connect(to, waiting));
         outbox
     }
 
-    async fn connect(self: Rc<Self>, to: SocketAddr, waiting: mpsc::Receiver<Vec<u8>>) {
+    async fn connect(self: Rc<Self>, to: SocketAddr, waiting: Waiting) {
         let Ok(connecting) = self.endpoint.connect(to, PEER) else { return };
         if let Ok(Ok(connection)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             if let Some(peer) =
@@ -86,7 +132,7 @@
             let mesh = self.clone();
             spawn_local(async move {
                 let Ok(connection) = incoming.await else { return };
-                let (outbox, waiting) = mpsc::channel(OUTBOX_FRAMES);
+                let (outbox, waiting) = Outbox::new();
                 let id = Some(connection.stable_id());
                 let peer = Peer { outbox, connection: id };
                 mesh.peers.borrow_mut().insert(connection.remote_address(), peer);
@@ -117,11 +163,11 @@
 const PEER: &str = "sardinevalve";
 
 /// Sends what waits over one stream, until the connection fails.
-async fn pump(connection: quinn::Connection, mut waiting: mpsc::Receiver<Vec<u8>>) {
+async fn pump(connection: quinn::Connection, mut waiting: Waiting) {
     let Ok(mut stream) = connection.open_uni().await else { return };
     loop {
         let body = tokio::select! {
-            body = waiting.recv() => body,
+            body = waiting.take() => body,
             _ = connection.closed() => return,
         };
         let Some(body) = body else { break };
