--- /dev/null
+++ b/crates/job/tests/heavy_day.rs
@@ -0,0 +1,52 @@
+//! Heavy days of two deployments. `JOB_DAYS=N cargo test -p job --test heavy_day -- --nocapture` plays N
+//! seeds of each and prints what callers get and what it costs.
+
+mod world;
+
+use world::day::{Day, Site};
+
+/// Seeds of each deployment that CI plays.
+const SEEDS: u64 = 2;
+
+fn play(site: &Site) -> Vec<Day> {
+    let seeds = std::env::var("JOB_DAYS").ok().and_then(|seeds| seeds.parse().ok());
+    let days: Vec<_> =
+        (1..=seeds.unwrap_or(SEEDS)).map(|seed| Day::play(seed, site.clone())).collect();
+    let mean = |value: fn(&Day) -> f64| days.iter().map(value).sum::<f64>() / days.len() as f64;
+    for day in &days {
+        println!("{}", day.summary());
+    }
+    println!(
+        "{} cores a machine: credit {:.3}, in pools {:.3}, price {:.3}, net {:.3}",
+        site.machine_millicores / 1000,
+        mean(Day::credit_of_all),
+        mean(Day::in_pools),
+        mean(Day::price),
+        mean(|day| day.credit_of_all() - day.price())
+    );
+    days
+}
+
+/// Least share of the worth of all jobs that callers get in time.
+const LEAST_CREDIT: f64 = 0.85;
+
+fn check(site: &Site) {
+    for (seed, day) in play(site).iter().enumerate() {
+        let credit = day.credit_of_all();
+        assert!(credit >= LEAST_CREDIT, "seed {}: {}", seed + 1, day.summary());
+        assert!(day.world.table.live.len() <= LASTING, "seed {}: jobs are left over", seed + 1);
+    }
+}
+
+/// Lasting jobs, which never end.
+const LASTING: usize = 12;
+
+#[test]
+fn most_of_what_a_turn_asks_is_done_in_time_on_small_machines() {
+    check(&Site::small_machines());
+}
+
+#[test]
+fn most_of_what_a_turn_asks_is_done_in_time_on_large_machines() {
+    check(&Site::large_machines());
+}
--- a/crates/job/tests/world/instance.rs
+++ b/crates/job/tests/world/instance.rs
@@ -25,6 +25,7 @@
 pub struct Run {
     pub number: Number,
     pub room: Resources,
+    pub since: u64,
     /// When it ends by itself; never for a lasting task.
     pub until: Option<u64>,
     pub stopping: Option<u64>,
@@ -56,7 +57,9 @@
             task: *task,
             number: run.number,
             checkpoint: None,
-            percent: 100,
+            percent: run.until.map_or(100, |until| {
+                ((now - run.since) * 100 / (until - run.since).max(1)).min(100) as u8
+            }),
             gauge: 0,
         });
         Reply::Report {
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
+pub mod day;
 mod instance;
 
 pub use instance::{Instance, Run};
@@ -94,6 +95,8 @@
     tickets: BTreeMap<Name, u64>,
     /// Orders to start that were refused for want of a ticket.
     pub refused_tickets: usize,
+    /// How long the tasks of a group really take, where that is not what was declared.
+    pub lengths: BTreeMap<Cohort, u64>,
     /// Tasks whose end as done was acknowledged.
     done: BTreeSet<Task>,
 }
@@ -125,6 +128,7 @@
             admission_free_at: 0,
             tickets: BTreeMap::new(),
             refused_tickets: 0,
+            lengths: BTreeMap::new(),
             done: BTreeSet::new(),
         };
         world.table.apply(Command::Configure(config));
@@ -598,8 +602,10 @@
         }
         self.check_start(life, task, &group);
         let instance = self.instances.get_mut(life).expect("the instance is in the world");
-        let until = (!group.lasting).then(|| at + group.estimate.as_millis() as u64);
-        let run = Run { number, room: group.room(), until, stopping: None };
+        let length = self.lengths.get(&task.cohort()).copied();
+        let length = length.unwrap_or(group.estimate.as_millis() as u64);
+        let until = (!group.lasting).then_some(at + length);
+        let run = Run { number, room: group.room(), since: at, until, stopping: None };
         instance.running.insert(task, run);
         self.starts.push((at, task, number, life.clone()));
         Reply::Done { clock: now }
