A leader that is told to stop hands over to a voter with all of its log

Change: quorum::Event::Yield. The leader ceases to lead, then tells the voter that was heard last of those with all of its log, which stands at once; the others grant their vote though they heard the leader a moment ago. The daemon yields whenever it leads after it was told to stop.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -432,6 +432,10 @@
 
     /// Tells the owner when it begins and ends to lead, and whoever waits when it ends.
     fn look_at_leadership(&mut self, now: Time, unix: job::Unix, effects: &mut Vec<Effect>) {
+        if self.stopping && self.quorum.as_ref().is_some_and(|quorum| quorum.leads()) {
+            // A successor at once, in place of an election once the others miss this leader.
+            self.agree(now, unix, quorum::Event::Yield, effects);
+        }
         let quorum = self.quorum.as_ref();
         let leads = quorum.is_some_and(|quorum| quorum.leads());
         let governs = quorum.is_some_and(|quorum| quorum.governs(now));
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -1,7 +1,19 @@
-//! How a voter is elected: first it asks whether it would be, then to be.
+//! How a voter is elected: first it asks whether it would be, then to be. A leader that has yielded to it
+//! saves the first question, and the time until the others take the leader for lost.
 
 use super::*;
 
+/// What a voter asks others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Canvass {
+    /// Whether they would vote for it.
+    Pre,
+    /// To vote for it.
+    Vote,
+    /// To vote for it at once, since the leader has yielded to it.
+    Yielded,
+}
+
 impl State {
     pub(crate) fn on_election(&mut self, now: Time, effects: &mut Vec<Effect>) {
         if self.leads() || !self.stands() {
@@ -9,23 +21,47 @@
         }
         self.leader = None;
         self.standing = Standing::Asking { votes: self.own_vote() };
-        self.ask(true, self.term + 1, effects);
+        self.ask(self.term + 1, Canvass::Pre, effects);
         self.await_leader(effects);
         self.count_votes(now, effects);
     }
 
-    pub(crate) fn ask(&self, pre: bool, term: Term, effects: &mut Vec<Effect>) {
+    fn ask(&self, term: Term, canvass: Canvass, effects: &mut Vec<Effect>) {
+        let (pre, yielded) = (canvass == Canvass::Pre, canvass == Canvass::Yielded);
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for to in self.voters_besides() {
-            let message = Message::Ask { term, pre, last_index, last_term };
+            let message = Message::Ask { term, pre, yielded, last_index, last_term };
             effects.push(Effect::Send { to, message });
         }
     }
 
+    /// Leads no longer, and lets the voter be elected that was heard last of those with all of the log.
+    pub(crate) fn on_yield(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Standing::Leader { progress, .. } = &self.standing else { return };
+        let last = self.log.last_index();
+        let ready = progress.iter().filter(|(name, peer)| {
+            self.members.counts(name, peer.disk) && peer.matched == last && self.synced == last
+        });
+        let heard = ready.max_by_key(|(_, peer)| peer.answered);
+        let Some(to) = heard.map(|(name, _)| name.clone()) else { return };
+        // Leading ends before the message goes, so that no lease of this leader outlives it.
+        self.step_down(None, effects);
+        self.heard = now;
+        let message = Message::Yield { term: self.term };
+        effects.push(Effect::Send { to, message });
+    }
+
+    pub(crate) fn on_yielded(&mut self, now: Time, term: Term, effects: &mut Vec<Effect>) {
+        if term == self.term && !self.leads() && self.stands() {
+            self.leader = None;
+            self.become_candidate(now, Canvass::Yielded, effects);
+        }
+    }
+
     pub(crate) fn count_votes(&mut self, now: Time, effects: &mut Vec<Effect>) {
         match &self.standing {
             Standing::Asking { votes } if self.elects(votes) => {
-                self.become_candidate(now, effects);
+                self.become_candidate(now, Canvass::Vote, effects);
             }
             Standing::Candidate { votes } if self.elects(votes) => {
                 self.become_leader(now, effects);
@@ -34,12 +70,12 @@
         }
     }
 
-    pub(crate) fn become_candidate(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    fn become_candidate(&mut self, now: Time, canvass: Canvass, effects: &mut Vec<Effect>) {
         self.term += 1;
         self.vote = Some(self.id.clone());
         self.standing = Standing::Candidate { votes: self.own_vote() };
         self.persist_vote(effects);
-        self.ask(false, self.term, effects);
+        self.ask(self.term, canvass, effects);
         self.await_leader(effects);
         self.count_votes(now, effects);
     }
@@ -63,13 +99,12 @@
         &mut self,
         now: Time,
         from: Name,
-        term: Term,
-        pre: bool,
-        last: (Term, Index),
+        message: Message,
         effects: &mut Vec<Effect>,
     ) {
-        let led = self.leads() || now < self.heard + Timing::ELECTION_MIN;
-        let behind = last < (self.log.last_term(), self.log.last_index());
+        let Message::Ask { term, pre, yielded, last_index, last_term } = message else { return };
+        let led = self.leads() || !yielded && now < self.heard + Timing::ELECTION_MIN;
+        let behind = (last_term, last_index) < (self.log.last_term(), self.log.last_index());
         let Some(disk) = self.disk.filter(|_| !led) else { return };
         if !pre && term > self.term {
             self.enter(term, None, effects);
--- a/crates/quorum/src/event.rs
+++ b/crates/quorum/src/event.rs
@@ -18,6 +18,9 @@
     Propose(Vec<u8>),
     /// A member is to change.
     Change(Change),
+    /// Leadership is to go to another voter; ignored unless this member leads, and some voter has all
+    /// of its log.
+    Yield,
     /// Everything up to this entry is on disk.
     Synced {
         /// Term of the entry.
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -9,6 +9,9 @@
         term: Term,
         /// Whether nothing is promised yet.
         pre: bool,
+        /// Whether the leader of the term before has yielded to the candidate, so that nobody needs to
+        /// wait for it.
+        yielded: bool,
         /// Index of the candidate's last entry.
         last_index: Index,
         /// Term of the candidate's last entry.
@@ -25,6 +28,11 @@
         /// Disk that keeps the vote.
         disk: Disk,
     },
+    /// The sender leads no longer, and the receiver is to be elected.
+    Yield {
+        /// Term in which the sender led.
+        term: Term,
+    },
     /// Appends entries, and serves as heartbeat.
     Append {
         /// Term of the leader.
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -91,6 +91,7 @@
             Event::Message { from, message } => self.on_message(now, from, message, &mut effects),
             Event::Propose(command) => self.on_propose(now, command, &mut effects),
             Event::Change(change) => self.on_change(now, change, &mut effects),
+            Event::Yield => self.on_yield(now, &mut effects),
             Event::Synced { term, index } => self.on_synced(now, term, index, &mut effects),
             Event::Snapshot { index, state } => self.on_snapshot(index, state, &mut effects),
         }
@@ -227,9 +228,8 @@
         effects: &mut Vec<Effect>,
     ) {
         match message {
-            Message::Ask { term, pre, last_index, last_term } => {
-                self.on_ask(now, from, term, pre, (last_term, last_index), effects);
-            }
+            Message::Ask { .. } => self.on_ask(now, from, message, effects),
+            Message::Yield { term } => self.on_yielded(now, term, effects),
             Message::Vote { .. } => self.on_vote(now, from, message, effects),
             Message::Append { term, .. } | Message::Chunk { term, .. } if term < self.term => {
                 let message = Message::Refused { term: self.term };
--- a/crates/quorum/tests/leases.rs
+++ b/crates/quorum/tests/leases.rs
@@ -62,7 +62,7 @@
 #[test]
 fn an_answer_to_a_former_term_renews_no_leadership() {
     let mut voter = member("voter", 1);
-    let newer = Message::Ask { term: 2, pre: false, last_index: 9, last_term: 1 };
+    let newer = Message::Ask { term: 2, pre: false, yielded: false, last_index: 9, last_term: 1 };
     let second = Duration::from_secs(1);
     voter.reduce(second, Event::Message { from: "leader".into(), message: newer });
     let effects = voter.reduce(2 * second, append(None));
--- a/crates/quorum/tests/membership.rs
+++ b/crates/quorum/tests/membership.rs
@@ -40,7 +40,7 @@
 }
 
 fn asked(state: &mut State, last_index: u64, last_term: u64) -> Vec<Effect> {
-    let message = Message::Ask { term: 2, pre: false, last_index, last_term };
+    let message = Message::Ask { term: 2, pre: false, yielded: false, last_index, last_term };
     state.reduce(Timing::ELECTION_MAX, Event::Message { from: "b".into(), message })
 }
 
--- a/crates/quorum/tests/replication.rs
+++ b/crates/quorum/tests/replication.rs
@@ -75,3 +75,23 @@
     let last = a.last_index();
     assert_eq!(b.last_index(), last);
 }
+
+#[test]
+fn a_leader_that_yields_is_followed_by_a_voter_with_all_of_its_log_at_once() {
+    let second = Duration::from_secs(1);
+    let (mut a, mut b) = (member("a"), member("b"));
+    a.reduce(Duration::ZERO, Event::Start);
+    b.reduce(Duration::ZERO, Event::Start);
+    let asked = step(&mut a, 5 * second, Event::Timer(Timer::Election));
+    exchange(&mut a, &mut b, 5 * second, asked);
+    let now = 6 * second;
+    let proposed = step(&mut a, now, Event::Propose(vec![1]));
+    assert!(step(&mut a, now, Event::Yield).is_empty(), "nobody has all of the log yet");
+    assert!(a.leads());
+    exchange(&mut a, &mut b, now, proposed);
+    let yielded = step(&mut a, now, Event::Yield);
+    assert!(!a.leads() && !a.governs(now));
+    exchange(&mut a, &mut b, now, yielded);
+    assert!(b.leads());
+    assert_eq!(b.last_index(), a.last_index());
+}
--- a/crates/quorum/tests/simulator/fault.rs
+++ b/crates/quorum/tests/simulator/fault.rs
@@ -11,11 +11,12 @@
     Split,
     OneWay,
     LoseDisk,
+    Yield,
     Heal,
 }
 
 impl Fault {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::Crash,
         Self::CrashLeader,
         Self::Freeze,
@@ -24,6 +25,7 @@
         Self::Split,
         Self::OneWay,
         Self::LoseDisk,
+        Self::Yield,
         Self::Heal,
     ];
 
@@ -53,6 +55,7 @@
                 self.cut.insert(pair);
             }
             Fault::LoseDisk => self.lose_disk(&any),
+            Fault::Yield => self.step(&leader, Event::Yield),
             Fault::Heal => self.cut.clear(),
         }
     }
--- a/crates/quorum/tests/simulator/oracle.rs
+++ b/crates/quorum/tests/simulator/oracle.rs
@@ -44,6 +44,12 @@
             let leader = self.leaders.entry(host.state.term()).or_insert_with(|| name.clone());
             assert_eq!(leader, name, "two leaders in term {}", host.state.term());
         }
+        let governs = |host: &&Host| {
+            let clock = host.clock(now);
+            host.up && host.frozen_until <= now && host.state.governs(clock)
+        };
+        let governing: Vec<_> = hosts.values().filter(governs).map(|h| h.state.id()).collect();
+        assert!(governing.len() <= 1, "{governing:?} govern at once");
         let up = || hosts.iter().filter(|(_, host)| host.up);
         let forced = up().map(|(_, host)| host.state.forced()).max().unwrap_or(0);
         assert!(forced <= self.accepted(), "in force before it is accepted");
