Times of tasks are learned from ends

A job declared too short seems late, yields to others and holds no machines; a long one draws machines that it does not need.

Change: job::durations draws a line through the logarithms of declared and true times of each queue, and takes the time of the first task that ends for its whole group. Objectives and what is left of a job use it. This owner's memory only.

--- a/crates/job/src/admission.rs
+++ b/crates/job/src/admission.rs
@@ -210,8 +210,8 @@
                         continue;
                     }
                     let (round_number, position) = (number as u32, position as u16);
-                    let key = self.key(unix, due, entry, queue, position, round);
                     let cohort = Cohort { job: *job, round: round_number, group: position };
+                    let key = self.key(unix, due, entry, queue, cohort, round);
                     let pool = &queue.pool;
                     needs.push(Need { cohort, group, pool, admission, blocked, waiting, key });
                 }
--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -180,7 +180,15 @@
                 How::Failed => {
                     instance.failed_jobs.insert(task.job);
                 }
-                How::Done => instance.failed_jobs.clear(),
+                How::Done => {
+                    instance.failed_jobs.clear();
+                    let entry = table.jobs.get(&task.job);
+                    let told = entry.and_then(|entry| Some((entry, entry.group(task)?)));
+                    if let Some((entry, group)) = told.filter(|_| attempt.whole) {
+                        let took = now.saturating_sub(attempt.started);
+                        self.durations.show(&entry.queue, task.cohort(), group, took);
+                    }
+                }
                 _ => {}
             }
             let checkpoint = end.checkpoint.or(attempt.checkpoint.take());
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -70,6 +70,8 @@
     /// When the throttle was last changed.
     pub(crate) throttled: Time,
     pub(crate) started: Time,
+    /// Whether this owner saw it start, and without a checkpoint.
+    pub(crate) whole: bool,
 }
 
 /// How far an attempt has come.
@@ -199,6 +201,7 @@
             throttle: 100,
             throttled: now,
             started: now,
+            whole: false,
         }
     }
 }
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -279,7 +279,8 @@
                 if due > unix {
                     break;
                 }
-                if !self.is_in_time(unix, due, entry, queue, round) {
+                let place = Cohort { job: id, round: number as u32, group: 0 };
+                if !self.is_in_time(unix, due, entry, queue, place, round) {
                     late.insert(id);
                     continue;
                 }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -27,6 +27,7 @@
 mod cohort;
 mod command;
 mod config;
+mod durations;
 mod effect;
 mod end;
 mod entry;
@@ -59,6 +60,7 @@
 
 use {
     admission::Policy,
+    durations::Durations,
     instance::{Attempt, Instance, Stage},
     progress::Round,
 };
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -44,6 +44,7 @@
     /// When the pools were last reported.
     pub(crate) reported: Time,
     pub(crate) machines: machines::Machines,
+    pub(crate) durations: Durations,
     /// On which instances the policies of queues let tasks run.
     pub(crate) policy: Policy,
 }
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -38,6 +38,15 @@
     slack: std::cmp::Reverse<u64>,
 }
 
+/// When a round is wanted, and what is left of it.
+#[derive(Debug, Clone, Copy)]
+struct Outlook {
+    /// Milliseconds from the time that it was due.
+    objective: u64,
+    /// Milliseconds of the longest chain through what is not done yet.
+    left: u64,
+}
+
 /// How much a group is still worth.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Class {
@@ -144,9 +153,10 @@
                     if round.waiting[position] == 0 || !round.is_unblocked(group) {
                         continue;
                     }
-                    let position = position as u16;
-                    let key = self.key(unix, due, entry, queue, position, round);
-                    let (job, round) = (*job, number as u32);
+                    let (job, position) = (*job, position as u16);
+                    let place = Cohort { job, round: number as u32, group: position };
+                    let key = self.key(unix, due, entry, queue, place, round);
+                    let round = number as u32;
                     demands.push(Demand { key, job, round, group: position, entry, queue });
                 }
             }
@@ -160,12 +170,11 @@
         due: Unix,
         entry: &Entry,
         queue: &Queue,
-        position: u16,
+        place: Cohort,
         round: &Round,
     ) -> Key {
-        let group = &entry.spec.groups[usize::from(position)];
-        let objective = queue.objective(entry.chain).as_millis() as u64;
-        let left = self.remaining(entry, round).as_millis() as u64;
+        let group = &entry.spec.groups[usize::from(place.group)];
+        let Outlook { objective, left } = self.outlook(entry, queue, place, round);
         let age = unix.saturating_sub(due);
         let class = if group.filler {
             Class::Filler
@@ -191,26 +200,35 @@
         due: Unix,
         entry: &Entry,
         queue: &Queue,
+        place: Cohort,
         round: &Round,
     ) -> bool {
-        let left = self.remaining(entry, round).as_millis() as u64;
-        let objective = queue.objective(entry.chain).as_millis() as u64;
+        let Outlook { objective, left } = self.outlook(entry, queue, place, round);
         entry.spec.is_lasting() || unix.saturating_sub(due) + left <= objective
     }
 
-    /// Longest chain of estimates through what is not done yet.
-    fn remaining(&self, entry: &Entry, round: &Round) -> Duration {
-        if entry.spec.groups.iter().zip(&round.open).all(|(group, open)| *open == group.count) {
-            return entry.chain;
-        }
+    /// What is expected of the round that `place` is in.
+    fn outlook(&self, entry: &Entry, queue: &Queue, place: Cohort, round: &Round) -> Outlook {
         let groups = &entry.spec.groups;
-        let mut ends: Vec<Duration> = Vec::with_capacity(groups.len());
+        let delay = queue.admission.map_or(Duration::ZERO, |admission| admission.delay());
+        let mut whole: Vec<Duration> = Vec::with_capacity(groups.len());
+        let mut open: Vec<Duration> = Vec::with_capacity(groups.len());
         for (position, group) in groups.iter().enumerate() {
-            let before = group.after.iter().filter_map(|i| ends.get(usize::from(*i))).max();
-            let own = if round.open[position] == 0 { Duration::ZERO } else { group.estimate };
-            ends.push(before.copied().unwrap_or_default() + own);
+            let cohort = Cohort { group: position as u16, ..place };
+            let own = self.durations.expect(&queue.name, cohort, group);
+            let before = |ends: &[Duration]| {
+                let before = group.after.iter().filter_map(|i| ends.get(usize::from(*i))).max();
+                before.copied().unwrap_or_default()
+            };
+            whole.push(before(&whole) + delay + own);
+            let own = if round.open[position] == 0 { Duration::ZERO } else { own };
+            open.push(before(&open) + own);
+        }
+        let chain = whole.into_iter().max().unwrap_or_default();
+        Outlook {
+            objective: queue.objective(chain).as_millis() as u64,
+            left: open.into_iter().max().unwrap_or_default().as_millis() as u64,
         }
-        ends.into_iter().max().unwrap_or_default()
     }
 
     fn place<'a>(
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -59,6 +59,7 @@
         };
         attempt.stage = Stage::Starting;
         attempt.started = now;
+        attempt.whole = entry.slot(task).is_some_and(|slot| slot.checkpoint.is_none());
         if instance.lease_left(now) < Self::LEASE / 2 {
             instance.grant(now, Self::LEASE);
         }
@@ -219,6 +220,7 @@
         }
         self.dirty = false;
         self.planned = now;
+        self.durations.forget(&table.live);
         let ends = std::mem::take(&mut self.ends);
         let claims = self.plan(now, unix, table, effects);
         let mut batch = Batch { ends, claims, ..Batch::default() };
