An attempt of a former owner is stopped at the next life of its instance before it starts elsewhere

Cause: found by a specification of attempts, spec/attempt. A claim that a new owner takes over may have been ordered a moment before, and the order may reach a later life of the instance, which has not heard of the new owner. That life proved the attempt lost, so that it started elsewhere at once: two runs. Orders go by the name of an instance.

Change: such an attempt moves to the later life and is stopped there, as one without an answer already was. Every earlier life of an instance ends when a later one announces itself, also one that only the table names.

Tests: spec/attempt holds (372,964 states) and catches six mutants, this fault among them; the test a_start_of_the_former_owner_that_reaches_a_later_life_does_no_harm failed before ('runs on both at once').

--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -211,9 +211,10 @@
         if announcement.condition == Condition::Gone {
             return self.end_life(now, &incarnation, "the instance has left", effects);
         }
-        let former = self.current.insert(name.clone(), incarnation.born);
-        if let Some(born) = former.filter(|born| *born < incarnation.born) {
-            let former = Incarnation { name, born };
+        self.current.insert(name.clone(), incarnation.born);
+        let first = Incarnation { name, born: 0 };
+        let former = self.instances.range(first..incarnation.clone()).map(|(life, _)| life.clone());
+        for former in former.collect::<Vec<_>>() {
             self.end_life(now, &former, "a later life has announced itself", effects);
         }
         let lapses = now;
@@ -239,8 +240,8 @@
 
     /// Takes it that a life of an instance is over: what ran there is lost.
     ///
-    /// An order to start that has no answer may have reached a later life of the same instance, since
-    /// orders go by its name. Such an attempt moves there, to be stopped.
+    /// An order to start that has no answer, or was given by a former owner, may have reached a later life
+    /// of the same instance, since orders go by its name. Such an attempt moves there, to be stopped.
     pub(crate) fn end_life(
         &mut self,
         now: Time,
@@ -257,7 +258,7 @@
             self.placed.remove(&task);
             match (attempt.stage, &successor) {
                 (Stage::Ending | Stage::Proposed, _) => {}
-                (Stage::Starting | Stage::Unanswered, Some(successor)) => {
+                (Stage::Starting | Stage::Unanswered | Stage::Recovered, Some(successor)) => {
                     attempt.stage = Stage::Unanswered;
                     attempt.stop = true;
                     attempt.stop_sent = None;
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -232,3 +232,29 @@
     assert!(world.table.waves[&1].is_complete());
     assert_eq!(world.starts.len(), 12, "nothing starts twice");
 }
+
+#[test]
+fn a_start_of_the_former_owner_that_reaches_a_later_life_does_no_harm() {
+    let mut world = one_pool(16, 2);
+    world.travel_ms = 100;
+    world.submit(7, "a", chain(&[1], 2000, 5000));
+    let task = Task { job: 7, round: 0, group: 0, index: 0 };
+    let life = loop {
+        world.run(1);
+        let slot = world.table.jobs[&7].slot(task).expect("the task has a slot");
+        if let Phase::Claimed(life) = &slot.phase {
+            break life.clone();
+        }
+    };
+    // The order is on its way when its instance starts again and another owner follows, whose first
+    // renewal there is lost.
+    world.crash(&life, false);
+    world.travel_ms = 2;
+    world.take_over(true);
+    world.run(60);
+    world.trouble.request_lost = 1000;
+    world.crash(&life, true);
+    world.trouble.request_lost = 0;
+    world.run(12_000);
+    assert_eq!(standing(&world, 7), Standing::Completed);
+}
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -55,7 +55,7 @@
 
 /// Time between a proposal and its commit.
 const COMMIT_MS: u64 = 8;
-/// Time that a call takes one way.
+/// Time that a call usually takes one way.
 const TRAVEL_MS: u64 = 2;
 /// Between two ticks of an owner.
 const TICK_MS: u64 = 20;
@@ -72,6 +72,8 @@
     pub instances: BTreeMap<Incarnation, Instance>,
     pub machines: BTreeMap<Name, Machine>,
     pub trouble: Trouble,
+    /// Time that a call takes one way from now on.
+    pub travel_ms: u64,
     pub rng: ChaCha8Rng,
     /// Every start that an instance has carried out.
     pub starts: Vec<(u64, Task, Number, Incarnation)>,
@@ -111,6 +113,7 @@
             instances: BTreeMap::new(),
             machines: BTreeMap::new(),
             trouble: Trouble::default(),
+            travel_ms: TRAVEL_MS,
             rng: ChaCha8Rng::seed_from_u64(seed),
             starts: Vec::new(),
             moves: 0,
@@ -440,7 +443,7 @@
                         let late = self.rng.random_range(2_000..12_000);
                         self.schedule(late, Happening::Arrive { call });
                     } else if !self.chance(self.trouble.request_lost) {
-                        self.schedule(TRAVEL_MS, Happening::Arrive { call });
+                        self.schedule(self.travel_ms, Happening::Arrive { call });
                     }
                 }
                 Effect::Machine { id, order } => {
