--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -48,7 +48,7 @@
 /// Share of what is used, in percent, that a pool keeps free for what comes next.
 const HEADROOM_PERCENT: u64 = 15;
 /// What a pool keeps free which may have its turn next, in thousandths of a mean pool.
-const RESERVE_PERMILLE: u64 = 300;
+const RESERVE_PERMILLE: u64 = 200;
 /// What a pool keeps free whose turn was a short while ago, in thousandths of a mean pool.
 const RESERVE_AFTER_TURN_PERMILLE: u64 = 100;
 /// What is in use in a pool when it has its turn, in thousandths of a mean pool.
