Of the jobs that can still be done in time the most urgent goes first

Cause: those with most time left went first, which was meant to save the most jobs of an overload. Since jobs that cannot be done in time any more stand behind anyway, it only made urgent ones late.

Change: least time left first.

The test of an overload in load.rs holds.

--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -2,7 +2,8 @@
 //!
 //! Demand comes in turns of about five times its mean, more than a pool holds. A queue that serves
 //! such a turn in the order of arrival makes every job late; here a job that has begun is finished
-//! first, then those go ahead that can still make it in time, and the late ones take what is left.
+//! first, then those go ahead that can still make it in time, the most urgent one first, and the late ones
+//! take what is left.
 
 use super::*;
 use owner::note;
@@ -23,7 +24,7 @@
     fn placed(&self, tasks: usize) -> Effect {
         let about = format!("{:016x}.{}.{}", self.job, self.round, self.group);
         let Key { class, slack, .. } = self.key;
-        let why = format!("{tasks} tasks, {class:?}, {} ms to spare", slack.0);
+        let why = format!("{tasks} tasks, {class:?}, {slack} ms to spare");
         note("group-placed", about, why)
     }
 }
@@ -34,8 +35,8 @@
     class: Class,
     priority: u8,
     begun: std::cmp::Reverse<bool>,
-    /// Time that is left until it must have started, most first.
-    slack: std::cmp::Reverse<u64>,
+    /// Milliseconds that are left until it must have started.
+    slack: u64,
 }
 
 /// When a round is wanted, and what is left of it.
@@ -189,7 +190,7 @@
         };
         let whole: u16 = entry.spec.groups.iter().map(|group| group.count).sum();
         let begun = round.waiting.iter().sum::<u16>() < whole;
-        let slack = std::cmp::Reverse(objective.saturating_sub(age + left));
+        let slack = objective.saturating_sub(age + left);
         Key { class, priority: queue.priority, begun: std::cmp::Reverse(begun), slack }
     }
 
--- a/crates/job/tests/heavy_day.rs
+++ b/crates/job/tests/heavy_day.rs
@@ -30,8 +30,14 @@
 /// Least share of the worth of all jobs that callers get in time.
 const LEAST_CREDIT: f64 = 0.85;
 
+/// What the days get on average: the score that both deployments ask for.
+const MEAN_CREDIT: f64 = 0.95;
+
 fn check(site: &Site) {
-    for (seed, day) in play(site).iter().enumerate() {
+    let days = play(site);
+    let mean = days.iter().map(Day::credit_of_all).sum::<f64>() / days.len() as f64;
+    assert!(mean >= MEAN_CREDIT, "{mean:.3} of the worth was earned");
+    for (seed, day) in days.iter().enumerate() {
         let credit = day.credit_of_all();
         assert!(credit >= LEAST_CREDIT, "seed {}: {}", seed + 1, day.summary());
         assert!(day.world.table.live.len() <= LASTING, "seed {}: jobs are left over", seed + 1);
