A start without an answer is looked into after 0.25 s

The owner waited 0.7 s for it, then for the renewal under way, which waits up to 1 s for an end, before it asked whether the task runs, stopped it, and started it again.

Change: 0.25 s, and the renewal under way is given up.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -134,6 +134,8 @@
             }
             Ok(Reply::Report { .. } | Reply::Fenced) | Err(_) => {
                 attempt.stage = Stage::Unanswered;
+                // A renewal under way may wait for long.
+                instance.renewal = None;
                 instance.renew_at = now;
                 let why = "no answer to the order to start it".into();
                 return effects.push(note("start-unanswered", format!("{task} {number}"), why));
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -67,6 +67,9 @@
     pub(crate) const WATCH: Duration = Duration::from_millis(400);
     /// How long an answer may take beyond the wait that was asked for.
     pub(crate) const ANSWER: Duration = Duration::from_millis(700);
+    /// How long the answer to a start may take; a lost packet is sent again within it. Then a renewal
+    /// tells whether the task runs.
+    pub(crate) const START_ANSWER: Duration = Duration::from_millis(250);
     /// Between a renewal that had no answer and the next.
     pub(crate) const RETRY: Duration = Duration::from_millis(100);
     /// Between two orders to stop the same attempt.
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -68,7 +68,7 @@
         let lease = instance.lease;
         let ticket = self.policy.ticket(now, task.cohort(), incarnation).cloned();
         let order = Order::Start { task, number, payload, lease, ticket, checkpoint };
-        self.call(incarnation, Pending::Start(task, number), order, Self::ANSWER, effects);
+        self.call(incarnation, Pending::Start(task, number), order, Self::START_ANSWER, effects);
     }
 
     pub(crate) fn on_committed(&mut self, table: &Table, outcomes: &[Outcome]) {
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -258,3 +258,31 @@
     world.run(12_000);
     assert_eq!(standing(&world, 7), Standing::Completed);
 }
+
+#[test]
+fn a_job_with_a_start_that_has_no_answer_is_done_within_its_objective() {
+    let mut world = one_pool(17, 2);
+    // Another job keeps the renewals of both instances waiting.
+    let mut lasting = chain(&[2], 2000, 500);
+    lasting.groups[0].lasting = true;
+    lasting.groups[0].apart = Some(1);
+    world.submit(6, "a", lasting);
+    world.run(1300);
+    let handed_in = world.now;
+    world.submit(7, "a", chain(&[1, 1], 2000, 300));
+    for _ in 0..2 {
+        // The first order to start each task is carried out too late.
+        world.trouble.carried_out_late = 1000;
+        world.run(70);
+        world.trouble = Trouble::default();
+        let started = world.starts.len();
+        while world.starts.len() == started {
+            world.run(5);
+        }
+        world.run(280);
+    }
+    world.run(20_000);
+    let objective = 2 * 300 * 1600 / 1000 + 600;
+    let took = world.over[&7] - handed_in;
+    assert!(took <= objective, "{took} ms, wanted within {objective}");
+}
