--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -25,6 +25,9 @@
     const RESEND: Duration = Duration::from_millis(350);
     /// After which a daemon that hears nobody takes it that it is cut off; two pings and their answers.
     const SILENCE: Duration = Duration::from_millis(900);
+    /// How long after the last word of a leader that serves calls are still kept for it or its successor; a
+    /// change of leader takes less.
+    pub(crate) const UNLED: Duration = Duration::from_millis(1400);
     /// Of how many questions one goes to any daemon known, and not to a member.
     const ELSEWHERE: usize = 4;
     /// When to come back after there was no leader.
@@ -86,15 +89,16 @@
         }
     }
 
-    /// Whether this daemon is cut off from all that it knows.
-    fn is_cut_off(&self, now: Time) -> bool {
-        self.heard.is_some_and(|heard| now > heard + Self::SILENCE)
+    /// Whether nobody is in reach who could serve a call: no daemon, or for long no leader.
+    fn is_stranded(&self, now: Time) -> bool {
+        let silent = self.heard.is_some_and(|heard| now > heard + Self::SILENCE);
+        silent || self.served.is_some_and(|served| now > served + Self::UNLED)
     }
 
-    /// Sends the call `ticket`, if it is due; refuses it at once where nobody is in reach.
+    /// Sends the call `ticket`, if it is due; refuses it at once where nobody can serve it.
     pub(crate) fn send(&mut self, now: Time, own: &Name, ticket: Ticket) -> Option<Effect> {
         let ask = self.waiting.get(&ticket)?;
-        if ask.sent.is_none() && !ask.may_have_run && self.is_cut_off(now) {
+        if ask.sent.is_none() && !ask.may_have_run && self.is_stranded(now) {
             self.waiting.remove(&ticket);
             let answer = Answer::NotRun { retry: Self::RETRY };
             return Some(Effect::Answer { ticket, answer });
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -37,8 +37,6 @@
 const PING: Duration = Duration::from_millis(300);
 /// Between two tries to open the data folder.
 const DISK_RETRY: Duration = Duration::from_millis(500);
-/// How long word of a leader that serves keeps this daemon ready.
-const READY: Duration = Duration::from_millis(1400);
 
 impl State {
     pub(crate) fn new(
@@ -185,7 +183,7 @@
             let askers = self.helpers.count(now);
             self.own(now, unix, job::Event::Askers(askers), effects);
         }
-        let ready = self.asks.served.is_some_and(|at| now < at + READY) && !self.stopping;
+        let ready = self.asks.served.is_some_and(|at| now < at + Asks::UNLED) && !self.stopping;
         if ready != self.ready {
             self.ready = ready;
             effects.push(Effect::Ready(ready));
@@ -200,7 +198,7 @@
         if let Some(to) = self.asks.whom(&self.id) {
             effects.push(Effect::Send { to, message: Message::Ping });
         }
-        let unheard = self.asks.served.is_none_or(|at| now > at + READY / 2);
+        let unheard = self.asks.served.is_none_or(|at| now > at + Asks::UNLED / 2);
         if unheard && self.asks.leader.is_some() {
             // The leader may be gone: somebody else has to be asked as well.
             self.asks.leader = self.quorum.as_ref().and_then(|quorum| quorum.leader().cloned());
