--- /dev/null
+++ b/crates/job/tests/world/checks.rs
@@ -0,0 +1,61 @@
+//! What must hold, from what the instances see.
+
+use super::*;
+
+impl World {
+    /// What must hold whenever a task starts.
+    pub(super) fn check_start(&self, life: &Incarnation, task: Task, group: &Group) {
+        let entry = &self.table.jobs[&task.job];
+        assert!(!self.done.contains(&task), "{task} starts after its end was committed");
+        for after in &group.after {
+            let open = entry.spec.groups[usize::from(*after)].count;
+            for index in 0..open {
+                let before = Task { group: *after, index, ..task };
+                assert!(self.done.contains(&before), "{task} starts before {before} is done");
+            }
+        }
+        if let Some(at) = self.cancelled.get(&task.job) {
+            let late = self.trouble.carried_out_late > 0;
+            assert!(late || self.now <= at + 3000, "{task} starts after it was cancelled");
+        }
+        let siblings = |other: &&Task| {
+            (other.job, other.round, other.group) == (task.job, task.round, task.group)
+        };
+        let beside = self.instances[life].running.keys().filter(siblings).count();
+        assert!(
+            group.apart.is_none_or(|most| beside < usize::from(most)),
+            "{task} starts beside too many of its group"
+        );
+        assert_eq!(
+            self.instances[life].announcement.pool,
+            self.pool(entry),
+            "{task} starts elsewhere"
+        );
+    }
+
+    pub(super) fn pool(&self, entry: &Entry) -> Name {
+        let config = self.table.config.as_ref().expect("the world has a configuration");
+        config.queue(&entry.queue).expect("the queue is configured").pool.clone()
+    }
+
+    /// No task runs twice at the same time.
+    pub(super) fn check_runs(&self) {
+        let mut seen = BTreeMap::new();
+        for (life, instance) in self.instances.iter().filter(|(_, instance)| instance.alive) {
+            for task in instance.running.keys() {
+                if let Some(other) = seen.insert(*task, life) {
+                    panic!("{task} runs on {life} and {other} at once");
+                }
+            }
+        }
+    }
+
+    pub(super) fn note_done(&mut self, batch: &Batch) {
+        for end in batch.ends.iter().filter(|end| end.how == How::Done) {
+            let entry = self.table.jobs.get(&end.task.job);
+            if entry.and_then(|e| e.group(end.task)).is_some_and(|group| !group.lasting) {
+                self.done.insert(end.task);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/job/tests/world/platform.rs
@@ -0,0 +1,136 @@
+//! The platform's part of the world: machines that move, and the policy of queues.
+
+use super::*;
+
+impl World {
+    /// Adds a machine, with its instance where its pool is not the spare one.
+    pub fn add_machine(&mut self, name: &str, pool: &str, rack: &str, millicores: u64) {
+        let capacity = Resources { millicores, memory_mb: 128_000, accelerators: 0 };
+        let machine = Machine {
+            name: name.into(),
+            pool: pool.into(),
+            state: MachineState::Moving,
+            capacity,
+            labels: vec!["a".into(), rack.into()],
+            instance: None,
+        };
+        self.machines.insert(name.into(), machine);
+        self.join(&name.into());
+    }
+
+    pub(super) fn join(&mut self, machine: &Name) {
+        let spare = &self.table.config.as_ref().expect("the world has a configuration").pools;
+        let machine = self.machines.get_mut(machine).expect("the machine is in the world");
+        machine.state = MachineState::Up;
+        if spare.get(&machine.pool).is_some_and(|pool| pool.spare) {
+            return;
+        }
+        let name: Name = format!("i-{}-{}", machine.name, self.sequence).into();
+        machine.instance = Some(name.clone());
+        let announcement = Announcement {
+            incarnation: Incarnation { name, born: EPOCH_MS + self.now },
+            machine: machine.name.clone(),
+            pool: machine.pool.clone(),
+            address: "10.0.0.1:80".into(),
+            data_center: "dc".into(),
+            capacity: machine.capacity,
+            labels: machine.labels.clone(),
+            condition: Condition::Ready,
+            clock: 0,
+            sequence: 0,
+        };
+        self.live(announcement);
+    }
+
+    pub(super) fn on_machine(&mut self, owner: Epoch, id: CallId) {
+        let Some(order) = self.machine_calls.remove(&id) else { return };
+        self.trace(|| format!("platform gets {order:?} of owner {owner}"));
+        let (machine, pool, away) = match order.clone() {
+            MachineOrder::List { .. } => {
+                let machines = self.machines.values().cloned().collect();
+                let result = Ok(MachineReply::Listed { machines, next: None });
+                if owner == self.epoch {
+                    self.step(Event::MachineAnswered { id, result });
+                }
+                return;
+            }
+            MachineOrder::Move { machine, pool } => (machine, Some(pool), 1500),
+            MachineOrder::Maintain { machine, .. } => (machine, None, 2000),
+        };
+        let entry = self.machines.get_mut(&machine).expect("the machine is in the world");
+        let maintained = pool.is_none();
+        let result = if self.carried_out.get(&machine) == Some(&order) {
+            Ok(MachineReply::Begun)
+        } else if entry.state == MachineState::Up {
+            self.moves += usize::from(pool.is_some());
+            self.carried_out.insert(machine.clone(), order);
+            entry.state = if maintained { MachineState::Maintained } else { MachineState::Moving };
+            entry.pool = pool.unwrap_or(entry.pool.clone());
+            entry.instance = None;
+            let down =
+                self.machines.values().filter(|m| m.state == MachineState::Maintained).count();
+            let budgets = self.table.waves.values().map(|wave| wave.budget as usize);
+            assert!(!maintained || down <= budgets.max().unwrap_or(0), "wave over its budget");
+            for instance in self.instances.values_mut() {
+                if instance.announcement.machine == machine && instance.alive {
+                    self.check_budget(&machine);
+                    break;
+                }
+            }
+            for instance in self.instances.values_mut() {
+                if instance.announcement.machine == machine {
+                    instance.alive = false;
+                    instance.running.clear();
+                }
+            }
+            self.schedule(away, Happening::Joins { machine });
+            Ok(MachineReply::Begun)
+        } else {
+            Ok(MachineReply::Busy)
+        };
+        let lost = self.chance(self.trouble.machine_answer_lost);
+        let result = if lost { Err(Failure::Timeout) } else { result };
+        self.schedule(if lost { 1500 } else { 0 }, Happening::MachineAnswer { owner, id });
+        self.machine_answers.insert(id, result);
+    }
+
+    /// A planned order ends nothing that runs.
+    pub(super) fn check_budget(&self, machine: &Name) {
+        let running =
+            self.instances.values().filter(|instance| instance.announcement.machine == *machine);
+        let running: usize = running.map(|instance| instance.running.len()).sum();
+        assert_eq!(running, 0, "{machine} was taken away from tasks at work");
+    }
+
+    /// The policy lets tasks run on two of three machines.
+    pub fn allows(name: &Name) -> bool {
+        name.bytes().map(u64::from).sum::<u64>() % 3 > 0
+    }
+
+    pub(super) fn decide(&mut self, owner: Epoch, id: CallId) {
+        let Some(question) = self.questions.remove(&id).filter(|_| owner == self.epoch) else {
+            return;
+        };
+        if self.chance(self.trouble.answer_lost) {
+            return self.step(Event::Decided { id, result: Err(Failure::Timeout) });
+        }
+        let until = self.now + ADMISSION.validity.as_millis() as u64;
+        let mut leaves = Vec::new();
+        for name in question.instances.iter().filter(|name| Self::allows(name)) {
+            let ticket: Name = format!("{}/{name}", question.cohort).into();
+            self.tickets.insert(ticket.clone(), until);
+            leaves.push((name.clone(), ticket));
+        }
+        self.step(Event::Decided { id, result: Ok(leaves) });
+    }
+
+    pub(super) fn has_leave(&self, life: &Incarnation, task: Task, ticket: &Option<Name>) -> bool {
+        let config = self.table.config.as_ref().expect("the world has a configuration");
+        let queue = config.queue(&self.table.jobs[&task.job].queue).expect("a queue");
+        let wanted: Name = format!("{}/{}", task.cohort(), life.name).into();
+        let holds = |ticket: &Name| {
+            *ticket == wanted && self.tickets.get(ticket).is_some_and(|until| self.now < *until)
+        };
+        queue.admission.is_none() || ticket.as_ref().is_some_and(holds)
+    }
+}
