Tests of two guards that no test missed: ends before their commit, absence without a stop

The second was hidden since the next attempt went to the same instance, which refuses the earlier one. The world now checks every acknowledgement against the table, and a test drains the instance, so that the task goes elsewhere.

--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -286,3 +286,24 @@
     let took = world.over[&7] - handed_in;
     assert!(took <= objective, "{took} ms, wanted within {objective}");
 }
+
+#[test]
+fn a_start_without_an_answer_is_refused_later_though_its_task_has_run_elsewhere() {
+    let mut world = one_pool(18, 2);
+    world.trouble.carried_out_late = 1000;
+    world.submit(7, "a", chain(&[1], 2000, 800));
+    world.run(60);
+    world.trouble = Trouble::default();
+    let slot = world.table.jobs[&7].slot(Task { job: 7, round: 0, group: 0, index: 0 });
+    let Some(Phase::Claimed(life)) = slot.map(|slot| slot.phase.clone()) else {
+        panic!("the task is claimed")
+    };
+    // Nothing new is placed there, so that the task goes to the other instance.
+    let instance = world.instances.get_mut(&life).expect("the instance is in the world");
+    instance.announcement.condition = Condition::Draining;
+    world.announce(&life);
+    world.run(20_000);
+    assert_eq!(standing(&world, 7), Standing::Completed);
+    assert_eq!(world.starts.len(), 1, "the late order was refused: {:?}", world.starts);
+    assert_ne!(world.starts[0].3, life);
+}
--- a/crates/job/tests/world/calls.rs
+++ b/crates/job/tests/world/calls.rs
@@ -61,6 +61,7 @@
         }
         let reply = match order {
             Order::Renew { lease, acknowledged, wait } => {
+                checks::acknowledged(&self.table, &life, instance, acknowledged);
                 let clock = instance.clock(now);
                 instance.lease = instance.lease.max(lease.min(clock + MAX_LEASE_MS));
                 instance.acknowledged = instance.acknowledged.max(acknowledged);
--- a/crates/job/tests/world/checks.rs
+++ b/crates/job/tests/world/checks.rs
@@ -2,6 +2,18 @@
 
 use super::*;
 
+/// An end is acknowledged only once it is committed.
+pub(super) fn acknowledged(table: &Table, life: &Incarnation, instance: &Instance, number: u64) {
+    for end in instance.ended.iter().filter(|end| end.sequence <= number) {
+        let Some(task) = end.task else { continue };
+        let slot = table.jobs.get(&task.job).and_then(|entry| entry.slot(task));
+        let open = |slot: &Slot| {
+            slot.number == end.number && matches!(&slot.phase, Phase::Claimed(by) if by == life)
+        };
+        assert!(!slot.is_some_and(open), "the end of {task} is acknowledged and not committed");
+    }
+}
+
 impl World {
     /// What must hold whenever a task starts.
     pub(super) fn check_start(&self, life: &Incarnation, task: Task, group: &Group) {
