A job none of whose tasks could be started waits again

A claim made a job 'running' for good. Where the orders to start had no answer and the attempts were proven lost, no task had begun, and the job was late by then and got no room.

Change: when every attempt of a job was lost and no task has ended otherwise, it is queued again.

Test: a_job_none_of_whose_tasks_could_be_started_waits_again, which failed before.

--- a/crates/job/src/entry.rs
+++ b/crates/job/src/entry.rs
@@ -97,6 +97,7 @@
         let slot = &mut round.groups[usize::from(group)][usize::from(index)];
         slot.checkpoint = end.checkpoint.clone().or(slot.checkpoint.take());
         slot.failed += u32::from(end.how == How::Failed);
+        slot.ended |= end.how != How::Lost;
         let exhausted = slot.failed >= max_attempts && !declared.lasting;
         if declared.gang && slot.checkpoint.is_some() {
             let checkpoint = slot.checkpoint.clone();
@@ -105,6 +106,11 @@
             }
         }
         if !self.standing.is_over() {
+            // Attempts that were lost may never have started; a job without any other waits again.
+            let untouched = self.claimed == 0 && self.rounds.iter().all(Round::is_untouched);
+            if untouched && end.how == How::Lost {
+                self.standing = Standing::Queued;
+            }
             if exhausted {
                 self.standing = Standing::Failed;
             } else if self.rounds.iter().all(Round::is_done) {
--- a/crates/job/src/progress.rs
+++ b/crates/job/src/progress.rs
@@ -18,6 +18,12 @@
         Self { groups: counts.iter().map(slots).collect(), open: counts.clone(), waiting: counts }
     }
 
+    /// Whether no task is done, nor has ended otherwise than lost.
+    pub(crate) fn is_untouched(&self) -> bool {
+        let untouched = |slot: &Slot| slot.phase == Phase::Waiting && !slot.ended;
+        self.groups.iter().flatten().all(untouched)
+    }
+
     /// Whether every task is done.
     pub(crate) fn is_done(&self) -> bool {
         self.open.iter().all(|open| *open == 0)
--- a/crates/job/src/slot.rs
+++ b/crates/job/src/slot.rs
@@ -9,6 +9,8 @@
     pub number: Number,
     /// Attempts that failed.
     pub failed: u32,
+    /// Whether an attempt has ended otherwise than lost, so that the task has run for certain.
+    pub ended: bool,
     /// Last checkpoint.
     pub checkpoint: Option<Arc<str>>,
 }
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -336,3 +336,22 @@
     world.run(1000);
     assert!(world.starts.is_empty(), "a task was started on an instance that is about to end");
 }
+
+#[test]
+fn a_job_none_of_whose_tasks_could_be_started_waits_again() {
+    let mut world = one_pool(20, 1);
+    world.trouble.carried_out_late = 1000;
+    world.submit(7, "a", chain(&[2], 2000, 300));
+    world.run(70);
+    assert_eq!(standing(&world, 7), Standing::Running);
+    // Nothing takes the tasks after the orders were lost.
+    for instance in world.instances.values_mut() {
+        instance.announcement.condition = Condition::Draining;
+    }
+    let lives: Vec<_> = world.instances.keys().cloned().collect();
+    lives.iter().for_each(|life| world.announce(life));
+    world.trouble = Trouble::default();
+    world.run(1500);
+    assert_eq!(standing(&world, 7), Standing::Queued);
+    assert_eq!(world.table.pending("a"), 1);
+}
