The time for the answer to a start follows the usual one

Change: eight times the usual time of an answer, from 0.25 to 0.7 s. A start that is given up counts with the time that it was given, so that the usual time rises even if no answer comes in time.

No test plays an owner that is short of processor time; the test of a start without an answer holds.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -106,12 +106,13 @@
         if attempt.stage != Stage::Starting {
             return;
         }
+        let took = now.saturating_sub(attempt.started);
         let refusal = match result {
             Ok(Reply::Done { .. }) => {
                 attempt.stage = Stage::Running;
                 attempt.settled = Some(now);
                 attempt.started = now;
-                return;
+                return self.note_start(took);
             }
             Ok(Reply::Full { .. }) => {
                 instance.avoided_until = instance.avoided_until.max(now + Self::FULL);
@@ -137,6 +138,7 @@
                 // A renewal under way may wait for long.
                 instance.renewal = None;
                 instance.renew_at = now;
+                self.note_start(took);
                 let why = "no answer to the order to start it".into();
                 return effects.push(note("start-unanswered", format!("{task} {number}"), why));
             }
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -45,6 +45,8 @@
     pub(crate) reported: Time,
     pub(crate) machines: machines::Machines,
     pub(crate) durations: Durations,
+    /// Usual time from an order to start to its answer.
+    start_time: Duration,
     /// On which instances the policies of queues let tasks run.
     pub(crate) policy: Policy,
 }
@@ -67,9 +69,14 @@
     pub(crate) const WATCH: Duration = Duration::from_millis(400);
     /// How long an answer may take beyond the wait that was asked for.
     pub(crate) const ANSWER: Duration = Duration::from_millis(700);
-    /// How long the answer to a start may take; a lost packet is sent again within it. Then a renewal
-    /// tells whether the task runs.
-    pub(crate) const START_ANSWER: Duration = Duration::from_millis(250);
+    /// How long the answer to a start may take at least; a lost packet is sent again within it. Then a
+    /// renewal tells whether the task runs.
+    const START_ANSWER: Duration = Duration::from_millis(250);
+    /// How many times the usual time of an answer it may take: an owner short of processor time gets its
+    /// answers late, and must not make more work of that.
+    const START_PATIENCE: u32 = 8;
+    /// Share of the last answer in the usual time, as a divisor.
+    const START_SHARE: u32 = 32;
     /// Between a renewal that had no answer and the next.
     pub(crate) const RETRY: Duration = Duration::from_millis(100);
     /// Between two orders to stop the same attempt.
@@ -313,6 +320,17 @@
         id
     }
 
+    /// How long the answer to a start may take now.
+    pub(crate) fn start_timeout(&self) -> Duration {
+        (self.start_time * Self::START_PATIENCE).clamp(Self::START_ANSWER, Self::ANSWER)
+    }
+
+    /// Takes it that an order to start was answered, or given up, after `took`.
+    pub(crate) fn note_start(&mut self, took: Duration) {
+        let share = Self::START_SHARE;
+        self.start_time = self.start_time * (share - 1) / share + took / share;
+    }
+
     pub(crate) fn next_call(&mut self) -> CallId {
         self.last_call += 1;
         self.last_call
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -68,7 +68,8 @@
         let lease = instance.lease;
         let ticket = self.policy.ticket(now, task.cohort(), incarnation).cloned();
         let order = Order::Start { task, number, payload, lease, ticket, checkpoint };
-        self.call(incarnation, Pending::Start(task, number), order, Self::START_ANSWER, effects);
+        let timeout = self.start_timeout();
+        self.call(incarnation, Pending::Start(task, number), order, timeout, effects);
     }
 
     pub(crate) fn on_committed(&mut self, table: &Table, outcomes: &[Outcome]) {
