One way to walk the due rounds; what a round is expected to take is worked out once

Read through again, without a change of behaviour: - Three loops over live jobs, their queues and due rounds (planning, admission, lending) are one iterator, job::Due. What is expected of a round was worked out again for each of its groups; now once a round. - A Demand repeated the fields of a Cohort, and its display; a group's requirement was checked in two places (Group::accepts); the rack of an announcement was read beside Announcement::rack. - A renewal under way kept a number and a time that nobody read; it is a flag. Owner::call returned a number that nobody uses any more; Message::Join carried a disk that nobody read. Two comments of Attempt were wrong. - Queues were searched for policies at every event, also between the looks at what to ask. - Tests of replication and safety share their set-up; all assertions are kept.

--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -10,10 +10,7 @@
     /// Answers `Found`: whom the sender has chosen to found it.
     Founder(Name),
     /// A daemon with a disk takes no part in the agreement yet.
-    Join {
-        /// Identity of its disk.
-        disk: quorum::Disk,
-    },
+    Join,
     /// A call for whoever leads.
     Ask {
         /// Number at the sender.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -207,7 +207,7 @@
 
     /// Offers to found the fleet, or asks to join it.
     fn seek_membership(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let (Some(quorum), Some(disk)) = (&self.quorum, self.disk) else { return };
+        let Some(quorum) = self.quorum.as_ref().filter(|_| self.disk.is_some()) else { return };
         if quorum.leader().is_some() || quorum.leads() {
             return;
         }
@@ -222,8 +222,7 @@
             }
         }
         let others = self.asks.known.iter().filter(|name| **name != self.id).cloned();
-        let message = Message::Join { disk };
-        effects.extend(others.map(|to| Effect::Send { to, message: message.clone() }));
+        effects.extend(others.map(|to| Effect::Send { to, message: Message::Join }));
     }
 
     fn on_offer(&mut self, now: Time, from: Name, effects: &mut Vec<Effect>) {
@@ -277,7 +276,7 @@
             }
             Message::Found => self.on_offer(now, from, effects),
             Message::Founder(choice) => self.on_choice(now, from, choice, effects),
-            Message::Join { .. } => {
+            Message::Join => {
                 if self.quorum.as_ref().is_some_and(|quorum| quorum.governs(now)) {
                     self.membership.join(now, from);
                 }
--- a/crates/job/src/admission.rs
+++ b/crates/job/src/admission.rs
@@ -165,13 +165,13 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(config) = &table.config else { return };
-        if config.queues.values().all(|queue| queue.admission.is_none()) {
-            return;
-        }
         if now < self.policy.sought + SEEK_INTERVAL {
             return;
         }
         self.policy.sought = now;
+        if config.queues.values().all(|queue| queue.admission.is_none()) {
+            return;
+        }
         self.policy.questions.retain(|_, open| now < open.sent + open.timeout + PATIENCE);
         self.policy.decisions.retain(|cohort, _| table.live.contains(&cohort.job));
         if now < self.policy.retry_at || self.policy.questions.len() >= self.policy.askers {
@@ -191,30 +191,20 @@
     /// Groups with tasks that wait, and groups whose turn comes while leave still holds.
     fn needs<'a>(&self, unix: Unix, table: &'a Table, config: &'a Config) -> Vec<Need<'a>> {
         let mut needs = Vec::new();
-        for job in &table.live {
-            let Some(entry) = table.jobs.get(job).filter(|e| !e.standing.is_over()) else {
-                continue;
-            };
-            let Some(queue) = config.queue(&entry.queue) else { continue };
+        let ahead = |queue: &Queue| Some(unix + queue.admission?.validity.as_millis() as u64 / 2);
+        for due in Due::all(table, config, ahead) {
+            let Due { round, queue, .. } = due;
             let Some(admission) = queue.admission else { continue };
-            let ahead = unix + admission.validity.as_millis() as u64 / 2;
-            for (number, round) in entry.rounds.iter().enumerate() {
-                let due = entry.spec.due(number as u32).unwrap_or(entry.accepted);
-                if due > ahead {
-                    break;
-                }
-                for (position, group) in entry.spec.groups.iter().enumerate() {
-                    let waiting = round.waiting[position];
-                    let blocked = due > unix || !round.is_unblocked(group);
-                    if waiting == 0 || blocked && !round.is_nearly_unblocked(group) {
-                        continue;
-                    }
-                    let (round_number, position) = (number as u32, position as u16);
-                    let cohort = Cohort { job: *job, round: round_number, group: position };
-                    let key = self.key(unix, due, entry, queue, cohort, round);
-                    let pool = &queue.pool;
-                    needs.push(Need { cohort, group, pool, admission, blocked, waiting, key });
+            let mut outlook = None;
+            for (position, group) in due.waiting() {
+                let blocked = due.at > unix || !round.is_unblocked(group);
+                if blocked && !round.is_nearly_unblocked(group) {
+                    continue;
                 }
+                let key = outlook.get_or_insert_with(|| self.outlook(due)).key(unix, due, group);
+                let (cohort, pool) = (due.cohort(position), &queue.pool);
+                let waiting = round.waiting[usize::from(position)];
+                needs.push(Need { cohort, group, pool, admission, blocked, waiting, key });
             }
         }
         needs
@@ -227,10 +217,9 @@
         let mut open = Vec::new();
         for (incarnation, instance) in &self.instances {
             let Some(announcement) = &instance.announcement else { continue };
-            let labels = &announcement.labels;
             let suits = announcement.pool == *need.pool
                 && instance.is_usable(now)
-                && group.requirement.as_ref().is_none_or(|label| labels.contains(label))
+                && group.accepts(&announcement.labels)
                 && room.fits(announcement.capacity);
             if !suits {
                 continue;
@@ -240,7 +229,8 @@
                 let most = group.apart.unwrap_or(u16::MAX);
                 places += u64::from(most).min(free.holds(room));
             } else if self.policy.is_open(now, *cohort, incarnation) {
-                let near = group.data_rack.is_some() && labels.get(1) == group.data_rack.as_ref();
+                let near =
+                    group.data_rack.is_some() && announcement.rack() == group.data_rack.as_ref();
                 open.push((near, free.millicores, incarnation.clone()));
             }
         }
--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -50,12 +50,12 @@
                 if let Some(attempt) = attempt.filter(|a| answered && a.number == number) {
                     attempt.settled = Some(now);
                     // A renewal under way may wait for long, and was sent too early to tell.
-                    instance.renewal = None;
+                    instance.renewing = false;
                     instance.renew_at = now;
                 }
             }
             Pending::Renew { sent } => {
-                instance.renewal = None;
+                instance.renewing = false;
                 match result {
                     Ok(Reply::Report { born, running, ended, .. }) => {
                         if born.is_some_and(|born| born != incarnation.born) {
@@ -83,7 +83,7 @@
     /// An instance obeys a later owner: this one is about to learn of its own end.
     fn fenced_off(&mut self, now: Time, incarnation: &Incarnation) {
         if let Some(instance) = self.instances.get_mut(incarnation) {
-            instance.renewal = None;
+            instance.renewing = false;
             instance.silent = true;
             instance.renew_at = now + Self::LEASE;
             instance.avoided_until = now + Self::LEASE;
@@ -136,7 +136,7 @@
             Ok(Reply::Report { .. } | Reply::Fenced) | Err(_) => {
                 attempt.stage = Stage::Unanswered;
                 // A renewal under way may wait for long.
-                instance.renewal = None;
+                instance.renewing = false;
                 instance.renew_at = now;
                 self.note_start(took);
                 let why = "no answer to the order to start it".into();
--- a/crates/job/src/group.rs
+++ b/crates/job/src/group.rs
@@ -52,6 +52,11 @@
         self.size.millicores.saturating_mul(self.estimate.as_millis() as u64)
     }
 
+    /// Whether an instance with these labels may run its tasks.
+    pub fn accepts(&self, labels: &[Name]) -> bool {
+        self.requirement.as_ref().is_none_or(|label| labels.contains(label))
+    }
+
     /// What a task counts against the room of its instance.
     pub fn room(&self) -> Resources {
         let millicores = if self.filler { 0 } else { self.size.millicores };
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -17,8 +17,8 @@
     pub(crate) fenced: bool,
     /// Whether the last renewal had no answer.
     pub(crate) silent: bool,
-    /// Renewal under way, and when it was sent.
-    pub(crate) renewal: Option<(CallId, Time)>,
+    /// Whether a renewal is under way.
+    pub(crate) renewing: bool,
     /// When the next renewal is due.
     pub(crate) renew_at: Time,
     /// Ends up to this number are committed.
@@ -61,8 +61,9 @@
     pub(crate) stop: bool,
     /// When the last order to stop it was sent.
     pub(crate) stop_sent: Option<Time>,
-    /// When it was last seen at less than full work, or started.
+    /// Share of its work done, as last reported.
     pub(crate) percent: u8,
+    /// Latency or use of processors, as last reported.
     pub(crate) gauge: u32,
     pub(crate) checkpoint: Option<Arc<str>>,
     /// Share at which a filler may work, as last ordered.
@@ -107,7 +108,7 @@
             lapses,
             fenced: false,
             silent: false,
-            renewal: None,
+            renewing: false,
             renew_at: now,
             acknowledged: 0,
             proposed: 0,
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -270,30 +270,21 @@
         let mut late = BTreeSet::new();
         let sizes = self.machines.listed.values().map(|machine| machine.capacity);
         let largest = sizes.fold(Resources::default(), Resources::max);
-        for (id, entry) in table.live.iter().filter_map(|id| Some((*id, table.jobs.get(id)?))) {
-            let queue = config.queue(&entry.queue).filter(|_| !entry.standing.is_over());
-            let Some(queue) = queue else { continue };
+        for due in Due::all(table, config, |_| Some(unix)) {
+            let Due { entry, round, queue, .. } = due;
             let Some(pool) = pools.get_mut(&queue.pool) else { continue };
-            for (number, round) in entry.rounds.iter().enumerate() {
-                let due = entry.spec.due(number as u32).unwrap_or(entry.accepted);
-                if due > unix {
-                    break;
-                }
-                let place = Cohort { job: id, round: number as u32, group: 0 };
-                if !self.is_in_time(unix, due, entry, queue, place, round) {
-                    late.insert(id);
-                    continue;
-                }
-                pool.backlog =
-                    pool.backlog.saturating_add(round.waiting_work(&entry.spec, largest));
-                pool.apart = pool.apart.max(round.machines(&entry.spec));
-                let age = Duration::from_millis(unix.saturating_sub(due));
-                let fits = entry.spec.groups.iter().all(|group| group.room().fits(largest));
-                let work = if fits { entry.spec.work() } else { 0 };
-                let within = |window| if age <= window { work } else { 0 };
-                pool.onset = pool.onset.saturating_add(within(ONSET_WINDOW));
-                pool.arriving = pool.arriving.saturating_add(within(ARRIVAL_WINDOW));
+            if !self.is_in_time(unix, due) {
+                late.insert(due.job);
+                continue;
             }
+            pool.backlog = pool.backlog.saturating_add(round.waiting_work(&entry.spec, largest));
+            pool.apart = pool.apart.max(round.machines(&entry.spec));
+            let age = Duration::from_millis(unix.saturating_sub(due.at));
+            let fits = entry.spec.groups.iter().all(|group| group.room().fits(largest));
+            let work = if fits { entry.spec.work() } else { 0 };
+            let within = |window| if age <= window { work } else { 0 };
+            pool.onset = pool.onset.saturating_add(within(ONSET_WINDOW));
+            pool.arriving = pool.arriving.saturating_add(within(ARRIVAL_WINDOW));
         }
         late
     }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -27,6 +27,7 @@
 mod cohort;
 mod command;
 mod config;
+mod due;
 mod durations;
 mod effect;
 mod end;
@@ -60,6 +61,7 @@
 
 use {
     admission::Policy,
+    due::Due,
     durations::Durations,
     instance::{Attempt, Instance, Stage},
     progress::Round,
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -264,7 +264,7 @@
             return;
         }
         instance.silent = true;
-        instance.renewal = None;
+        instance.renewing = false;
         instance.renew_at = now;
     }
 
--- a/crates/job/src/owner.rs
+++ b/crates/job/src/owner.rs
@@ -309,7 +309,7 @@
         order: Order,
         timeout: Duration,
         effects: &mut Vec<Effect>,
-    ) -> CallId {
+    ) {
         let id = self.next_call();
         let address = self.instances.get(incarnation).and_then(|i| i.announcement.as_ref());
         if let Some(address) = address.map(|announcement| announcement.address.clone()) {
@@ -317,7 +317,6 @@
             self.calls.insert(id, (incarnation.clone(), pending));
             effects.push(Effect::Call { id, incarnation, address, order, timeout });
         }
-        id
     }
 
     /// How long the answer to a start may take now.
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -12,9 +12,7 @@
 #[derive(Debug)]
 pub(crate) struct Demand<'a> {
     key: Key,
-    job: JobId,
-    round: u32,
-    group: u16,
+    cohort: Cohort,
     entry: &'a Entry,
     pub(crate) queue: &'a Queue,
 }
@@ -22,10 +20,9 @@
 impl Demand<'_> {
     /// A line about tasks of the group that were given to instances.
     fn placed(&self, tasks: usize) -> Effect {
-        let about = format!("{:016x}.{}.{}", self.job, self.round, self.group);
         let Key { class, slack, .. } = self.key;
         let why = format!("{tasks} tasks, {class:?}, {slack} ms to spare");
-        note("group-placed", about, why)
+        note("group-placed", self.cohort.to_string(), why)
     }
 }
 
@@ -41,13 +38,40 @@
 
 /// When a round is wanted, and what is left of it.
 #[derive(Debug, Clone, Copy)]
-struct Outlook {
+pub(crate) struct Outlook {
     /// Milliseconds from the time that it was due.
     objective: u64,
     /// Milliseconds of the longest chain through what is not done yet.
     left: u64,
 }
 
+impl Outlook {
+    /// How many times its objective a job may take and still earn a little.
+    const LATE_FACTOR: u64 = 3;
+
+    /// Where a group of the round stands in the order of planning.
+    pub(crate) fn key(self, unix: Unix, due: Due, group: &Group) -> Key {
+        let Self { objective, left } = self;
+        let Due { entry, round, queue, .. } = due;
+        let age = unix.saturating_sub(due.at);
+        let class = if group.filler {
+            Class::Filler
+        } else if group.lasting {
+            Class::Lasting
+        } else if age + left <= objective {
+            Class::InTime
+        } else if age + left <= objective * Self::LATE_FACTOR {
+            Class::Late
+        } else {
+            Class::Owed
+        };
+        let whole: u16 = entry.spec.groups.iter().map(|group| group.count).sum();
+        let begun = round.waiting.iter().sum::<u16>() < whole;
+        let slack = objective.saturating_sub(age + left);
+        Key { class, priority: queue.priority, begun: std::cmp::Reverse(begun), slack }
+    }
+}
+
 /// How much a group is still worth.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Class {
@@ -85,9 +109,6 @@
 type Misfits<'a> = Vec<(&'a str, Resources)>;
 
 impl Owner {
-    /// How many times its objective a job may take and still earn a little.
-    const LATE_FACTOR: u32 = 3;
-
     pub(crate) fn plan(
         &mut self,
         now: Time,
@@ -100,7 +121,7 @@
         if demands.is_empty() {
             return Vec::new();
         }
-        demands.sort_by_key(|demand| (demand.key, demand.job, demand.round, demand.group));
+        demands.sort_by_key(|demand| (demand.key, demand.cohort));
         let mut sites = self.sites(now);
         let mut claims = Vec::new();
         let mut misfits = Misfits::new();
@@ -140,83 +161,33 @@
         config: &'a Config,
     ) -> Vec<Demand<'a>> {
         let mut demands = Vec::new();
-        for job in &table.live {
-            let Some(entry) = table.jobs.get(job).filter(|e| !e.standing.is_over()) else {
-                continue;
-            };
-            let Some(queue) = config.queue(&entry.queue) else { continue };
-            for (number, round) in entry.rounds.iter().enumerate() {
-                let due = entry.spec.due(number as u32).unwrap_or(entry.accepted);
-                if due > unix {
-                    break;
-                }
-                for (position, group) in entry.spec.groups.iter().enumerate() {
-                    if round.waiting[position] == 0 || !round.is_unblocked(group) {
-                        continue;
-                    }
-                    let (job, position) = (*job, position as u16);
-                    let place = Cohort { job, round: number as u32, group: position };
-                    let key = self.key(unix, due, entry, queue, place, round);
-                    let round = number as u32;
-                    demands.push(Demand { key, job, round, group: position, entry, queue });
-                }
+        for due in Due::all(table, config, |_| Some(unix)) {
+            let ready = due.waiting().filter(|(_, group)| due.round.is_unblocked(group));
+            let mut outlook = None;
+            for (position, group) in ready {
+                let outlook = *outlook.get_or_insert_with(|| self.outlook(due));
+                let (key, cohort) = (outlook.key(unix, due, group), due.cohort(position));
+                demands.push(Demand { key, cohort, entry: due.entry, queue: due.queue });
             }
         }
         demands
     }
 
-    pub(crate) fn key(
-        &self,
-        unix: Unix,
-        due: Unix,
-        entry: &Entry,
-        queue: &Queue,
-        place: Cohort,
-        round: &Round,
-    ) -> Key {
-        let group = &entry.spec.groups[usize::from(place.group)];
-        let Outlook { objective, left } = self.outlook(entry, queue, place, round);
-        let age = unix.saturating_sub(due);
-        let class = if group.filler {
-            Class::Filler
-        } else if group.lasting {
-            Class::Lasting
-        } else if age + left <= objective {
-            Class::InTime
-        } else if age + left <= objective * u64::from(Self::LATE_FACTOR) {
-            Class::Late
-        } else {
-            Class::Owed
-        };
-        let whole: u16 = entry.spec.groups.iter().map(|group| group.count).sum();
-        let begun = round.waiting.iter().sum::<u16>() < whole;
-        let slack = objective.saturating_sub(age + left);
-        Key { class, priority: queue.priority, begun: std::cmp::Reverse(begun), slack }
-    }
-
     /// Whether a round can still be done within its objective; one that lasts always is.
-    pub(crate) fn is_in_time(
-        &self,
-        unix: Unix,
-        due: Unix,
-        entry: &Entry,
-        queue: &Queue,
-        place: Cohort,
-        round: &Round,
-    ) -> bool {
-        let Outlook { objective, left } = self.outlook(entry, queue, place, round);
-        entry.spec.is_lasting() || unix.saturating_sub(due) + left <= objective
+    pub(crate) fn is_in_time(&self, unix: Unix, due: Due) -> bool {
+        let Outlook { objective, left } = self.outlook(due);
+        due.entry.spec.is_lasting() || unix.saturating_sub(due.at) + left <= objective
     }
 
-    /// What is expected of the round that `place` is in.
-    fn outlook(&self, entry: &Entry, queue: &Queue, place: Cohort, round: &Round) -> Outlook {
+    /// What is expected of a round.
+    pub(crate) fn outlook(&self, due: Due) -> Outlook {
+        let Due { entry, round, queue, .. } = due;
         let groups = &entry.spec.groups;
         let delay = queue.admission.map_or(Duration::ZERO, |admission| admission.delay());
         let mut whole: Vec<Duration> = Vec::with_capacity(groups.len());
         let mut open: Vec<Duration> = Vec::with_capacity(groups.len());
         for (position, group) in groups.iter().enumerate() {
-            let cohort = Cohort { group: position as u16, ..place };
-            let own = self.durations.expect(&queue.name, cohort, group);
+            let own = self.durations.expect(&queue.name, due.cohort(position as u16), group);
             let before = |ends: &[Duration]| {
                 let before = group.after.iter().filter_map(|i| ends.get(usize::from(*i))).max();
                 before.copied().unwrap_or_default()
@@ -240,7 +211,8 @@
         misfits: &mut Misfits<'a>,
         claims: &mut Vec<Claim>,
     ) {
-        let group = &demand.entry.spec.groups[usize::from(demand.group)];
+        let Cohort { job, round, group: position } = demand.cohort;
+        let group = &demand.entry.spec.groups[usize::from(position)];
         let room = group.room();
         let known = |(pool, size): &(&str, Resources)| {
             *pool == &*demand.queue.pool && size.fits(room) && group.requirement.is_none()
@@ -250,16 +222,15 @@
         if late && !self.lacking.is_empty() || misfits.iter().any(known) {
             return;
         }
-        let Some(round) = demand.entry.rounds.get(demand.round as usize) else { return };
-        let slots = &round.groups[usize::from(demand.group)];
-        if group.gang && usize::from(round.waiting[usize::from(demand.group)]) < slots.len() {
+        let Some(state) = demand.entry.rounds.get(round as usize) else { return };
+        let slots = &state.groups[usize::from(position)];
+        if group.gang && usize::from(state.waiting[usize::from(position)]) < slots.len() {
             return;
         }
         let gang_number = slots.iter().map(|slot| slot.number).max().unwrap_or(0) + 1;
         let first = claims.len();
         let mut rack = None;
         for (index, slot) in slots.iter().enumerate() {
-            let Demand { job, round, group: position, .. } = *demand;
             let task = Task { job, round, group: position, index: index as u16 };
             if slot.phase != Phase::Waiting || self.placed.contains_key(&task) {
                 continue;
@@ -312,12 +283,12 @@
         let near = |site: &Site| wanted.is_none() || site.rack() == wanted;
         let has_leave = |site: &Site| {
             demand.queue.admission.is_none()
-                || self.policy.ticket(now, task.cohort(), &site.incarnation).is_some()
+                || self.policy.ticket(now, demand.cohort, &site.incarnation).is_some()
         };
         let fits = |site: &Site| {
             room.fits(site.free)
                 && has_leave(site)
-                && group.requirement.as_ref().is_none_or(|label| site.labels.contains(label))
+                && group.accepts(&site.labels)
                 && group.apart.is_none_or(|most| self.beside(&site.incarnation, task) < most)
         };
         let score = |site: &Site| {
--- a/crates/job/src/settling.rs
+++ b/crates/job/src/settling.rs
@@ -159,9 +159,9 @@
             let acknowledged = instance.acknowledged;
             let order = Order::Renew { lease, acknowledged, wait };
             let pending = Pending::Renew { sent: now };
-            let id = self.call(&incarnation, pending, order, wait + Self::ANSWER, effects);
+            self.call(&incarnation, pending, order, wait + Self::ANSWER, effects);
             if let Some(instance) = self.instances.get_mut(&incarnation) {
-                instance.renewal = Some((id, now));
+                instance.renewing = true;
             }
         }
     }
@@ -250,7 +250,7 @@
         let waits_for_commit = self.seen > self.acknowledged;
         let urgent = self.lease_left(now) < Owner::LEASE / 2;
         self.announcement.is_some()
-            && self.renewal.is_none()
+            && !self.renewing
             && needed
             && now >= self.renew_at
             && (!waits_for_commit || urgent)
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -13,6 +13,23 @@
     world
 }
 
+/// Hands in a job whose two tasks last, on an instance each.
+fn submit_lasting(world: &mut World, id: JobId) {
+    let mut lasting = chain(&[2], 2000, 500);
+    lasting.groups[0].lasting = true;
+    lasting.groups[0].apart = Some(1);
+    world.submit(id, "a", lasting);
+}
+
+/// Who has the first task of a job.
+fn claimed_by(world: &World, job: JobId) -> Option<Incarnation> {
+    let task = Task { job, round: 0, group: 0, index: 0 };
+    match &world.table.jobs[&job].slot(task)?.phase {
+        Phase::Claimed(life) => Some(life.clone()),
+        Phase::Waiting | Phase::Done => None,
+    }
+}
+
 fn standing(world: &World, id: JobId) -> Standing {
     world.table.jobs[&id].standing
 }
@@ -238,12 +255,10 @@
     let mut world = one_pool(16, 2);
     world.travel_ms = 100;
     world.submit(7, "a", chain(&[1], 2000, 5000));
-    let task = Task { job: 7, round: 0, group: 0, index: 0 };
     let life = loop {
         world.run(1);
-        let slot = world.table.jobs[&7].slot(task).expect("the task has a slot");
-        if let Phase::Claimed(life) = &slot.phase {
-            break life.clone();
+        if let Some(life) = claimed_by(&world, 7) {
+            break life;
         }
     };
     // The order is on its way when its instance starts again and another owner follows, whose first
@@ -263,10 +278,7 @@
 fn a_job_with_a_start_that_has_no_answer_is_done_within_its_objective() {
     let mut world = one_pool(17, 2);
     // Another job keeps the renewals of both instances waiting.
-    let mut lasting = chain(&[2], 2000, 500);
-    lasting.groups[0].lasting = true;
-    lasting.groups[0].apart = Some(1);
-    world.submit(6, "a", lasting);
+    submit_lasting(&mut world, 6);
     world.run(1300);
     let handed_in = world.now;
     world.submit(7, "a", chain(&[1, 1], 2000, 300));
@@ -298,19 +310,13 @@
 fn play_late_order(seed: u64) {
     let mut world = one_pool(seed, 2);
     // Another job keeps the leases of both instances going.
-    let mut lasting = chain(&[2], 2000, 500);
-    lasting.groups[0].lasting = true;
-    lasting.groups[0].apart = Some(1);
-    world.submit(6, "a", lasting);
+    submit_lasting(&mut world, 6);
     world.run(500);
     world.trouble.carried_out_late = 1000;
     world.submit(7, "a", chain(&[1], 2000, 800));
     world.run(60);
     world.trouble = Trouble::default();
-    let slot = world.table.jobs[&7].slot(Task { job: 7, round: 0, group: 0, index: 0 });
-    let Some(Phase::Claimed(life)) = slot.map(|slot| slot.phase.clone()) else {
-        panic!("the task is claimed")
-    };
+    let life = claimed_by(&world, 7).expect("the task is claimed");
     // Nothing new is placed there, so that the task goes to the other instance.
     let instance = world.instances.get_mut(&life).expect("the instance is in the world");
     instance.announcement.condition = Condition::Draining;
--- a/crates/quorum/tests/replication.rs
+++ b/crates/quorum/tests/replication.rs
@@ -51,26 +51,33 @@
     entries
 }
 
-const COMMANDS: usize = 300;
+const SECOND: Duration = Duration::from_secs(1);
 
-#[test]
-fn what_a_member_missed_is_sent_again_once_however_much_was_on_its_way() {
-    let second = Duration::from_secs(1);
+/// Two voters, of which the first has been elected after five seconds.
+fn leader_and_follower() -> (State, State) {
     let (mut a, mut b) = (member("a"), member("b"));
     a.reduce(Duration::ZERO, Event::Start);
     b.reduce(Duration::ZERO, Event::Start);
-    let asked = step(&mut a, 5 * second, Event::Timer(Timer::Election));
-    exchange(&mut a, &mut b, 5 * second, asked);
+    let asked = step(&mut a, 5 * SECOND, Event::Timer(Timer::Election));
+    exchange(&mut a, &mut b, 5 * SECOND, asked);
     assert!(a.leads());
+    (a, b)
+}
+
+const COMMANDS: usize = 300;
+
+#[test]
+fn what_a_member_missed_is_sent_again_once_however_much_was_on_its_way() {
+    let (mut a, mut b) = leader_and_follower();
 
     // The member stands still: everything waits, and the first message is lost.
     let mut waiting = VecDeque::new();
     for i in 0..COMMANDS {
-        let now = 6 * second + Duration::from_millis(10 * i as u64);
+        let now = 6 * SECOND + Duration::from_millis(10 * i as u64);
         waiting.extend(step(&mut a, now, Event::Propose(vec![0; 4096])));
     }
     waiting.pop_front();
-    let sent = exchange(&mut a, &mut b, 10 * second, waiting);
+    let sent = exchange(&mut a, &mut b, 10 * SECOND, waiting);
     assert!(sent <= 3 * COMMANDS, "{sent} entries were sent for {COMMANDS}");
     let last = a.last_index();
     assert_eq!(b.last_index(), last);
@@ -78,13 +85,8 @@
 
 #[test]
 fn a_leader_that_yields_is_followed_by_a_voter_with_all_of_its_log_at_once() {
-    let second = Duration::from_secs(1);
-    let (mut a, mut b) = (member("a"), member("b"));
-    a.reduce(Duration::ZERO, Event::Start);
-    b.reduce(Duration::ZERO, Event::Start);
-    let asked = step(&mut a, 5 * second, Event::Timer(Timer::Election));
-    exchange(&mut a, &mut b, 5 * second, asked);
-    let now = 6 * second;
+    let (mut a, mut b) = leader_and_follower();
+    let now = 6 * SECOND;
     let proposed = step(&mut a, now, Event::Propose(vec![1]));
     assert!(step(&mut a, now, Event::Yield).is_empty(), "nobody has all of the log yet");
     assert!(a.leads());
