Scheduler: a start answered by a later incarnation does not prove that its task has ended

Cause: start requests are addressed by instance name.

Change: an attempt is confirmed by a report that lists it, or by an answer whose clock reading only its own incarnation can have. An unconfirmed one moves to the later incarnation and is stopped there first.

Before: the new test fails, "starts on i-m1-3 while it runs on i-m1-3"; the world now also checks each start against every run that is alive.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -36,14 +36,20 @@
             return self.on_fenced(now, &incarnation);
         }
         let Some(instance) = self.instances.get_mut(&incarnation) else { return };
+        let mut is_own_clock = false;
         if let Ok(reply) = &result {
             instance.last_heard = now;
             if let Some(clock) = reply.clock() {
+                is_own_clock = instance.is_own_clock(clock, now);
                 instance.update_clock(clock, now);
             }
         }
         match pending {
             PendingCall::Start(task, number) => {
+                let attempt = instance.attempts.get_mut(&task).filter(|a| a.number == number);
+                if let Some(attempt) = attempt.filter(|_| is_own_clock) {
+                    attempt.confirmed = true;
+                }
                 self.on_start(now, &incarnation, task, number, result, effects);
             }
             PendingCall::Stop(task, number) => {
@@ -234,6 +240,7 @@
                 continue;
             };
             reported.insert(run.task);
+            attempt.confirmed = true;
             attempt.percent = run.percent;
             attempt.gauge = run.gauge;
             attempt.checkpoint = run.checkpoint.or(attempt.checkpoint.take());
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -58,6 +58,9 @@
     /// Reports of requests sent at or after this time show whether it runs: if it is missing there,
     /// it never will. `None` while a start request may still be carried out.
     pub(crate) conclusive_from: Option<Time>,
+    /// Whether it has run on the incarnation that it is assigned to. A start request is addressed
+    /// by instance name, so its answer alone may have come from a later incarnation.
+    pub(crate) confirmed: bool,
     /// Whether it is to be stopped.
     pub(crate) stop_requested: bool,
     /// When the last stop request was sent.
@@ -137,6 +140,15 @@
         }
     }
 
+    /// Whether a clock reading that arrived at `now` can only be of this incarnation. The clock of
+    /// an incarnation starts at zero, so that of one that started after the last known reading
+    /// cannot have got further than the time since.
+    pub(crate) fn is_own_clock(&self, clock: InstanceMs, now: Time) -> bool {
+        let Some((known, at)) = self.clock else { return false };
+        let unheard = Self::lease_expiry_after(Time::ZERO, now.saturating_sub(at));
+        clock >= known && Duration::from_millis(clock) > unheard
+    }
+
     /// Estimated reading of its clock.
     pub(crate) fn clock_at(&self, now: Time) -> Option<InstanceMs> {
         self.clock.map(|(clock, at)| clock + now.saturating_sub(at).as_millis() as InstanceMs)
@@ -203,6 +215,7 @@
             long_lived: group.is_some_and(Group::is_long_lived),
             has_latency_target: group.is_some_and(|group| group.latency_target.is_some()),
             conclusive_from: None,
+            confirmed: false,
             stop_requested: false,
             stop_sent: None,
             percent: 0,
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -273,9 +273,9 @@
 
     /// Handles the end of an incarnation: what ran there is lost.
     ///
-    /// Requests are addressed by instance name, so a start request that was not answered, or that
-    /// was sent by an earlier leader, may have reached a later incarnation. Such an attempt moves
-    /// to that incarnation, to be stopped there.
+    /// Requests are addressed by instance name, so a start request that was not answered, that was
+    /// sent by an earlier leader, or whose answer does not show which incarnation gave it, may have
+    /// reached a later incarnation. Such an attempt moves to that incarnation, to be stopped there.
     pub(crate) fn end_incarnation(
         &mut self,
         now: Time,
@@ -293,7 +293,10 @@
             self.assigned.remove(&task);
             match (attempt.stage, &successor) {
                 (Stage::Ending | Stage::Proposed, _) => {}
-                (Stage::Starting | Stage::Unanswered | Stage::Recovered, Some(successor)) => {
+                (
+                    Stage::Starting | Stage::Unanswered | Stage::Recovered | Stage::Running,
+                    Some(successor),
+                ) if !attempt.confirmed => {
                     attempt.stage = Stage::Unanswered;
                     attempt.stop_requested = true;
                     attempt.stop_sent = None;
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -99,6 +99,23 @@
     assert!(world.starts[1].0 < crashed + 300);
 }
 
+#[test]
+fn a_start_answered_by_a_later_incarnation_is_stopped_there_first() {
+    let mut world = one_pool(4, 2);
+    let incarnations: Vec<_> = world.instances.keys().cloned().collect();
+    for incarnation in &incarnations {
+        world.restart(incarnation);
+    }
+    world.submit(7, "a", chain(&[1], 2000, 20_000));
+    world.run(60);
+    let (_, _, _, receiver) = world.starts[0].clone();
+    assert!(!incarnations.contains(&receiver), "the later incarnation runs the task");
+    world.announce(&receiver);
+    // The world checks that no task runs twice.
+    world.run(45_000);
+    assert_eq!(state(&world, 7), JobState::Completed);
+}
+
 #[test]
 fn a_new_leader_adopts_running_attempts() {
     let mut world = one_pool(5, 3);
--- a/crates/job/tests/world/checks.rs
+++ b/crates/job/tests/world/checks.rs
@@ -28,6 +28,12 @@
     pub(super) fn check_start(&self, incarnation: &Incarnation, task: TaskId, group: &Group) {
         let record = &self.table.jobs[&task.job];
         assert!(!self.done.contains(&task), "{task} starts after its end was committed");
+        let runs = |(_, instance): &(&Incarnation, &Instance)| {
+            instance.alive && instance.running.contains_key(&task)
+        };
+        if let Some((other, _)) = self.instances.iter().find(runs) {
+            panic!("{task} starts on {incarnation} while it runs on {other}");
+        }
         for after in &group.after {
             let open = record.spec.groups[usize::from(*after)].count;
             for index in 0..open {
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -168,7 +168,7 @@
         self.events.push(Reverse((self.now + after, self.sequence, event)));
     }
 
-    /// Starts an instance, which announces itself.
+    /// Starts an instance, which has not announced itself yet.
     fn start_instance(&mut self, announcement: Announcement) {
         let incarnation = announcement.incarnation.clone();
         let instance = Instance {
@@ -185,8 +185,7 @@
             rejected: BTreeMap::new(),
             held_renewal: None,
         };
-        self.instances.insert(incarnation.clone(), instance);
-        self.announce(&incarnation);
+        self.instances.insert(incarnation, instance);
     }
 
     /// Announces an instance to the scheduler, unless it has ended or is disconnected.
@@ -208,14 +207,26 @@
         let Some(instance) = self.instances.get_mut(incarnation) else { return };
         instance.alive = false;
         instance.running.clear();
+        if restart && let Some(later) = self.restart(incarnation) {
+            self.announce(&later);
+        }
+    }
+
+    /// Ends an incarnation and starts a later one of the same name, which has not announced itself
+    /// yet. Returns the later one, unless it would start at the same time.
+    pub fn restart(&mut self, incarnation: &Incarnation) -> Option<Incarnation> {
+        let instance = self.instances.get_mut(incarnation)?;
+        instance.alive = false;
+        instance.running.clear();
         let mut announcement = instance.announcement.clone();
-        if restart {
-            announcement.incarnation.born = EPOCH_MS + self.now;
-            announcement.sequence = 0;
-            if announcement.incarnation != *incarnation {
-                self.start_instance(announcement);
-            }
+        announcement.incarnation.born = EPOCH_MS + self.now;
+        announcement.sequence = 0;
+        let later = announcement.incarnation.clone();
+        if later == *incarnation {
+            return None;
         }
+        self.start_instance(announcement);
+        Some(later)
     }
 
     /// Disconnects an instance until the given time.
--- a/crates/job/tests/world/platform.rs
+++ b/crates/job/tests/world/platform.rs
@@ -40,7 +40,9 @@
             clock: 0,
             sequence: 0,
         };
+        let incarnation = announcement.incarnation.clone();
         self.start_instance(announcement);
+        self.announce(&incarnation);
     }
 
     /// Carries out an order about a machine, unless it is busy, and schedules the answer.
