Members introduce themselves to the seeds; changed seeds are put in force

Change: a member that knows a leader tells the seeds outside the quorum every 400 ms who leads and who the members are. The settings file is read again on SIGHUP and every 2 s; other seeds are put in force, a file with findings is reported and the settings in use stay.

--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -45,6 +45,8 @@
         restored: Box<quorum::PersistentState>,
         boot: u64,
     },
+    /// The settings name other seeds than before.
+    SeedsChanged(Vec<Name>),
     /// The process was asked to stop.
     Stop,
 }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -34,7 +34,7 @@
     },
     /// Asks for the leader.
     Ping,
-    /// Answer to `Ping`.
+    /// Answer to `Ping`; members also send it to the seeds unasked.
     Pong {
         /// The leader, as far as the sender knows.
         leader: Option<Name>,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -55,7 +55,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let result = runtime.map_err(eyre::Report::from).and_then(|runtime| {
         let tasks = tokio::task::LocalSet::new();
-        tasks.block_on(&runtime, serve(settings, arguments.gateway))
+        tasks.block_on(&runtime, serve(settings, arguments))
     });
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -73,12 +73,13 @@
     Ok(settings::EntryDaemon::parse(&path.display().to_string(), &text)?)
 }
 
-async fn serve(settings: settings::EntryDaemon, gateway: bool) -> eyre::Result<()> {
+async fn serve(settings: settings::EntryDaemon, arguments: Arguments) -> eyre::Result<()> {
+    let gateway = arguments.gateway;
     let boot: u64 = rand::random();
     let clock = Clock::start();
     let peers = with_gateway_port(settings.peers, gateway);
     let id: Name = peers.to_string().into();
-    let seeds = settings.seeds.iter().map(|seed| peer_address(*seed, &settings)).collect();
+    let seeds = peer_addresses(&settings);
     let bounds = match settings.bounds.max_lease {
         Duration::ZERO => job::Bounds::default(),
         max_lease => job::Bounds { max_lease },
@@ -128,6 +129,7 @@
         admission: settings.admission.map(|address| address.to_string().into()),
         machines: settings.machines.map(|address| address.to_string().into()),
         holder: settings.id.clone(),
+        settings_file: SettingsFile::new(arguments, settings.clone()),
         events,
         tickets: BTreeMap::new(),
         last_ticket: 0,
@@ -147,9 +149,39 @@
     address
 }
 
-/// Peer address of the daemon whose control address is `seed`: all instances use the same ports.
-fn peer_address(seed: SocketAddr, settings: &settings::EntryDaemon) -> Name {
-    SocketAddr::new(seed.ip(), settings.peers.port()).to_string().into()
+/// Peer addresses of the seeds. The settings name their control addresses; all instances use the
+/// same ports.
+fn peer_addresses(settings: &settings::EntryDaemon) -> Vec<Name> {
+    let peer =
+        |seed: &SocketAddr| SocketAddr::new(seed.ip(), settings.peers.port()).to_string().into();
+    settings.seeds.iter().map(peer).collect()
+}
+
+/// The settings in use, and the file that they were read from.
+struct SettingsFile {
+    arguments: Arguments,
+    current: settings::EntryDaemon,
+    /// When the file is read again, in case it has changed without a signal.
+    next_check: Time,
+}
+
+impl SettingsFile {
+    const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
+    fn new(arguments: Arguments, current: settings::EntryDaemon) -> Self {
+        Self { arguments, current, next_check: Self::CHECK_INTERVAL }
+    }
+
+    /// Reads the file again; `None` if its settings are those in use.
+    fn reload(&mut self, now: Time) -> eyre::Result<Option<&settings::EntryDaemon>> {
+        self.next_check = now + Self::CHECK_INTERVAL;
+        let settings = read(&self.arguments)?;
+        if settings == self.current {
+            return Ok(None);
+        }
+        self.current = settings;
+        Ok(Some(&self.current))
+    }
 }
 
 /// The main loop, which passes events to [`State`] and carries out its effects.
@@ -174,6 +206,7 @@
     machines: Option<Name>,
     /// Name under which the platform knows this daemon as the sender of machine orders.
     holder: Name,
+    settings_file: SettingsFile,
     events: mpsc::UnboundedSender<Event>,
     /// Where to send the answers to open calls.
     tickets: BTreeMap<CallTicket, oneshot::Sender<Answer>>,
@@ -226,7 +259,7 @@
                     self.note("stopping", "", "asked to stop");
                     self.step(Event::Stop);
                 }
-                _ = reload.recv() => self.note("reload", "", "settings are read at the next start"),
+                _ = reload.recv() => self.reload_settings(),
                 Some(result) = durable.recv() => self.on_synced(result),
                 Some((from, body)) = frames.recv() => self.on_frame(from, &body),
                 Some(event) = pending.recv() => self.step(event),
@@ -236,6 +269,9 @@
             while let Some(timer) = self.timers.pop(self.clock.now()) {
                 self.step(Event::Timer(timer));
             }
+            if self.clock.now() >= self.settings_file.next_check {
+                self.reload_settings();
+            }
             if let Some(disk) = &mut self.disk {
                 disk.flush();
             }
@@ -243,6 +279,19 @@
         }
     }
 
+    /// Reads the settings again and puts the seeds in force; other changes wait for the next start.
+    fn reload_settings(&mut self) {
+        let now = self.clock.now();
+        let outcome = match self.settings_file.reload(now) {
+            Ok(settings) => settings.map(peer_addresses),
+            Err(error) => return self.note("settings-rejected", "", &format!("{error:#}")),
+        };
+        if let Some(seeds) = outcome {
+            self.note("reload", "", &format!("seeds {}", seeds.join(", ")));
+            self.step(Event::SeedsChanged(seeds));
+        }
+    }
+
     fn on_call(&mut self, (call, timeout, sender): IncomingCall) {
         self.last_ticket += 1;
         self.tickets.insert(self.last_ticket, sender);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -30,6 +30,7 @@
     /// How long callers are still served after the process was asked to stop.
     pub(crate) grace: Duration,
     last_ping: Time,
+    last_introduction: Time,
 }
 
 /// Interval at which requests, leases and calls are checked.
@@ -38,6 +39,8 @@
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which daemons that do not lead ask for the leader.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval at which members of the quorum introduce themselves to the seeds.
+const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay before opening the data folder is tried again.
 const DISK_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -70,6 +73,7 @@
             stopping: false,
             grace,
             last_ping: Time::ZERO,
+            last_introduction: Time::ZERO,
         }
     }
 
@@ -123,6 +127,10 @@
             Event::DiskOpened { restored, boot } => {
                 self.on_disk_opened(now, unix, *restored, boot, &mut effects);
             }
+            Event::SeedsChanged(seeds) => {
+                self.pending_calls.known.extend(seeds.iter().cloned());
+                self.seeds = seeds;
+            }
             Event::Stop => self.stop(&mut effects),
         }
         self.update_leadership(now, unix, &mut effects);
@@ -196,6 +204,7 @@
         self.request_membership(now, effects);
         self.update_members(now, unix, effects);
         self.ping(now, effects);
+        self.introduce(now, effects);
         let serves = self.can_serve(now) && self.table.config.is_some();
         if serves {
             self.pending_calls.last_served = Some(now);
@@ -233,6 +242,32 @@
         }
     }
 
+    /// Tells the seeds outside the quorum who leads and who the members are. After a restart, a
+    /// daemon without a disk knows nothing but its seeds. These may all be daemons without a disk
+    /// that have restarted as well, so that only the members can bring them together.
+    fn introduce(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let Some(quorum) = &self.quorum else { return };
+        let leader = quorum.leader().cloned();
+        if leader.is_none() || now < self.last_introduction + INTRODUCTION_INTERVAL {
+            return;
+        }
+        self.last_introduction = now;
+        let outside = |seed: &&Name| **seed != self.id && quorum.members().get(seed).is_none();
+        for to in self.seeds.iter().filter(outside).cloned() {
+            effects.push(Effect::Send { to, message: self.pong(now) });
+        }
+    }
+
+    /// Who leads and who the members are, as far as this daemon knows.
+    fn pong(&self, now: Time) -> Message {
+        let members = match &self.quorum {
+            Some(quorum) => quorum.members().iter().map(|(name, _)| name.clone()).collect(),
+            None => self.pending_calls.members.iter().cloned().collect(),
+        };
+        let serves = self.can_serve(now) && self.table.config.is_some();
+        Message::Pong { leader: self.leader(now), members, serves }
+    }
+
     /// Offers to start the log of a new fleet, or asks to join an existing one.
     fn request_membership(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let Some(quorum) = self.quorum.as_ref().filter(|_| self.disk.is_some()) else { return };
@@ -348,13 +383,7 @@
             }
             Message::Ping => {
                 self.query_router.heard_from(now, &self.id, &from);
-                let members = match &self.quorum {
-                    Some(q) => q.members().iter().map(|(name, _)| name.clone()).collect(),
-                    None => self.pending_calls.members.iter().cloned().collect(),
-                };
-                let serves = self.can_serve(now) && self.table.config.is_some();
-                let message = Message::Pong { leader: self.leader(now), members, serves };
-                effects.push(Effect::Send { to: from, message });
+                effects.push(Effect::Send { to: from, message: self.pong(now) });
             }
             Message::Pong { leader, members, serves } => {
                 self.pending_calls.last_heard = Some(now);
