Refusals are true, and agreement goes before work

The leader took frames in the order of arrival, so heartbeats and votes waited behind calls, and calls waited without bound.

Change: a call remembers every daemon that it was sent to and that has not answered; a refusal is passed on only if none is left. A forwarded call carries its deadline on the clock of the leader (from the readings in its pongs, never later than true), and a leader does not carry out one that is past it. Events wait by class: agreement, instances, calls, new jobs; a job that waited over 300 ms is refused before it is proposed.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,7 +15,7 @@
     serde::{Deserialize, Serialize},
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         net::SocketAddr,
         path::PathBuf,
         process::ExitCode,
@@ -32,10 +32,13 @@
 mod event;
 mod http;
 mod http_client;
+mod inbox;
 mod log;
 mod membership;
 mod message;
 mod metrics;
+mod overload;
+mod peer_clock;
 mod pending_call;
 mod pending_calls;
 mod query_router;
@@ -45,11 +48,28 @@
 mod state;
 mod timer;
 
+#[cfg(test)]
+#[path = "../tests/reducer/mod.rs"]
+mod reducer;
+
 pub use run::run;
 use {
-    bootstrap::Bootstrap, clock::Clock, effect::Effect, event::Event, membership::Membership,
-    message::Message, metrics::Metrics, pending_call::PendingCall, pending_calls::PendingCalls,
-    query_router::QueryRouter, reply_to::ReplyTo, state::State, timer::Timer,
+    bootstrap::Bootstrap,
+    clock::Clock,
+    effect::Effect,
+    event::Event,
+    inbox::Inbox,
+    membership::Membership,
+    message::Message,
+    metrics::Metrics,
+    overload::Overload,
+    peer_clock::{PeerClocks, Reading},
+    pending_call::PendingCall,
+    pending_calls::PendingCalls,
+    query_router::QueryRouter,
+    reply_to::ReplyTo,
+    state::State,
+    timer::Timer,
 };
 
 /// Id of a call that a client of this daemon waits for; unrelated to the tickets of admission
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -17,6 +17,9 @@
         ticket: CallTicket,
         /// The call.
         call: Call,
+        /// When the sender gives the call up, on the clock of the receiver; `None` if the sender
+        /// does not know that clock.
+        deadline: Option<Reading>,
     },
     /// Answer to a forwarded call.
     Answer {
@@ -42,6 +45,8 @@
         members: Vec<Name>,
         /// Whether the sender is the confirmed leader and has a configuration.
         serves: bool,
+        /// Clock of the sender.
+        clock: Reading,
     },
     /// Asks the receiver to send an admission query to the platform.
     AdmissionQuery {
@@ -59,4 +64,12 @@
     },
     /// Announcement of an instance, for members that may lead later.
     Announced(job::Announcement),
+    /// The sender has not carried out a forwarded call, since its deadline is missing or is that of
+    /// an earlier process.
+    ClockUnknown {
+        /// Id of the call at the receiver.
+        ticket: CallTicket,
+        /// Clock of the sender.
+        clock: Reading,
+    },
 }
--- a/crates/entry/src/pending_call.rs
+++ b/crates/entry/src/pending_call.rs
@@ -8,6 +8,33 @@
     pub(crate) until: Time,
     /// Daemon that it was last sent to, and when.
     pub(crate) sent: Option<(Name, Time)>,
-    /// Whether some daemon may have carried it out.
-    pub(crate) may_have_run: bool,
+    /// Daemons that have not answered, and how often it was sent to each. Any of them may have
+    /// carried it out, or may still do so.
+    unanswered: BTreeMap<Name, u32>,
+}
+
+impl PendingCall {
+    pub(crate) fn new(call: Call, until: Time) -> Self {
+        Self { call, until, sent: None, unanswered: BTreeMap::new() }
+    }
+
+    /// Whether some daemon may have carried it out, or may still do so.
+    pub(crate) fn may_have_run(&self) -> bool {
+        !self.unanswered.is_empty()
+    }
+
+    pub(crate) fn record_sent(&mut self, now: Time, to: Name) {
+        *self.unanswered.entry(to.clone()).or_default() += 1;
+        self.sent = Some((to, now));
+    }
+
+    /// Records the answer of `from` to one of the requests sent there.
+    pub(crate) fn record_answer(&mut self, from: &Name) {
+        if let Some(count) = self.unanswered.get_mut(from) {
+            *count -= 1;
+            if *count == 0 {
+                self.unanswered.remove(from);
+            }
+        }
+    }
 }
--- a/crates/entry/src/pending_calls.rs
+++ b/crates/entry/src/pending_calls.rs
@@ -19,6 +19,7 @@
     pub(crate) last_heard: Option<Time>,
     /// When a leader last reported that it serves calls.
     pub(crate) last_served: Option<Time>,
+    pub(crate) clocks: PeerClocks,
 }
 
 impl PendingCalls {
@@ -42,8 +43,7 @@
     }
 
     pub(crate) fn insert(&mut self, ticket: CallTicket, call: Call, until: Time) {
-        let pending = PendingCall { call, until, sent: None, may_have_run: false };
-        self.waiting.insert(ticket, pending);
+        self.waiting.insert(ticket, PendingCall::new(call, until));
     }
 
     pub(crate) fn take(&mut self, ticket: CallTicket) -> Option<PendingCall> {
@@ -86,14 +86,36 @@
         } else if self.leader.as_ref() == Some(from) {
             self.leader = None;
         }
-        if let Some(pending) = self.waiting.get_mut(&ticket)
-            && pending.sent.as_ref().is_some_and(|(to, _)| to == from)
-        {
-            pending.may_have_run = false;
+        self.on_not_carried_out(ticket, from);
+    }
+
+    /// Handles the answer of `from` that it has not carried out a call and will not. The call is
+    /// due to be sent again.
+    pub(crate) fn on_not_carried_out(&mut self, ticket: CallTicket, from: &Name) {
+        let Some(pending) = self.waiting.get_mut(&ticket) else { return };
+        pending.record_answer(from);
+        if pending.sent.as_ref().is_some_and(|(to, _)| to == from) {
             pending.sent = None;
         }
     }
 
+    /// Handles the answer of `from`, and returns the one for the client. A refusal is not passed on
+    /// while another daemon may have accepted the call: its answer is waited for.
+    pub(crate) fn on_answer(
+        &mut self,
+        ticket: CallTicket,
+        from: &Name,
+        answer: Answer,
+    ) -> Option<Answer> {
+        let pending = self.waiting.get_mut(&ticket)?;
+        pending.record_answer(from);
+        if answer.is_refusal() && pending.may_have_run() {
+            return None;
+        }
+        self.waiting.remove(&ticket);
+        Some(answer)
+    }
+
     /// Whether no daemon that could serve a call is reachable: no peer answers, or no leader has
     /// served for long.
     fn is_unserved(&self, now: Time) -> bool {
@@ -108,7 +130,7 @@
     /// Sends the call to the leader if it is due; rejects it at once if no daemon can serve it.
     pub(crate) fn send(&mut self, now: Time, own: &Name, ticket: CallTicket) -> Option<Effect> {
         let pending = self.waiting.get(&ticket)?;
-        if pending.sent.is_none() && !pending.may_have_run && self.is_unserved(now) {
+        if pending.sent.is_none() && !pending.may_have_run() && self.is_unserved(now) {
             self.waiting.remove(&ticket);
             let answer = Answer::NotRun { retry: Self::RETRY_AFTER };
             return Some(Effect::Answer { ticket, answer });
@@ -123,9 +145,9 @@
         }
         let to = self.choose_peer(own)?;
         let pending = self.waiting.get_mut(&ticket)?;
-        pending.sent = Some((to.clone(), now));
-        pending.may_have_run = true;
-        let message = Message::Forward { ticket, call: pending.call.clone() };
+        pending.record_sent(now, to.clone());
+        let deadline = self.clocks.translate(&to, pending.until);
+        let message = Message::Forward { ticket, call: pending.call.clone(), deadline };
         Some(Effect::Send { to, message })
     }
 
@@ -133,7 +155,7 @@
     pub(crate) fn take_expired(&mut self, now: Time) -> Vec<(CallTicket, Call, Answer)> {
         let late = self.waiting.extract_if(.., |_, pending| pending.until <= now);
         let answer = |pending: &PendingCall| {
-            if pending.may_have_run {
+            if pending.may_have_run() {
                 Answer::Unknown
             } else {
                 Answer::NotRun { retry: Self::RETRY_AFTER }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -88,7 +88,7 @@
         Duration::ZERO => STOP_GRACE,
         limit => STOP_GRACE.min(limit.saturating_sub(STOP_RESERVE)),
     };
-    let state = State::new(id, seeds, settings.founding, Scheduler::new(bounds), grace);
+    let state = State::new(id, boot, seeds, settings.founding, Scheduler::new(bounds), grace);
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, calls_in) = mpsc::unbounded_channel();
@@ -130,6 +130,7 @@
         machines: settings.machines.map(|address| address.to_string().into()),
         holder: settings.id.clone(),
         settings_file: SettingsFile::new(arguments, settings.clone()),
+        inbox: Inbox::default(),
         events,
         tickets: BTreeMap::new(),
         last_ticket: 0,
@@ -207,6 +208,7 @@
     /// Name under which the platform knows this daemon as the sender of machine orders.
     holder: Name,
     settings_file: SettingsFile,
+    inbox: Inbox,
     events: mpsc::UnboundedSender<Event>,
     /// Where to send the answers to open calls.
     tickets: BTreeMap<CallTicket, oneshot::Sender<Answer>>,
@@ -221,6 +223,8 @@
 impl EventLoop {
     /// Maximum time to wait for an event.
     const MAX_WAIT: Duration = Duration::from_millis(500);
+    /// Events handled before timers, the disk and arriving messages get their turn.
+    const EVENTS_PER_ROUND: usize = 32;
     /// Maximum time to wait for pending answers before the process ends.
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -250,21 +254,42 @@
                 stopped = Some(now);
                 continue;
             }
-            let due = self.timers.next_due().map(|at| at.saturating_sub(now));
-            let wait = due.unwrap_or(Self::MAX_WAIT).min(Self::MAX_WAIT);
-            tokio::select! {
-                biased;
-                _ = terminate.recv() => {
-                    self.server.stopping.set(true);
-                    self.note("stopping", "", "asked to stop");
-                    self.step(Event::Stop);
+            if self.inbox.is_empty() {
+                let due = self.timers.next_due().map(|at| at.saturating_sub(now));
+                let wait = due.unwrap_or(Self::MAX_WAIT).min(Self::MAX_WAIT);
+                tokio::select! {
+                    biased;
+                    _ = terminate.recv() => {
+                        self.server.stopping.set(true);
+                        self.note("stopping", "", "asked to stop");
+                        self.step(Event::Stop);
+                    }
+                    _ = reload.recv() => self.reload_settings(),
+                    Some(result) = durable.recv() => self.on_synced(result),
+                    Some((from, body)) = frames.recv() => self.on_frame(from, &body),
+                    Some(event) = pending.recv() => self.push(event),
+                    Some(call) = calls_in.recv() => self.on_call(call),
+                    () = tokio::time::sleep(wait) => {}
                 }
-                _ = reload.recv() => self.reload_settings(),
-                Some(result) = durable.recv() => self.on_synced(result),
-                Some((from, body)) = frames.recv() => self.on_frame(from, &body),
-                Some(event) = pending.recv() => self.step(event),
-                Some(call) = calls_in.recv() => self.on_call(call),
-                () = tokio::time::sleep(wait) => {}
+            } else {
+                tokio::task::yield_now().await;
+            }
+            while let Ok(result) = durable.try_recv() {
+                self.on_synced(result);
+            }
+            while let Ok((from, body)) = frames.try_recv() {
+                self.on_frame(from, &body);
+            }
+            while let Ok(event) = pending.try_recv() {
+                self.push(event);
+            }
+            while let Ok(call) = calls_in.try_recv() {
+                self.on_call(call);
+            }
+            for _ in 0..Self::EVENTS_PER_ROUND {
+                let Some((waited, event)) = self.inbox.pop(self.clock.now()) else { break };
+                self.state.overload.record(waited);
+                self.step(event);
             }
             while let Some(timer) = self.timers.pop(self.clock.now()) {
                 self.step(Event::Timer(timer));
@@ -295,17 +320,21 @@
     fn on_call(&mut self, (call, timeout, sender): IncomingCall) {
         self.last_ticket += 1;
         self.tickets.insert(self.last_ticket, sender);
-        self.step(Event::Call { ticket: self.last_ticket, call, timeout });
+        self.push(Event::Call { ticket: self.last_ticket, call, timeout });
     }
 
     fn on_frame(&mut self, from: SocketAddr, body: &[u8]) {
         let from: Name = from.to_string().into();
         match wire::Codec::decode(body) {
-            Ok(message) => self.step(Event::Peer { from, message }),
+            Ok(message) => self.push(Event::Peer { from, message }),
             Err(error) => self.note("message-dropped", &from, &error.to_string()),
         }
     }
 
+    fn push(&mut self, event: Event) {
+        self.inbox.push(self.clock.now(), event);
+    }
+
     /// Opens the data folder; if that fails, it is tried again later.
     fn open_disk(&mut self) {
         let Some(folder) = self.data.clone() else { return };
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -45,6 +45,8 @@
                 (Ok((queue, Some(id))), Ok(spec)) => {
                     if self.table.job(&queue, id).is_some() {
                         Answer::Done
+                    } else if let Some(retry) = self.overload.retry_after() {
+                        Answer::NotRun { retry }
                     } else {
                         let command = Command::Submit { id, queue, spec, at: unix };
                         return self.propose(now, unix, command, Some(reply_to), effects);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -3,6 +3,8 @@
 /// State machine of the daemon.
 pub(crate) struct State {
     pub(crate) id: Name,
+    /// Random number of this process.
+    pub(crate) boot: u64,
     pub(crate) seeds: Vec<Name>,
     /// Whether this is the first start of the fleet, so that all daemons have empty disks.
     pub(crate) is_new_fleet: bool,
@@ -21,6 +23,7 @@
     pub(crate) batch: Option<Index>,
     pub(crate) pending_calls: PendingCalls,
     pub(crate) query_router: QueryRouter,
+    pub(crate) overload: Overload,
     /// Where to send the answer once a log entry is committed.
     pub(crate) commits: BTreeMap<Index, ReplyTo>,
     /// Whether the load balancer was told to send callers here.
@@ -47,6 +50,7 @@
 impl State {
     pub(crate) fn new(
         id: Name,
+        boot: u64,
         seeds: Vec<Name>,
         is_new_fleet: bool,
         scheduler: Scheduler,
@@ -55,6 +59,7 @@
         let pending_calls = PendingCalls::new(&seeds);
         Self {
             id,
+            boot,
             seeds,
             is_new_fleet,
             bootstrap: Bootstrap::default(),
@@ -68,6 +73,7 @@
             batch: None,
             pending_calls,
             query_router: QueryRouter::default(),
+            overload: Overload::default(),
             commits: BTreeMap::new(),
             ready: false,
             stopping: false,
@@ -265,7 +271,12 @@
             None => self.pending_calls.members.iter().cloned().collect(),
         };
         let serves = self.can_serve(now) && self.table.config.is_some();
-        Message::Pong { leader: self.leader(now), members, serves }
+        Message::Pong { leader: self.leader(now), members, serves, clock: self.clock(now) }
+    }
+
+    /// Reading of this daemon's clock.
+    fn clock(&self, now: Time) -> Reading {
+        Reading { boot: self.boot, at: now }
     }
 
     /// Offers to start the log of a new fleet, or asks to join an existing one.
@@ -354,21 +365,20 @@
                     self.membership.join(now, from);
                 }
             }
-            Message::Forward { ticket, call } => {
-                if self.can_serve(now) {
-                    self.serve(now, unix, ReplyTo::Peer(from, ticket), call, effects);
-                } else {
-                    let leader = self.leader(now);
-                    let message = Message::NotLeader { ticket, leader };
-                    effects.push(Effect::Send { to: from, message });
-                }
+            Message::Forward { ticket, call, deadline } => {
+                self.on_forward(now, unix, from, ticket, call, deadline, effects);
             }
             Message::Answer { ticket, answer } => {
                 self.pending_calls.last_heard = Some(now);
-                if self.pending_calls.take(ticket).is_some() {
+                if let Some(answer) = self.pending_calls.on_answer(ticket, &from, answer) {
                     effects.push(Effect::Answer { ticket, answer });
                 }
             }
+            Message::ClockUnknown { ticket, clock } => {
+                self.pending_calls.clocks.record(now, &from, clock);
+                self.pending_calls.on_not_carried_out(ticket, &from);
+                self.serve_or_forward(now, unix, ticket, effects);
+            }
             Message::NotLeader { ticket, leader } => {
                 self.pending_calls.on_not_leader(ticket, &from, leader);
                 if self.pending_calls.leader.is_some() {
@@ -385,8 +395,9 @@
                 self.query_router.heard_from(now, &self.id, &from);
                 effects.push(Effect::Send { to: from, message: self.pong(now) });
             }
-            Message::Pong { leader, members, serves } => {
+            Message::Pong { leader, members, serves, clock } => {
                 self.pending_calls.last_heard = Some(now);
+                self.pending_calls.clocks.record(now, &from, clock);
                 self.pending_calls.known.extend(members.iter().cloned());
                 if !members.is_empty() {
                     self.pending_calls.members = members.into_iter().collect();
@@ -405,6 +416,37 @@
         }
     }
 
+    /// Serves a call that another daemon forwarded, unless that has given it up.
+    #[expect(clippy::too_many_arguments, reason = "the parts of one message")]
+    fn on_forward(
+        &mut self,
+        now: Time,
+        unix: job::UnixMs,
+        from: Name,
+        ticket: CallTicket,
+        call: Call,
+        deadline: Option<Reading>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !self.can_serve(now) {
+            let message = Message::NotLeader { ticket, leader: self.leader(now) };
+            return effects.push(Effect::Send { to: from, message });
+        }
+        let Some(deadline) = deadline.filter(|deadline| deadline.boot == self.boot) else {
+            let message = Message::ClockUnknown { ticket, clock: self.clock(now) };
+            return effects.push(Effect::Send { to: from, message });
+        };
+        let reply_to = ReplyTo::Peer(from, ticket);
+        if now >= deadline.at {
+            let late = (now - deadline.at).as_millis();
+            let why = format!("arrived {late} ms after its deadline");
+            effects.push(log::line("call-expired", call.subject(), &why));
+            let answer = Answer::NotRun { retry: PendingCalls::RETRY_AFTER };
+            return self.answer(reply_to, answer, effects);
+        }
+        self.serve(now, unix, reply_to, call, effects);
+    }
+
     /// Handles the answer to an admission query, or returns it to the leader that requested it.
     fn on_admission_answered(
         &mut self,
--- /dev/null
+++ b/crates/entry/tests/reducer/load.rs
@@ -0,0 +1,65 @@
+//! What a leader does with more calls than it can handle in time.
+
+use super::*;
+
+const DEADLINE: Option<Reading> = Some(Reading { boot: 7, at: Duration::from_millis(5000) });
+
+#[test]
+fn a_job_is_accepted_after_its_commit() {
+    let mut state = leader();
+    let effects = run(&mut state, ms(4000), forward(1, DEADLINE));
+    assert_eq!(returned(&effects), [Answer::Done]);
+    assert!(state.table.jobs.contains_key(&1));
+}
+
+#[test]
+fn a_call_that_its_sender_has_given_up_is_not_carried_out() {
+    let mut state = leader();
+    let effects = run(&mut state, ms(5000), forward(1, DEADLINE));
+    assert_eq!(returned(&effects), [Answer::NotRun { retry: PendingCalls::RETRY_AFTER }]);
+    assert!(state.table.jobs.is_empty());
+}
+
+#[test]
+fn a_call_whose_deadline_is_on_another_clock_is_not_carried_out() {
+    let mut state = leader();
+    for deadline in [None, Some(Reading { boot: 6, at: ms(90_000) })] {
+        let effects = run(&mut state, ms(4000), forward(1, deadline));
+        let clock = Reading { boot: 7, at: ms(4000) };
+        let unknown = effects.iter().any(|effect| {
+            matches!(effect, Effect::Send { message: Message::ClockUnknown { ticket: 1, clock: c }, .. } if *c == clock)
+        });
+        assert!(unknown, "{effects:?}");
+    }
+    assert!(state.table.jobs.is_empty());
+}
+
+#[test]
+fn a_job_that_waited_for_long_is_refused_before_it_is_proposed() {
+    let mut state = leader();
+    state.overload.record(ms(700));
+    let effects = run(&mut state, ms(4000), forward(1, DEADLINE));
+    assert_eq!(returned(&effects), [Answer::NotRun { retry: ms(1700) }]);
+    assert!(state.table.jobs.is_empty());
+    state.overload.record(ms(20));
+    let effects = run(&mut state, ms(4010), forward(1, DEADLINE));
+    assert_eq!(returned(&effects), [Answer::Done], "it takes jobs again at once");
+}
+
+#[test]
+fn agreement_goes_before_answers_of_instances_and_those_before_new_jobs() {
+    let mut inbox = Inbox::default();
+    for ticket in 0..1000 {
+        inbox.push(ms(ticket), forward(ticket, DEADLINE));
+    }
+    let result = Err(job::CallError::Timeout);
+    inbox.push(ms(2000), Event::InstanceAnswered { id: 1, result });
+    inbox.push(ms(2001), Event::Peer { from: "10.0.0.2:1".into(), message: Message::Ping });
+    let (_, first) = inbox.pop(ms(2010)).expect("an event");
+    assert!(matches!(first, Event::Peer { message: Message::Ping, .. }));
+    let (_, second) = inbox.pop(ms(2010)).expect("an event");
+    assert!(matches!(second, Event::InstanceAnswered { .. }));
+    let (waited, third) = inbox.pop(ms(2010)).expect("an event");
+    assert!(matches!(third, Event::Peer { message: Message::Forward { ticket: 0, .. }, .. }));
+    assert_eq!(waited, ms(2010));
+}
--- /dev/null
+++ b/crates/entry/tests/reducer/mod.rs
@@ -0,0 +1,137 @@
+//! Tests of the daemon's reducer, without network, disk and clock.
+
+use super::*;
+
+mod forwarding;
+mod load;
+
+/// A daemon without a disk that has heard from the leader `leader`.
+fn gateway(leader: &Name) -> State {
+    let seeds = vec![leader.clone()];
+    let scheduler = Scheduler::new(job::Bounds::default());
+    let mut state =
+        State::new("10.0.0.9:1".into(), 1, seeds, false, scheduler, Duration::from_secs(2));
+    pong(&mut state, ms(0), leader, ms(5000));
+    state
+}
+
+/// Reports to `state` that `leader` leads; its clock shows `clock`.
+fn pong(state: &mut State, now: Time, leader: &Name, clock: Time) -> Vec<Effect> {
+    let message = Message::Pong {
+        leader: Some(leader.clone()),
+        members: vec![leader.clone()],
+        serves: true,
+        clock: Reading { boot: 7, at: clock },
+    };
+    peer(state, now, leader, message)
+}
+
+/// Delivers a message of another daemon.
+fn peer(state: &mut State, now: Time, from: &Name, message: Message) -> Vec<Effect> {
+    state.reduce(now, 0, Event::Peer { from: from.clone(), message })
+}
+
+/// A call that hands in a job, as a client sends it to `state`.
+fn submit(state: &mut State, now: Time, ticket: CallTicket) -> Vec<Effect> {
+    let call = Call::Submit {
+        host: "host".into(),
+        path: "/q/00000000000000aa".into(),
+        spec: Err("not read".into()),
+    };
+    state.reduce(now, 0, Event::Call { ticket, call, timeout: ms(1800) })
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Where calls were forwarded to, with their deadlines.
+fn forwarded(effects: &[Effect]) -> Vec<(Name, Option<Reading>)> {
+    let forwarded = effects.iter().filter_map(|effect| match effect {
+        Effect::Send { to, message: Message::Forward { deadline, .. } } => {
+            Some((to.clone(), *deadline))
+        }
+        _ => None,
+    });
+    forwarded.collect()
+}
+
+/// Answers to clients.
+fn answers(effects: &[Effect]) -> Vec<Answer> {
+    let answers = effects.iter().filter_map(|effect| match effect {
+        Effect::Answer { answer, .. } => Some(answer.clone()),
+        _ => None,
+    });
+    answers.collect()
+}
+
+/// A leader that is its only voter, with a queue `q`.
+fn leader() -> State {
+    let id: Name = "10.0.0.1:1".into();
+    let scheduler = Scheduler::new(job::Bounds::default());
+    let mut state = State::new(id.clone(), 7, vec![id], true, scheduler, Duration::from_secs(2));
+    let disk = Some(5);
+    let restored = Box::new(quorum::PersistentState { disk, ..Default::default() });
+    run(&mut state, ms(0), Event::DiskOpened { restored, boot: 1 });
+    for at in (800..3000).step_by(150) {
+        run(&mut state, ms(at), Event::Timer(Timer::Beat));
+        run(&mut state, ms(at), Event::Timer(Timer::Quorum(quorum::Timer::Heartbeat)));
+    }
+    assert!(state.leads(), "the only seed founds the fleet");
+    let queue = job::Queue {
+        name: "q".into(),
+        host: "host".into(),
+        prefix: "/q/".into(),
+        pool: "p".into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch_permille: 1600,
+        slack: ms(600),
+        admission: None,
+    };
+    let pool = job::Pool { checks_room: true, spare: false };
+    let config = job::Config {
+        version: 1,
+        text: "".into(),
+        queues: BTreeMap::from([("q".into(), queue)]),
+        pools: BTreeMap::from([("p".into(), pool)]),
+        limits: job::Limits { body_bytes: 1 << 18, idle: Duration::from_secs(15) },
+    };
+    let call = Call::Configure(Box::new(config));
+    run(&mut state, ms(3000), Event::Call { ticket: 99, call, timeout: ms(900) });
+    state
+}
+
+/// Handles an event and writes to the disk at once what it persists.
+fn run(state: &mut State, now: Time, event: Event) -> Vec<Effect> {
+    let mut effects = state.reduce(now, 0, event);
+    let mut next = 0;
+    while next < effects.len() {
+        if let Effect::Persist(quorum::Record::Entries { first, entries }) = &effects[next] {
+            let index = first + entries.len() as Index - 1;
+            let term = entries.last().expect("a record has entries").term;
+            effects.extend(state.reduce(now, 0, Event::Synced { term, index }));
+        }
+        next += 1;
+    }
+    effects
+}
+
+/// A job as another daemon forwards it to the leader.
+fn forward(ticket: CallTicket, deadline: Option<Reading>) -> Event {
+    let group = job::Group { count: 1, ..Default::default() };
+    let spec = job::Spec { payload: "p".into(), groups: vec![group], recurrence: None };
+    let path = format!("/q/{ticket:016x}").into();
+    let call = Call::Submit { host: "host".into(), path, spec: Ok(spec) };
+    let message = Message::Forward { ticket, call, deadline };
+    Event::Peer { from: "10.0.0.9:1".into(), message }
+}
+
+/// Answers to calls that other daemons forwarded.
+fn returned(effects: &[Effect]) -> Vec<Answer> {
+    let answers = effects.iter().filter_map(|effect| match effect {
+        Effect::Send { message: Message::Answer { answer, .. }, .. } => Some(answer.clone()),
+        _ => None,
+    });
+    answers.collect()
+}
--- a/crates/job/src/call.rs
+++ b/crates/job/src/call.rs
@@ -102,3 +102,10 @@
     /// The request is invalid.
     Invalid(String),
 }
+
+impl Answer {
+    /// Whether it promises that the request was not carried out and will not be.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::NotRun { .. } | Self::NoQueue | Self::Invalid(_))
+    }
+}
