A new leader waits its turn before it orders a machine that was just ordered

Change: every member records when a batch about a machine was applied; a new leader leaves three seconds (the platform's bound, now a setting) between the last such time and its own first order about it, and about every machine whose order is still open.

Before: the new test fails without the wait ("leaders 1 and 2 order m0 within ..."); the world now checks every order. After: all tests of job pass, the fuzz among them.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -80,9 +80,11 @@
     let peers = with_gateway_port(settings.peers, gateway);
     let id: Name = peers.to_string().into();
     let seeds = peer_addresses(&settings);
-    let bounds = match settings.bounds.max_lease {
-        Duration::ZERO => job::Bounds::default(),
-        max_lease => job::Bounds { max_lease },
+    let defaults = job::Bounds::default();
+    let set = |bound: Duration, default| if bound.is_zero() { default } else { bound };
+    let bounds = job::Bounds {
+        max_lease: set(settings.bounds.max_lease, defaults.max_lease),
+        order_turn: set(settings.bounds.order_turn, defaults.order_turn),
     };
     let grace = match settings.bounds.stop_grace {
         Duration::ZERO => STOP_GRACE,
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -189,6 +189,9 @@
         }
         let command = postcard::from_bytes::<Command>(&entry.command);
         let command = command.expect("committed entries decode: the leader encoded them");
+        if let Command::CommitBatch { batch, .. } = &command {
+            self.scheduler.record_batch(now, batch);
+        }
         let outcomes = self.table.apply(command);
         if let Some(reply_to) = self.commits.remove(&index) {
             let answer = answer_to(&outcomes);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -523,6 +523,7 @@
             quorum::Effect::Install(snapshot) => {
                 let table = postcard::from_bytes(&snapshot.state);
                 self.table = table.expect("snapshots decode: a voter of this version encoded them");
+                self.scheduler.record_snapshot(now);
             }
             quorum::Effect::Changed(Ok(_)) => {}
             quorum::Effect::Changed(Err(refusal)) => {
--- a/crates/job/src/bounds.rs
+++ b/crates/job/src/bounds.rs
@@ -5,11 +5,13 @@
 pub struct Bounds {
     /// Longest lease that an instance accepts.
     pub max_lease: Duration,
+    /// How long after the last order about a machine a later leader must not send one.
+    pub order_turn: Duration,
 }
 
 impl Default for Bounds {
     /// The shortest lease limit among the known deployments of the platform, which is safe for all.
     fn default() -> Self {
-        Self { max_lease: Duration::from_secs(6) }
+        Self { max_lease: Duration::from_secs(6), order_turn: Duration::from_secs(3) }
     }
 }
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -6,6 +6,26 @@
 use super::*;
 use scheduler::note;
 
+/// When each machine was last the subject of an order or of an answer to one, by the order in which
+/// this daemon applied them; recorded on every member. The platform wants orders of two leaders
+/// about a machine to be some time apart, and a leader sends its last one about a machine before the
+/// answer is committed, or while the order is still open in the table.
+#[derive(Debug, Default)]
+pub(crate) struct OrderHistory {
+    last: BTreeMap<Name, Time>,
+    /// Orders applied before this time are not in `last`.
+    known_since: Time,
+}
+
+impl OrderHistory {
+    fn record(&mut self, now: Time, batch: &Batch) {
+        let ordered = batch.orders.iter().filter_map(MachineOrder::machine);
+        for machine in ordered.chain(&batch.answered) {
+            self.last.insert(machine.clone(), now);
+        }
+    }
+}
+
 /// State of the machines and of the orders about them.
 #[derive(Debug, Default)]
 pub(crate) struct Machines {
@@ -34,6 +54,8 @@
     unconfirmed: BTreeMap<Name, (MachineOrder, Time)>,
     /// Earliest time of the next order about a machine; set after each answer.
     retry_at: BTreeMap<Name, Time>,
+    /// Earliest time of the first order about any machine.
+    first_order_at: Time,
 }
 
 /// Interval between machine lists.
@@ -78,11 +100,28 @@
         !self.uncommitted.is_empty()
     }
 
-    /// Adopts the orders that an earlier leader may have sent.
-    pub(crate) fn recover(&mut self, now: Time, table: &Table) {
+    /// Adopts the orders that an earlier leader may have sent, and leaves it `turn` before the first
+    /// order about a machine that it may have just ordered.
+    pub(crate) fn recover(
+        &mut self,
+        now: Time,
+        table: &Table,
+        history: &OrderHistory,
+        turn: Duration,
+    ) {
         for (machine, order) in &table.orders {
             self.unconfirmed.insert(machine.clone(), (order.clone(), now));
+            self.retry_at.insert(machine.clone(), now + turn);
+        }
+        for (machine, at) in history.last.iter().filter(|(_, at)| now < **at + turn) {
+            self.retry_at.entry(machine.clone()).or_insert(*at + turn);
         }
+        self.first_order_at = history.known_since + turn;
+    }
+
+    /// Whether an order about a machine may be sent now.
+    fn may_send(&self, now: Time, machine: &Name) -> bool {
+        now >= self.first_order_at && self.retry_at.get(machine).is_none_or(|at| now >= *at)
     }
 
     /// Every order that is pending or may still be carried out.
@@ -93,7 +132,7 @@
 
     /// Whether a new order about a machine may be created now.
     pub(crate) fn may_order(&self, now: Time, machine: &Name) -> bool {
-        !self.is_ordered(machine) && self.retry_at.get(machine).is_none_or(|at| now >= *at)
+        !self.is_ordered(machine) && self.may_send(now, machine)
     }
 
     /// Whether a machine may be down for maintenance, or about to be.
@@ -116,6 +155,16 @@
 }
 
 impl Scheduler {
+    /// Records the machine orders of a committed batch; called on every member.
+    pub fn record_batch(&mut self, now: Time, batch: &Batch) {
+        self.order_history.record(now, batch);
+    }
+
+    /// Records that the table was replaced by a snapshot, which does not show the latest orders.
+    pub fn record_snapshot(&mut self, now: Time) {
+        self.order_history.known_since = now;
+    }
+
     /// Requests the list of machines when it is due, and repeats orders that were not answered.
     pub(crate) fn check_machines(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let expired = |(_, sent): &(CallId, Time)| now > *sent + LIST_TIMEOUT;
@@ -148,7 +197,7 @@
             }
             let in_flight = &self.machines.in_flight;
             let calling = in_flight.values().any(|(order, _)| order.machine() == Some(*machine));
-            !calling && self.machines.retry_at.get(*machine).is_none_or(|at| now >= *at)
+            !calling && self.machines.may_send(now, machine)
         });
         let unconfirmed: Vec<_> = unconfirmed.map(|(_, unconfirmed)| unconfirmed.clone()).collect();
         for (order, first) in unconfirmed {
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -45,6 +45,8 @@
     /// When the balance of each pool was last logged.
     pub(crate) last_report: Time,
     pub(crate) machines: machines::Machines,
+    /// Kept while another daemon leads.
+    pub(crate) order_history: machines::OrderHistory,
     pub(crate) durations: DurationEstimator,
     /// Moving average of the time from a start request to its answer.
     mean_start_time: Duration,
@@ -162,7 +164,7 @@
         self.resign();
         self.epoch = Some(epoch);
         self.leader_since = now;
-        self.machines.recover(now, table);
+        self.machines.recover(now, table, &self.order_history, self.bounds.order_turn);
         let lease_expires = Instance::lease_expiry_after(now, self.bounds.max_lease);
         for (announcement, heard) in self.announcements.values() {
             if announcement.condition != Condition::Gone {
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -249,6 +249,23 @@
     assert!(world.table.waves[&1].is_complete());
 }
 
+#[test]
+fn orders_of_two_leaders_about_a_machine_are_some_time_apart() {
+    let mut world = one_pool(12, 2);
+    world.run(4000);
+    world.faults = FaultRates { platform_answer_lost: 1000, ..FaultRates::default() };
+    world.start_wave(1, &["m0", "m1"], 1);
+    world.run(500);
+    // The world checks the time between the orders.
+    for _ in 0..4 {
+        world.change_leader(true);
+        world.run(700);
+    }
+    world.faults = FaultRates::default();
+    world.run(30_000);
+    assert!(world.table.waves[&1].is_complete());
+}
+
 #[test]
 fn a_new_leader_keeps_the_budget_of_a_wave() {
     let mut world = one_pool(14, 6);
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -95,6 +95,10 @@
     batch: Option<Batch>,
     platform_calls: BTreeMap<CallId, MachineOrder>,
     platform_answers: BTreeMap<CallId, Result<MachineReply, CallError>>,
+    /// Epoch and time of the last order about each machine that the platform received.
+    last_ordered: BTreeMap<Name, (Epoch, u64)>,
+    /// Committed batches with machine orders, and when they were committed.
+    order_batches: Vec<(Duration, Batch)>,
     /// Last order carried out on each machine.
     last_carried_out: BTreeMap<Name, MachineOrder>,
     queries: BTreeMap<CallId, AdmissionQuery>,
@@ -133,6 +137,8 @@
             batch: None,
             platform_calls: BTreeMap::new(),
             platform_answers: BTreeMap::new(),
+            last_ordered: BTreeMap::new(),
+            order_batches: Vec::new(),
             last_carried_out: BTreeMap::new(),
             queries: BTreeMap::new(),
             admission_free_at: 0,
@@ -241,11 +247,14 @@
     pub fn change_leader(&mut self, commit_batch: bool) {
         self.trace(|| format!("leader changes, batch committed: {commit_batch} {:?}", self.batch));
         if let Some(batch) = self.batch.take().filter(|_| commit_batch) {
-            self.note_done(&batch);
+            self.note_batch(&batch);
             self.table.apply(Command::CommitBatch { at: self.unix(), batch });
         }
         self.epoch += 1;
         self.scheduler = Scheduler::new(Bounds::default());
+        for (at, batch) in &self.order_batches {
+            self.scheduler.record_batch(*at, batch);
+        }
         self.platform_calls.clear();
         self.platform_answers.clear();
         self.step(Event::Lead { epoch: self.epoch });
@@ -307,7 +316,7 @@
                 }
                 if let Some(batch) = self.batch.take() {
                     self.trace(|| format!("commits {batch:?}"));
-                    self.note_done(&batch);
+                    self.note_batch(&batch);
                     let outcomes =
                         self.table.apply(Command::CommitBatch { at: self.unix(), batch });
                     self.step(Event::BatchCommitted(outcomes));
@@ -325,6 +334,15 @@
         }
     }
 
+    /// Remembers a batch that is committed.
+    fn note_batch(&mut self, batch: &Batch) {
+        self.note_done(batch);
+        self.scheduler.record_batch(self.time(), batch);
+        if !batch.orders.is_empty() || !batch.answered.is_empty() {
+            self.order_batches.push((self.time(), batch.clone()));
+        }
+    }
+
     fn tick(&mut self) {
         self.schedule(TICK_MS, SimEvent::Tick);
         let now = self.now;
--- a/crates/job/tests/world/platform.rs
+++ b/crates/job/tests/world/platform.rs
@@ -61,6 +61,14 @@
             MachineOrder::Move { machine, pool } => (machine, Some(pool), 1500),
             MachineOrder::Maintain { machine, .. } => (machine, None, 2000),
         };
+        if let Some((earlier, at)) = self.last_ordered.insert(machine.clone(), (epoch, self.now)) {
+            let turn = Bounds::default().order_turn.as_millis() as u64;
+            assert!(
+                earlier == epoch || self.now >= at + turn,
+                "leaders {earlier} and {epoch} order {machine} within {} ms",
+                self.now - at
+            );
+        }
         let listed = self.machines.get_mut(&machine).expect("the machine is in the world");
         let maintained = pool.is_none();
         let result = if self.last_carried_out.get(&machine) == Some(&order) {
--- a/crates/settings/src/entry_daemon.rs
+++ b/crates/settings/src/entry_daemon.rs
@@ -37,6 +37,8 @@
 pub struct Bounds {
     /// Duration of the longest lease that an instance accepts.
     pub max_lease: Duration,
+    /// How long after the last order about a machine another daemon must not send one.
+    pub order_turn: Duration,
     /// Time from the signal that stops the daemon until the platform ends its process.
     pub stop_grace: Duration,
 }
@@ -120,6 +122,7 @@
     fn read_bounds(&mut self, reader: &mut Reader) {
         let bounds = &mut self.bounds;
         bounds.max_lease = reader.milliseconds("max-lease-ms").unwrap_or_default();
+        bounds.order_turn = reader.milliseconds("order-turn-ms").unwrap_or_default();
         bounds.stop_grace = reader.seconds("stop-grace-s").unwrap_or_default();
     }
 
