Entry instances carry the leader's orders; messages to one daemon share a frame

Cause: one leader's 0.42 cores do everything, 210 us a task, of which planning is the smaller part: HTTP with 1,100 instances, a frame for each message, and each announcement sent on to every member.

Change: in fleets of more than 96 instances, one gateway for each 48 instances of a data centre carries orders and answers (chosen by rendezvous hashing, members' machines left out, suspended when it reaches none of several instances). Epoch, lease and fence pass through; an order past its deadline on the carrier's clock is not sent; an order that no carrier returns counts as unanswered. Messages to a daemon share a frame, orders and results wait up to 8 ms for it, announcements 60 ms. Members hear of an instance when something has changed, or after 6 s. Daemons of a large fleet ask for the leader every 500 ms instead of 300.

--- /dev/null
+++ b/crates/entry/src/carriers.rs
@@ -0,0 +1,167 @@
+//! Chooses the daemons that carry the leader's orders to instances. Talking HTTP to an instance costs
+//! several times what deciding about it does, and one processor leads while all others are idle. A
+//! carrier only transports: it sends an order as it is, with the lease and the epoch that the leader
+//! set, and returns what the instance answers. It keeps nothing, so its loss costs the answers on
+//! their way, and the leader treats those as it treats an instance that does not answer.
+//!
+//! Small fleets need no carriers. Otherwise each data centre has a few, in proportion to its
+//! instances, and rendezvous hashing assigns the instances, so that a change of one carrier moves
+//! only its own.
+
+use {super::*, std::net::IpAddr, twox_hash::XxHash64};
+
+/// Daemons that may carry orders, and the orders in flight through them.
+#[derive(Debug, Default)]
+pub(crate) struct Carriers {
+    /// A daemon on each other machine, by the address of the machine.
+    daemons: BTreeMap<IpAddr, Daemon>,
+    /// The carriers in use, by data centre.
+    chosen: BTreeMap<Name, Vec<Name>>,
+    open: BTreeMap<job::CallId, OpenOrder>,
+    /// Carriers that are not used until the given time, since they reached no instance.
+    suspended: BTreeMap<Name, Time>,
+    /// Instances that each carrier failed to reach since it last reached one.
+    failures: BTreeMap<Name, BTreeSet<Name>>,
+}
+
+#[derive(Debug)]
+struct Daemon {
+    name: Name,
+    data_center: Name,
+    heard: Time,
+}
+
+/// An order that a carrier has not returned.
+#[derive(Debug)]
+struct OpenOrder {
+    carrier: Name,
+    instance: Name,
+    until: Time,
+}
+
+impl Carriers {
+    /// Up to this many instances, the leader sends all orders itself.
+    const MAX_DIRECT_INSTANCES: usize = 96;
+    /// Instances for each carrier. The link of an entry instance without a disk bounds them: at
+    /// twice the planned starts it is half full.
+    const INSTANCES_PER_CARRIER: usize = 48;
+    /// A daemon that was not heard from for this long is not chosen.
+    const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1400);
+    /// Time that an order may take to the carrier and back, beyond the timeout of the order.
+    const TRANSPORT_TIME: Duration = Duration::from_millis(350);
+    /// A carrier that failed to reach this many different instances in a row is suspended.
+    const MAX_FAILURES: usize = 4;
+    const SUSPENSION: Duration = Duration::from_secs(4);
+
+    /// Number of daemons from which on each should ask for the leader less often.
+    const LARGE_FLEET: usize = 60;
+
+    /// Whether many daemons ask this one for the leader.
+    pub(crate) fn is_large_fleet(&self) -> bool {
+        self.daemons.len() >= Self::LARGE_FLEET
+    }
+
+    /// Records that a daemon was heard from.
+    pub(crate) fn heard_from(&mut self, now: Time, daemon: &Name, data_center: &Name) {
+        let Ok(address) = daemon.parse::<SocketAddr>() else { return };
+        let (name, data_center) = (daemon.clone(), data_center.clone());
+        self.daemons.insert(address.ip(), Daemon { name, data_center, heard: now });
+    }
+
+    /// Chooses the carriers anew. `instances` are counted by data centre; the machines of `members`
+    /// are left to agreement. Returns the number of carriers if it has changed.
+    pub(crate) fn choose(
+        &mut self,
+        now: Time,
+        instances: &BTreeMap<Name, usize>,
+        members: &BTreeSet<IpAddr>,
+    ) -> Option<usize> {
+        self.daemons.retain(|_, daemon| now < daemon.heard + Self::LIVENESS_TIMEOUT);
+        self.suspended.retain(|_, until| now < *until);
+        let mut chosen = BTreeMap::<Name, Vec<Name>>::new();
+        if instances.values().sum::<usize>() > Self::MAX_DIRECT_INSTANCES {
+            for (address, daemon) in &self.daemons {
+                if !members.contains(address) && !self.suspended.contains_key(&daemon.name) {
+                    let carriers = chosen.entry(daemon.data_center.clone()).or_default();
+                    carriers.push(daemon.name.clone());
+                }
+            }
+        }
+        for (data_center, carriers) in &mut chosen {
+            let count = instances.get(data_center).copied().unwrap_or_default();
+            carriers.sort_by_cached_key(|carrier| hash(carrier, 0));
+            carriers.truncate(count.div_ceil(Self::INSTANCES_PER_CARRIER).max(1));
+        }
+        let count = |chosen: &BTreeMap<Name, Vec<Name>>| chosen.values().map(Vec::len).sum();
+        let (before, after): (usize, usize) = (count(&self.chosen), count(&chosen));
+        self.chosen = chosen;
+        (before != after).then_some(after)
+    }
+
+    /// The carrier for an instance; `None` if the leader sends its orders itself.
+    pub(crate) fn carrier_of(&self, instance: &Name, data_center: &Name) -> Option<&Name> {
+        let seed = hash(instance, 0);
+        let near = self.chosen.get(data_center);
+        let carriers = near.into_iter().flatten();
+        let best = |carrier: &&Name| hash(carrier, seed);
+        carriers.max_by_key(best).or_else(|| self.chosen.values().flatten().max_by_key(best))
+    }
+
+    /// Records an order that is sent through a carrier.
+    pub(crate) fn open(
+        &mut self,
+        now: Time,
+        id: job::CallId,
+        carrier: Name,
+        instance: Name,
+        timeout: Duration,
+    ) {
+        let until = now + timeout + Self::TRANSPORT_TIME;
+        self.open.insert(id, OpenOrder { carrier, instance, until });
+    }
+
+    /// Records the result of an order. Returns whether it was still open, and the carrier if it is
+    /// suspended from now on.
+    pub(crate) fn finish(
+        &mut self,
+        now: Time,
+        id: job::CallId,
+        answered: bool,
+    ) -> (bool, Option<Name>) {
+        let Some(OpenOrder { carrier, instance, .. }) = self.open.remove(&id) else {
+            return (false, None);
+        };
+        if answered {
+            self.failures.remove(&carrier);
+            return (true, None);
+        }
+        let failures = self.failures.entry(carrier.clone()).or_default();
+        failures.insert(instance);
+        if failures.len() < Self::MAX_FAILURES {
+            return (true, None);
+        }
+        self.failures.remove(&carrier);
+        self.suspended.insert(carrier.clone(), now + Self::SUSPENSION);
+        for carriers in self.chosen.values_mut() {
+            carriers.retain(|other| *other != carrier);
+        }
+        (true, Some(carrier))
+    }
+
+    /// Orders that no carrier returned in time.
+    pub(crate) fn expired(&self, now: Time) -> Vec<job::CallId> {
+        let expired = self.open.iter().filter(|(_, order)| order.until <= now);
+        expired.map(|(id, _)| *id).collect()
+    }
+
+    /// Drops everything in flight, when this daemon no longer leads.
+    pub(crate) fn resign(&mut self) {
+        self.open.clear();
+        self.chosen.clear();
+        self.failures.clear();
+    }
+}
+
+fn hash(name: &Name, seed: u64) -> u64 {
+    XxHash64::oneshot(seed, name.as_bytes())
+}
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -21,6 +21,8 @@
         order: job::Order,
         epoch: job::Epoch,
         timeout: Duration,
+        /// Leader to return the answer to; `None` if this daemon leads.
+        origin: Option<Origin>,
     },
     /// Send a request to the platform.
     CallPlatform { id: job::CallId, order: job::MachineOrder, epoch: job::Epoch },
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -25,6 +25,8 @@
     InstanceAnswered {
         id: job::CallId,
         result: Result<job::Reply, job::CallError>,
+        /// Leader to return the answer to; `None` if this daemon leads.
+        origin: Option<Origin>,
     },
     /// A request to the platform was answered or failed.
     PlatformAnswered {
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -26,6 +26,8 @@
             Event::Peer { message, .. } => match message {
                 Message::Forward { call, .. } => Self::of_call(call),
                 Message::Announced(_)
+                | Message::Order { .. }
+                | Message::OrderResult { .. }
                 | Message::AdmissionQuery { .. }
                 | Message::AdmissionAnswer { .. } => Self::Instances,
                 Message::Answer { .. }
@@ -35,7 +37,7 @@
                 | Message::FounderOffer
                 | Message::FounderVote(_)
                 | Message::Join
-                | Message::Ping
+                | Message::Ping { .. }
                 | Message::Pong { .. } => Self::Agreement,
             },
             Event::Start
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,8 @@
 };
 
 mod bootstrap;
+mod carriers;
+mod carrying;
 mod clock;
 mod disk;
 mod effect;
@@ -37,6 +39,7 @@
 mod membership;
 mod message;
 mod metrics;
+mod outbox;
 mod overload;
 mod peer_clock;
 mod pending_call;
@@ -55,20 +58,22 @@
 pub use run::run;
 use {
     bootstrap::Bootstrap,
+    carriers::Carriers,
     clock::Clock,
     effect::Effect,
     event::Event,
     inbox::Inbox,
     membership::Membership,
-    message::Message,
+    message::{Message, Origin},
     metrics::Metrics,
+    outbox::Outbox,
     overload::Overload,
     peer_clock::{PeerClocks, Reading},
     pending_call::PendingCall,
     pending_calls::PendingCalls,
     query_router::QueryRouter,
     reply_to::ReplyTo,
-    state::State,
+    state::{Identity, State},
     timer::Timer,
 };
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -36,7 +36,12 @@
         leader: Option<Name>,
     },
     /// Asks for the leader.
-    Ping,
+    Ping {
+        /// Data centre of the sender.
+        data_center: Name,
+        /// Clock of the sender.
+        clock: Reading,
+    },
     /// Answer to `Ping`; members also send it to the seeds unasked.
     Pong {
         /// The leader, as far as the sender knows.
@@ -45,6 +50,8 @@
         members: Vec<Name>,
         /// Whether the sender is the confirmed leader and has a configuration.
         serves: bool,
+        /// Whether so many daemons ask that each should ask less often.
+        large_fleet: bool,
         /// Clock of the sender.
         clock: Reading,
     },
@@ -72,4 +79,36 @@
         /// Clock of the sender.
         clock: Reading,
     },
+    /// Asks the receiver to send an order of the leader to an instance.
+    Order {
+        /// Id of the order at the leader.
+        id: job::CallId,
+        /// Process of the leader; its ids start anew with each process.
+        boot: u64,
+        /// Receiver; any other incarnation rejects the order.
+        incarnation: job::Incarnation,
+        /// Address of the instance.
+        address: Name,
+        /// The order.
+        order: job::Order,
+        /// Epoch of the leader.
+        epoch: job::Epoch,
+        /// How long to wait for the answer of the instance.
+        timeout: Duration,
+        /// When the leader gives the order up, on the clock of the receiver. An order that is late
+        /// is not sent, since it could reach a later incarnation of the instance.
+        deadline: Reading,
+    },
+    /// Result of an `Order`.
+    OrderResult {
+        /// Id of the order at the leader.
+        id: job::CallId,
+        /// Process of the leader.
+        boot: u64,
+        /// Answer of the instance.
+        result: Result<job::Reply, job::CallError>,
+    },
 }
+
+/// Leader that a carried order belongs to, and the process of the leader.
+pub(crate) type Origin = (Name, u64);
--- a/crates/entry/src/pending_calls.rs
+++ b/crates/entry/src/pending_calls.rs
@@ -20,6 +20,8 @@
     /// When a leader last reported that it serves calls.
     pub(crate) last_served: Option<Time>,
     pub(crate) clocks: PeerClocks,
+    /// Whether the leader wants to be asked less often.
+    pub(crate) large_fleet: bool,
 }
 
 impl PendingCalls {
@@ -27,7 +29,7 @@
     const RESEND_DELAY: Duration = Duration::from_millis(350);
     /// A daemon that gets no answer from any peer for this long considers itself disconnected. Long
     /// enough for two pings and their answers.
-    const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(900);
+    const DISCONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
     /// How long calls are kept for the leader or its successor after the last report of a serving
     /// leader; longer than a change of leader takes.
     pub(crate) const LEADERLESS_TIMEOUT: Duration = Duration::from_millis(1400);
--- a/crates/entry/src/query_router.rs
+++ b/crates/entry/src/query_router.rs
@@ -14,9 +14,9 @@
 }
 
 impl QueryRouter {
-    /// How long a daemon counts as alive after its last message; a little more than three ping
-    /// intervals.
-    const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1000);
+    /// How long a daemon counts as alive after its last message; more than two ping intervals of a
+    /// large fleet.
+    const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1200);
     /// Time that the answer to a query may take from the sending daemon to this one, beyond the
     /// timeout of the query.
     const ANSWER_DELAY: Duration = Duration::from_millis(500);
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -90,7 +90,8 @@
         Duration::ZERO => STOP_GRACE,
         limit => STOP_GRACE.min(limit.saturating_sub(STOP_RESERVE)),
     };
-    let state = State::new(id, boot, seeds, settings.founding, Scheduler::new(bounds), grace);
+    let identity = Identity { id, boot, data_center: settings.data_center.clone() };
+    let state = State::new(identity, seeds, settings.founding, Scheduler::new(bounds), grace);
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, calls_in) = mpsc::unbounded_channel();
@@ -133,6 +134,7 @@
         holder: settings.id.clone(),
         settings_file: SettingsFile::new(arguments, settings.clone()),
         inbox: Inbox::default(),
+        outbox: Outbox::default(),
         events,
         tickets: BTreeMap::new(),
         last_ticket: 0,
@@ -211,6 +213,7 @@
     holder: Name,
     settings_file: SettingsFile,
     inbox: Inbox,
+    outbox: Outbox,
     events: mpsc::UnboundedSender<Event>,
     /// Where to send the answers to open calls.
     tickets: BTreeMap<CallTicket, oneshot::Sender<Answer>>,
@@ -257,7 +260,8 @@
                 continue;
             }
             if self.inbox.is_empty() {
-                let due = self.timers.next_due().map(|at| at.saturating_sub(now));
+                let due = self.timers.next_due().into_iter().chain(self.outbox.next_due()).min();
+                let due = due.map(|at| at.saturating_sub(now));
                 let wait = due.unwrap_or(Self::MAX_WAIT).min(Self::MAX_WAIT);
                 tokio::select! {
                     biased;
@@ -302,6 +306,7 @@
             if let Some(disk) = &mut self.disk {
                 disk.flush();
             }
+            self.send_due();
             self.log.flush();
         }
     }
@@ -327,8 +332,12 @@
 
     fn on_frame(&mut self, from: SocketAddr, body: &[u8]) {
         let from: Name = from.to_string().into();
-        match wire::Codec::decode(body) {
-            Ok(message) => self.push(Event::Peer { from, message }),
+        match wire::Codec::decode::<Vec<Message>>(body) {
+            Ok(messages) => {
+                for message in messages {
+                    self.push(Event::Peer { from: from.clone(), message });
+                }
+            }
             Err(error) => self.note("message-dropped", &from, &error.to_string()),
         }
     }
@@ -363,7 +372,7 @@
         }
         let disk::Durable { messages, last } = disk.synced();
         for (to, message) in messages {
-            self.send(&to, &message);
+            self.outbox.push(self.clock.now(), &to, message);
         }
         if let Some((term, index)) = last {
             self.step(Event::Synced { term, index });
@@ -390,17 +399,17 @@
                     None => Some((to, message)),
                 };
                 if let Some((to, message)) = held {
-                    self.send(&to, &message);
+                    self.outbox.push(now, &to, message);
                 }
             }
-            Effect::Send { to, message } => self.send(&to, &message),
+            Effect::Send { to, message } => self.outbox.push(now, &to, message),
             Effect::Subscribe { timer, after } => self.timers.schedule(timer, now + after),
             Effect::Answer { ticket, answer } => {
                 if let Some(sender) = self.tickets.remove(&ticket) {
                     sender.send(answer).ok();
                 }
             }
-            Effect::CallInstance { id, incarnation, address, order, epoch, timeout } => {
+            Effect::CallInstance { id, incarnation, address, order, epoch, timeout, origin } => {
                 let (http_client, events) = (self.http_client.clone(), self.events.clone());
                 let metrics = self.metrics.clone();
                 spawn_local(async move {
@@ -410,7 +419,7 @@
                     let result = answer
                         .and_then(|(status, body)| platform::order_reply(&order, status, &body));
                     metrics.count_request(&order, result.is_ok());
-                    events.send(Event::InstanceAnswered { id, result }).ok();
+                    events.send(Event::InstanceAnswered { id, result, origin }).ok();
                 });
             }
             Effect::CallPlatform { id, order, epoch } => self.call_platform(id, order, epoch),
@@ -419,7 +428,8 @@
             }
             Effect::InstanceCallNotSent { id } => {
                 let result = Err(job::CallError::Timeout);
-                self.events.send(Event::InstanceAnswered { id, result }).ok();
+                let event = Event::InstanceAnswered { id, result, origin: None };
+                self.events.send(event).ok();
             }
             Effect::PlatformCallNotSent { id } => {
                 let result = Err(job::CallError::Timeout);
@@ -466,14 +476,27 @@
         });
     }
 
-    fn send(&mut self, to: &Name, message: &Message) {
+    /// Sends the messages that are due; those to one daemon share a frame.
+    fn send_due(&mut self) {
+        for (to, messages) in self.outbox.take_due(self.clock.now()) {
+            self.send_frame(&to, &messages);
+        }
+    }
+
+    fn send_frame(&mut self, to: &Name, messages: &[Message]) {
         let Ok(address) = to.parse::<SocketAddr>() else { return };
-        match wire::Codec::encode(message) {
+        match wire::Codec::encode(&messages) {
             Ok(body) => {
                 if !self.mesh.send(address, body) {
                     self.metrics.count_dropped_frame();
                 }
             }
+            // The frame would be too large.
+            Err(_) if messages.len() > 1 => {
+                for message in messages {
+                    self.send_frame(to, std::slice::from_ref(message));
+                }
+            }
             Err(error) => self.note("message-not-sent", to, &error.to_string()),
         }
     }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -72,7 +72,9 @@
                 },
             },
             Call::Announce(announcement) => {
-                self.broadcast_announcement(&announcement, effects);
+                if self.scheduler.is_news(now, &announcement) {
+                    self.broadcast_announcement(&announcement, effects);
+                }
                 self.step_scheduler(now, unix, job::Event::Announced(announcement), effects);
                 Answer::Done
             }
@@ -272,14 +274,16 @@
                 job::Effect::CallInstance { id, incarnation, address, order, timeout }
                     if can_serve =>
                 {
-                    effects.push(Effect::CallInstance {
+                    let order = Effect::CallInstance {
                         id,
                         incarnation,
                         address,
                         order,
                         epoch,
                         timeout,
-                    });
+                        origin: None,
+                    };
+                    effects.push(self.route_order(now, order));
                 }
                 job::Effect::CallPlatform { id, order } if can_serve => {
                     effects.push(Effect::CallPlatform { id, order, epoch });
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,10 +1,21 @@
 use super::*;
 
+/// What a daemon is known by.
+#[derive(Debug)]
+pub(crate) struct Identity {
+    /// Address for other daemons.
+    pub(crate) id: Name,
+    /// Random number of this process.
+    pub(crate) boot: u64,
+    pub(crate) data_center: Name,
+}
+
 /// State machine of the daemon.
 pub(crate) struct State {
     pub(crate) id: Name,
     /// Random number of this process.
     pub(crate) boot: u64,
+    pub(crate) data_center: Name,
     pub(crate) seeds: Vec<Name>,
     /// Whether this is the first start of the fleet, so that all daemons have empty disks.
     pub(crate) is_new_fleet: bool,
@@ -23,6 +34,7 @@
     pub(crate) batch: Option<Index>,
     pub(crate) pending_calls: PendingCalls,
     pub(crate) query_router: QueryRouter,
+    pub(crate) carriers: Carriers,
     pub(crate) overload: Overload,
     /// Where to send the answer once a log entry is committed.
     pub(crate) commits: BTreeMap<Index, ReplyTo>,
@@ -40,8 +52,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which peers and membership are checked.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval at which daemons that do not lead ask for the leader.
+/// Interval at which daemons that do not lead ask for the leader. In a large fleet, daemons that
+/// have a leader ask less often.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
+const PING_INTERVAL_IN_LARGE_FLEET: Duration = Duration::from_millis(500);
 /// Interval at which members of the quorum introduce themselves to the seeds.
 const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay before opening the data folder is tried again.
@@ -49,8 +63,7 @@
 
 impl State {
     pub(crate) fn new(
-        id: Name,
-        boot: u64,
+        Identity { id, boot, data_center }: Identity,
         seeds: Vec<Name>,
         is_new_fleet: bool,
         scheduler: Scheduler,
@@ -60,6 +73,7 @@
         Self {
             id,
             boot,
+            data_center,
             seeds,
             is_new_fleet,
             bootstrap: Bootstrap::default(),
@@ -73,6 +87,7 @@
             batch: None,
             pending_calls,
             query_router: QueryRouter::default(),
+            carriers: Carriers::default(),
             overload: Overload::default(),
             commits: BTreeMap::new(),
             ready: false,
@@ -109,13 +124,13 @@
                 self.pending_calls.insert(ticket, call, now + timeout);
                 self.serve_or_forward(now, unix, ticket, &mut effects);
             }
-            Event::InstanceAnswered { id, result } => {
-                self.step_scheduler(
-                    now,
-                    unix,
-                    job::Event::InstanceAnswered { id, result },
-                    &mut effects,
-                );
+            Event::InstanceAnswered { id, result, origin: Some((to, boot)) } => {
+                let message = Message::OrderResult { id, boot, result };
+                effects.push(Effect::Send { to, message });
+            }
+            Event::InstanceAnswered { id, result, origin: None } => {
+                let event = job::Event::InstanceAnswered { id, result };
+                self.step_scheduler(now, unix, event, &mut effects);
             }
             Event::PlatformAnswered { id, result } => {
                 self.step_scheduler(
@@ -192,6 +207,9 @@
 
     fn on_tick(&mut self, now: Time, unix: job::UnixMs, effects: &mut Vec<Effect>) {
         effects.push(Effect::Subscribe { timer: Timer::Tick, after: TICK_INTERVAL });
+        for id in self.carriers.expired(now) {
+            self.on_order_result(now, unix, id, Err(job::CallError::Timeout), effects);
+        }
         if self.can_serve(now) {
             self.step_scheduler(now, unix, job::Event::Tick, effects);
         }
@@ -216,6 +234,7 @@
             self.pending_calls.last_served = Some(now);
             let max_queries = self.query_router.max_queries(now);
             self.step_scheduler(now, unix, job::Event::MaxQueries(max_queries), effects);
+            self.choose_carriers(now, effects);
         }
         let ready = self
             .pending_calls
@@ -230,12 +249,19 @@
 
     /// Asks a peer for the leader, unless this daemon leads.
     fn ping(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        if now < self.last_ping + PING_INTERVAL || self.can_serve(now) {
+        let has_leader = self.pending_calls.leader.is_some();
+        let interval = if self.pending_calls.large_fleet && has_leader {
+            PING_INTERVAL_IN_LARGE_FLEET
+        } else {
+            PING_INTERVAL
+        };
+        if now < self.last_ping + interval || self.can_serve(now) {
             return;
         }
         self.last_ping = now;
         if let Some(to) = self.pending_calls.choose_peer(&self.id) {
-            effects.push(Effect::Send { to, message: Message::Ping });
+            let (data_center, clock) = (self.data_center.clone(), self.clock(now));
+            effects.push(Effect::Send { to, message: Message::Ping { data_center, clock } });
         }
         let leader_overdue = self
             .pending_calls
@@ -271,7 +297,13 @@
             None => self.pending_calls.members.iter().cloned().collect(),
         };
         let serves = self.can_serve(now) && self.table.config.is_some();
-        Message::Pong { leader: self.leader(now), members, serves, clock: self.clock(now) }
+        Message::Pong {
+            leader: self.leader(now),
+            members,
+            serves,
+            large_fleet: self.carriers.is_large_fleet(),
+            clock: self.clock(now),
+        }
     }
 
     /// Reading of this daemon's clock.
@@ -391,11 +423,13 @@
             Message::AdmissionAnswer { id, result } => {
                 self.on_admission_answered(now, unix, id, result, None, effects);
             }
-            Message::Ping => {
+            Message::Ping { data_center, clock } => {
                 self.query_router.heard_from(now, &self.id, &from);
+                self.pending_calls.clocks.record(now, &from, clock);
+                self.carriers.heard_from(now, &from, &data_center);
                 effects.push(Effect::Send { to: from, message: self.pong(now) });
             }
-            Message::Pong { leader, members, serves, clock } => {
+            Message::Pong { leader, members, serves, large_fleet, clock } => {
                 self.pending_calls.last_heard = Some(now);
                 self.pending_calls.clocks.record(now, &from, clock);
                 self.pending_calls.known.extend(members.iter().cloned());
@@ -404,12 +438,35 @@
                 }
                 self.pending_calls.known.extend(leader.clone());
                 if serves {
+                    self.pending_calls.large_fleet = large_fleet;
                     self.pending_calls.leader = Some(from);
                     self.pending_calls.last_served = Some(now);
                 } else if leader.as_ref() != Some(&from) {
                     self.pending_calls.leader = leader;
                 }
             }
+            Message::Order { id, boot, incarnation, address, order, epoch, timeout, deadline } => {
+                let origin = Some((from, boot));
+                if deadline.boot != self.boot || now >= deadline.at {
+                    let result = Err(job::CallError::Timeout);
+                    let event = Event::InstanceAnswered { id, result, origin };
+                    return effects.extend(self.reduce(now, unix, event));
+                }
+                effects.push(Effect::CallInstance {
+                    id,
+                    incarnation,
+                    address,
+                    order,
+                    epoch,
+                    timeout,
+                    origin,
+                });
+            }
+            Message::OrderResult { id, boot, result } => {
+                if boot == self.boot {
+                    self.on_order_result(now, unix, id, result, effects);
+                }
+            }
             Message::Announced(announcement) => {
                 self.step_scheduler(now, unix, job::Event::Announced(announcement), effects);
             }
@@ -559,6 +616,7 @@
         if self.leader_term.is_some() && (!leads || self.leader_term != Some(term)) {
             self.leader_term = None;
             self.batch = None;
+            self.carriers.resign();
             self.step_scheduler(now, unix, job::Event::Resign, effects);
             for (_, reply_to) in std::mem::take(&mut self.commits) {
                 self.answer(reply_to, Answer::Unknown, effects);
--- a/crates/entry/tests/reducer/load.rs
+++ b/crates/entry/tests/reducer/load.rs
@@ -53,10 +53,10 @@
         inbox.push(ms(ticket), forward(ticket, DEADLINE));
     }
     let result = Err(job::CallError::Timeout);
-    inbox.push(ms(2000), Event::InstanceAnswered { id: 1, result });
-    inbox.push(ms(2001), Event::Peer { from: "10.0.0.2:1".into(), message: Message::Ping });
+    inbox.push(ms(2000), Event::InstanceAnswered { id: 1, result, origin: None });
+    inbox.push(ms(2001), Event::Peer { from: "10.0.0.2:1".into(), message: ping() });
     let (_, first) = inbox.pop(ms(2010)).expect("an event");
-    assert!(matches!(first, Event::Peer { message: Message::Ping, .. }));
+    assert!(matches!(first, Event::Peer { message: Message::Ping { .. }, .. }));
     let (_, second) = inbox.pop(ms(2010)).expect("an event");
     assert!(matches!(second, Event::InstanceAnswered { .. }));
     let (waited, third) = inbox.pop(ms(2010)).expect("an event");
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -2,25 +2,32 @@
 
 use super::*;
 
+mod carriers;
 mod forwarding;
 mod load;
+mod outbox;
 
 /// A daemon without a disk that has heard from the leader `leader`.
 fn gateway(leader: &Name) -> State {
     let seeds = vec![leader.clone()];
     let scheduler = Scheduler::new(job::Bounds::default());
     let mut state =
-        State::new("10.0.0.9:1".into(), 1, seeds, false, scheduler, Duration::from_secs(2));
+        State::new(identity("10.0.0.9:1", 1), seeds, false, scheduler, Duration::from_secs(2));
     pong(&mut state, ms(0), leader, ms(5000));
     state
 }
 
+fn identity(id: &str, boot: u64) -> Identity {
+    Identity { id: id.into(), boot, data_center: "dc-0".into() }
+}
+
 /// Reports to `state` that `leader` leads; its clock shows `clock`.
 fn pong(state: &mut State, now: Time, leader: &Name, clock: Time) -> Vec<Effect> {
     let message = Message::Pong {
         leader: Some(leader.clone()),
         members: vec![leader.clone()],
         serves: true,
+        large_fleet: false,
         clock: Reading { boot: 7, at: clock },
     };
     peer(state, now, leader, message)
@@ -69,7 +76,8 @@
 fn leader() -> State {
     let id: Name = "10.0.0.1:1".into();
     let scheduler = Scheduler::new(job::Bounds::default());
-    let mut state = State::new(id.clone(), 7, vec![id], true, scheduler, Duration::from_secs(2));
+    let own = identity("10.0.0.1:1", 7);
+    let mut state = State::new(own, vec![id], true, scheduler, Duration::from_secs(2));
     let disk = Some(5);
     let restored = Box::new(quorum::PersistentState { disk, ..Default::default() });
     run(&mut state, ms(0), Event::DiskOpened { restored, boot: 1 });
@@ -135,3 +143,8 @@
     });
     answers.collect()
 }
+
+/// A sign of life of another daemon, whose clock shows 90 s.
+fn ping() -> Message {
+    Message::Ping { data_center: "dc-0".into(), clock: Reading { boot: 3, at: ms(90_000) } }
+}
--- /dev/null
+++ b/crates/entry/tests/reducer/outbox.rs
@@ -0,0 +1,46 @@
+//! Messages to one daemon share a frame; none is held for long.
+
+use super::*;
+
+fn order_result(id: job::CallId) -> Message {
+    Message::OrderResult { id, boot: 7, result: Err(job::CallError::Timeout) }
+}
+
+#[test]
+fn results_of_a_moment_share_a_frame() {
+    let mut outbox = Outbox::default();
+    let leader: Name = "10.0.0.1:1".into();
+    for id in 0..5 {
+        outbox.push(ms(id), &leader, order_result(id));
+    }
+    let due = outbox.next_due().expect("results wait");
+    assert!(due <= ms(10));
+    assert!(outbox.take_due(ms(4)).is_empty());
+    let sent = outbox.take_due(due);
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].1.len(), 5);
+    assert_eq!(outbox.next_due(), None);
+}
+
+#[test]
+fn an_urgent_message_takes_along_what_waits_for_the_same_daemon() {
+    let mut outbox = Outbox::default();
+    let (leader, other): (Name, Name) = ("10.0.0.1:1".into(), "10.0.0.2:1".into());
+    outbox.push(ms(0), &leader, order_result(1));
+    outbox.push(ms(0), &other, order_result(2));
+    outbox.push(ms(1), &leader, ping());
+    let sent = outbox.take_due(ms(1));
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].1.len(), 2);
+    assert!(outbox.next_due().is_some(), "the other bundle still waits");
+}
+
+#[test]
+fn a_full_bundle_is_not_held() {
+    let mut outbox = Outbox::default();
+    let leader: Name = "10.0.0.1:1".into();
+    for id in 0..300 {
+        outbox.push(ms(0), &leader, order_result(id));
+    }
+    assert_eq!(outbox.take_due(ms(0))[0].1.len(), 300);
+}
--- a/crates/job/src/announcement.rs
+++ b/crates/job/src/announcement.rs
@@ -42,6 +42,12 @@
         self.labels.get(1)
     }
 
+    /// Whether `later` says the same as this, at a later time.
+    pub(crate) fn is_repeated_by(&self, later: &Self) -> bool {
+        let Self { clock, sequence, .. } = *self;
+        Self { clock, sequence, ..later.clone() } == *self
+    }
+
     /// Whether this is newer than `other`, an announcement of the same instance.
     pub fn supersedes(&self, other: &Self) -> bool {
         let key = |a: &Self| (a.incarnation.born, a.sequence, a.condition == Condition::Gone);
--- a/crates/job/src/order.rs
+++ b/crates/job/src/order.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// A request to an instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Start an attempt.
     Start {
--- a/crates/job/src/reply.rs
+++ b/crates/job/src/reply.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Answer of an instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// The request was carried out.
     Done {
@@ -50,7 +50,7 @@
 }
 
 /// A running attempt, as reported by its instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningAttempt {
     /// The task.
     pub task: TaskId,
@@ -66,7 +66,7 @@
 }
 
 /// An ended attempt, as reported by its instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedAttempt {
     /// Sequence number of the end, counted by the incarnation.
     pub sequence: u64,
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -25,6 +25,8 @@
     /// Latest announcement of each instance and when it arrived; also collected while another
     /// daemon leads.
     pub(crate) announcements: BTreeMap<Name, (Announcement, Time)>,
+    /// Latest announcement of each instance that the other members were told, and when.
+    published: BTreeMap<Name, (Announcement, Time)>,
     pub(crate) calls: Map<CallId, (Incarnation, PendingCall)>,
     last_call_id: CallId,
     /// Ended attempts to propose in the next batch.
@@ -82,6 +84,9 @@
     const START_TIMEOUT_FACTOR: u32 = 8;
     /// Weight of the latest answer in the average answer time, as a divisor: 1/32.
     const START_TIME_WEIGHT_DIVISOR: u32 = 32;
+    /// Interval at which other members hear of an instance about which nothing has changed. They use
+    /// it to estimate the clock of the instance when they become leader.
+    const PUBLICATION_INTERVAL: Duration = Duration::from_secs(6);
     /// Delay before a renewal that was not answered is repeated.
     pub(crate) const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(100);
     /// Delay before a request to stop an attempt is repeated.
@@ -101,6 +106,36 @@
         self.epoch.is_some()
     }
 
+    /// Data centre of an incarnation, if it has announced itself.
+    pub fn data_center_of(&self, incarnation: &Incarnation) -> Option<&Name> {
+        Some(&self.instances.get(incarnation)?.announcement.as_ref()?.data_center)
+    }
+
+    /// Number of instances in each data centre.
+    pub fn instances_by_data_center(&self) -> BTreeMap<Name, usize> {
+        let mut counts = BTreeMap::<Name, usize>::new();
+        for announcement in self.instances.values().filter_map(|i| i.announcement.as_ref()) {
+            match counts.get_mut(&announcement.data_center) {
+                Some(count) => *count += 1,
+                None => drop(counts.insert(announcement.data_center.clone(), 1)),
+            }
+        }
+        counts
+    }
+
+    /// Whether other members should hear of an announcement: it differs from the last one that they
+    /// heard of in more than its sequence, or that was some time ago.
+    pub fn is_news(&mut self, now: Time, announcement: &Announcement) -> bool {
+        let name = &announcement.incarnation.name;
+        let known = self.published.get(name).is_some_and(|(published, at)| {
+            published.is_repeated_by(announcement) && now < *at + Self::PUBLICATION_INTERVAL
+        });
+        if !known {
+            self.published.insert(name.clone(), (announcement.clone(), now));
+        }
+        !known
+    }
+
     /// The announcement to record when the instance `name` reports that it has ended; `None` if the
     /// report does not concern its current incarnation. A report without a start time counts only
     /// for an instance that was draining, since otherwise it may have been sent before a restart.
@@ -219,6 +254,7 @@
         self.touched.clear();
         self.acknowledging.clear();
         self.calls.clear();
+        self.published.clear();
         self.pending_ends.clear();
         self.batch_in_flight = false;
         self.machines = machines::Machines::default();
