Checks touch only what is due; an account of processor time; a new leader knows daemons

Announcements of instances that had left were kept for ever. A new leader had no carriers until daemons asked it.

Change: ticks pick the instances that need a renewal or a stop; a pass lists only the pools with ready groups, without copying labels; members forget instances after 16 s of silence; daemons ask another member now and then, and a new leader chooses its carriers at once from those. processor_seconds and a line processor-time give the leader's time by activity.

--- a/crates/entry/src/carriers.rs
+++ b/crates/entry/src/carriers.rs
@@ -18,6 +18,8 @@
     /// The carriers in use, by data centre.
     chosen: BTreeMap<Name, Vec<Name>>,
     open: BTreeMap<job::CallId, OpenOrder>,
+    /// When this daemon first chose carriers since it became leader.
+    leads_since: Option<Time>,
     /// Carriers that are not used until the given time, since they reached no instance.
     suspended: BTreeMap<Name, Time>,
     /// Instances that each carrier failed to reach since it last reached one.
@@ -47,6 +49,10 @@
     const INSTANCES_PER_CARRIER: usize = 48;
     /// A daemon that was not heard from for this long is not chosen.
     const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1400);
+    /// The same for a new leader, which daemons asked only now and then until they learn of it.
+    const LIVENESS_TIMEOUT_AT_START: Duration = Duration::from_secs(15);
+    /// For how long a leader is new.
+    const START: Duration = Duration::from_millis(1500);
     /// Time that an order may take to the carrier and back, beyond the timeout of the order.
     const TRANSPORT_TIME: Duration = Duration::from_millis(350);
     /// A carrier that failed to reach this many different instances in a row is suspended.
@@ -76,7 +82,13 @@
         instances: &BTreeMap<Name, usize>,
         members: &BTreeSet<IpAddr>,
     ) -> Option<usize> {
-        self.daemons.retain(|_, daemon| now < daemon.heard + Self::LIVENESS_TIMEOUT);
+        let since = *self.leads_since.get_or_insert(now);
+        let timeout = if now < since + Self::START {
+            Self::LIVENESS_TIMEOUT_AT_START
+        } else {
+            Self::LIVENESS_TIMEOUT
+        };
+        self.daemons.retain(|_, daemon| now < daemon.heard + timeout);
         self.suspended.retain(|_, until| now < *until);
         let mut chosen = BTreeMap::<Name, Vec<Name>>::new();
         if instances.values().sum::<usize>() > Self::MAX_DIRECT_INSTANCES {
@@ -156,6 +168,7 @@
 
     /// Drops everything in flight, when this daemon no longer leads.
     pub(crate) fn resign(&mut self) {
+        self.leads_since = None;
         self.open.clear();
         self.chosen.clear();
         self.failures.clear();
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -59,6 +59,17 @@
     }
 }
 
+impl From<&Event> for Activity {
+    fn from(event: &Event) -> Self {
+        match Class::of(event) {
+            Class::Agreement => Self::Agreement,
+            Class::Instances => Self::Instances,
+            Class::Calls => Self::Calls,
+            Class::Jobs => Self::Jobs,
+        }
+    }
+}
+
 /// Queues of events, by class.
 #[derive(Debug, Default)]
 pub(crate) struct Inbox {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
     tokio::sync::{mpsc, oneshot},
 };
 
+mod account;
 mod bootstrap;
 mod carriers;
 mod carrying;
@@ -57,6 +58,7 @@
 
 pub use run::run;
 use {
+    account::{Account, Activity},
     bootstrap::Bootstrap,
     carriers::Carriers,
     clock::Clock,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,6 +12,7 @@
         },
         registry::Registry,
     },
+    std::sync::atomic::AtomicU64,
 };
 
 /// Content type of the metrics.
@@ -55,6 +56,8 @@
     unanswered: Family<KindLabel, Counter>,
     job_seconds: Family<QueueLabels, Histogram>,
     frames_dropped: Counter,
+    processor_seconds: Family<KindLabel, Counter<f64, AtomicU64>>,
+    process_seconds: Counter<f64, AtomicU64>,
     ready: Gauge,
     leads: Gauge,
     queues: RefCell<BTreeSet<Name>>,
@@ -76,6 +79,8 @@
             unanswered: Family::default(),
             job_seconds: Family::new_with_constructor(histogram as fn() -> Histogram),
             frames_dropped: Counter::default(),
+            processor_seconds: Family::default(),
+            process_seconds: Counter::default(),
             ready: Gauge::default(),
             leads: Gauge::default(),
             queues: RefCell::default(),
@@ -93,6 +98,10 @@
         registry.register("job_seconds", help, metrics.job_seconds.clone());
         let help = "Messages to daemons that did not keep up";
         registry.register("frames_dropped", help, metrics.frames_dropped.clone());
+        let help = "Processor time of the main loop, by activity";
+        registry.register("processor_seconds", help, metrics.processor_seconds.clone());
+        let help = "Processor time of the process";
+        registry.register("process_seconds", help, metrics.process_seconds.clone());
         registry.register("ready", "Whether callers should come here", metrics.ready.clone());
         registry.register("leads", "Whether this daemon leads", metrics.leads.clone());
         Self { registry, ..metrics }
@@ -142,6 +151,11 @@
         self.job_seconds.get_or_create(&labels).observe(took.as_secs_f64());
     }
 
+    pub(crate) fn count_processor_time(&self, activity: Activity, spent: Duration) {
+        let label = KindLabel { kind: activity.name() };
+        self.processor_seconds.get_or_create(&label).inc_by(spent.as_secs_f64());
+    }
+
     pub(crate) fn count_dropped_frame(&self) {
         self.frames_dropped.inc();
     }
@@ -156,6 +170,8 @@
 
     /// Encodes all metrics as text.
     pub(crate) fn text(&self) -> String {
+        let process = account::process_time().as_secs_f64();
+        self.process_seconds.inc_by(process - self.process_seconds.get());
         let mut body = String::new();
         text::encode(&mut body, &self.registry).expect("writing to a string cannot fail");
         body
--- a/crates/entry/src/pending_calls.rs
+++ b/crates/entry/src/pending_calls.rs
@@ -15,6 +15,8 @@
     pub(crate) members: BTreeSet<Name>,
     /// Counts the choices of a peer, to take turns.
     next_peer: usize,
+    /// Counts the checks whether another member is asked.
+    next_other_member: usize,
     /// When a peer last answered.
     pub(crate) last_heard: Option<Time>,
     /// When a leader last reported that it serves calls.
@@ -36,6 +38,8 @@
     /// Without a known leader, every fourth request goes to any known daemon, the others to
     /// members.
     const ASK_ANY_INTERVAL: usize = 4;
+    /// While the leader is known, another member is asked as well every so many times.
+    const OTHER_MEMBER_INTERVAL: usize = 4;
     /// Delay after which clients are told to retry when there is no leader.
     pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -81,6 +85,19 @@
         others.get(self.next_peer % others.len().max(1)).map(|name| (*name).clone())
     }
 
+    /// Now and then, a member that does not lead, to hear of this daemon in case it leads next.
+    pub(crate) fn choose_other_member(&mut self, own: &Name) -> Option<Name> {
+        self.next_other_member += 1;
+        let leader = self.leader.as_ref()?;
+        if !self.next_other_member.is_multiple_of(Self::OTHER_MEMBER_INTERVAL) {
+            return None;
+        }
+        let others = self.members.iter().filter(|name| *name != own && *name != leader);
+        let others: Vec<_> = others.collect();
+        let turn = self.next_other_member / Self::OTHER_MEMBER_INTERVAL;
+        others.get(turn % others.len().max(1)).map(|name| (*name).clone())
+    }
+
     /// Handles the answer of `from` that it does not lead; `leader` is the one that it knows of.
     pub(crate) fn on_not_leader(&mut self, ticket: CallTicket, from: &Name, leader: Option<Name>) {
         if leader.is_some() && leader.as_ref() != Some(from) {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -133,6 +133,7 @@
         machines: settings.machines.map(|address| address.to_string().into()),
         holder: settings.id.clone(),
         settings_file: SettingsFile::new(arguments, settings.clone()),
+        account: Account::default(),
         inbox: Inbox::default(),
         outbox: Outbox::default(),
         events,
@@ -212,6 +213,7 @@
     /// Name under which the platform knows this daemon as the sender of machine orders.
     holder: Name,
     settings_file: SettingsFile,
+    account: Account,
     inbox: Inbox,
     outbox: Outbox,
     events: mpsc::UnboundedSender<Event>,
@@ -295,10 +297,13 @@
             for _ in 0..Self::EVENTS_PER_ROUND {
                 let Some((waited, event)) = self.inbox.pop(self.clock.now()) else { break };
                 self.state.overload.record(waited);
-                self.step(event);
+                let activity = Activity::from(&event);
+                self.account(activity, |event_loop| event_loop.step(event));
             }
             while let Some(timer) = self.timers.pop(self.clock.now()) {
-                self.step(Event::Timer(timer));
+                let activity =
+                    if timer == Timer::Tick { Activity::Checks } else { Activity::Agreement };
+                self.account(activity, |event_loop| event_loop.step(Event::Timer(timer)));
             }
             if self.clock.now() >= self.settings_file.next_check {
                 self.reload_settings();
@@ -306,11 +311,25 @@
             if let Some(disk) = &mut self.disk {
                 disk.flush();
             }
-            self.send_due();
+            self.account(Activity::Encoding, Self::send_due);
+            if let Some(report) = self.account.report(self.clock.now())
+                && self.state.leads()
+            {
+                self.note("processor-time", "", &report);
+            }
             self.log.flush();
         }
     }
 
+    /// Does `work` and records the processor time that it takes.
+    fn account(&mut self, activity: Activity, work: impl FnOnce(&mut Self)) {
+        let started = self.account.start();
+        work(self);
+        if let Some(spent) = self.account.stop(activity, started) {
+            self.metrics.count_processor_time(activity, spent);
+        }
+    }
+
     /// Reads the settings again and puts the seeds in force; other changes wait for the next start.
     fn reload_settings(&mut self) {
         let now = self.clock.now();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -260,8 +260,10 @@
         }
         self.last_ping = now;
         if let Some(to) = self.pending_calls.choose_peer(&self.id) {
-            let (data_center, clock) = (self.data_center.clone(), self.clock(now));
-            effects.push(Effect::Send { to, message: Message::Ping { data_center, clock } });
+            effects.push(Effect::Send { to, message: self.ping_message(now) });
+        }
+        if let Some(to) = self.pending_calls.choose_other_member(&self.id) {
+            effects.push(Effect::Send { to, message: self.ping_message(now) });
         }
         let leader_overdue = self
             .pending_calls
@@ -274,6 +276,10 @@
         }
     }
 
+    fn ping_message(&self, now: Time) -> Message {
+        Message::Ping { data_center: self.data_center.clone(), clock: self.clock(now) }
+    }
+
     /// Tells the seeds outside the quorum who leads and who the members are. After a restart, a
     /// daemon without a disk knows nothing but its seeds. These may all be daemons without a disk
     /// that have restarted as well, so that only the members can bring them together.
@@ -626,6 +632,7 @@
         if self.leader_term.is_none() && leads && has_lease && self.settled {
             self.leader_term = Some(term);
             effects.push(log::line("owns", self.id.to_string(), &format!("epoch {term}")));
+            self.choose_carriers(now, effects);
             self.step_scheduler(now, unix, job::Event::Lead { epoch: term }, effects);
         }
     }
--- a/crates/entry/tests/reducer/carriers.rs
+++ b/crates/entry/tests/reducer/carriers.rs
@@ -150,3 +150,14 @@
         assert!(returned, "{effects:?}");
     }
 }
+
+#[test]
+fn a_new_leader_uses_daemons_that_it_heard_from_some_time_ago() {
+    let mut carriers = carriers(ms(0));
+    carriers.resign();
+    assert_eq!(carriers.carrier_of(&"i-1".into(), &data_center(0)), None);
+    carriers.choose(ms(9000), &instances(150), &BTreeSet::new());
+    assert!(carriers.carrier_of(&"i-1".into(), &data_center(0)).is_some());
+    carriers.choose(ms(11_000), &instances(150), &BTreeSet::new());
+    assert_eq!(carriers.carrier_of(&"i-1".into(), &data_center(0)), None, "none has called since");
+}
--- a/crates/job/src/announcement.rs
+++ b/crates/job/src/announcement.rs
@@ -16,7 +16,7 @@
     /// Total resources.
     pub capacity: Resources,
     /// Labels: first the kind of the machine, then its rack.
-    pub labels: Vec<Name>,
+    pub labels: Arc<[Name]>,
     /// Whether the instance accepts tasks.
     pub condition: Condition,
     /// Monotonic clock of the instance when it sent this.
--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -256,6 +256,7 @@
             if attempt.stage == Stage::Unanswered {
                 // The start request may still arrive; the instance rejects it after the stop.
                 attempt.stop_requested = true;
+                instance.may_need_stops = true;
             }
             let absent =
                 attempt.conclusive_from.is_some_and(|conclusive_from| conclusive_from <= sent);
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -98,8 +98,8 @@
         let first = TaskId { job, round: 0, group: 0, index: 0 };
         for (task, incarnation) in self.assigned.range(first..).take_while(|(t, _)| t.job == job) {
             let instance = self.instances.get_mut(incarnation);
-            if let Some(attempt) = instance.and_then(|i| i.attempts.get_mut(task)) {
-                attempt.stop_requested = true;
+            if let Some(instance) = instance {
+                instance.request_stop(task);
             }
             self.touched.insert(incarnation.clone());
         }
@@ -115,9 +115,10 @@
         let mut due = Vec::new();
         for incarnation in touched {
             let Some(instance) = self.instances.get_mut(incarnation) else { continue };
-            if instance.announcement.is_none() {
+            if instance.announcement.is_none() || !instance.may_need_stops {
                 continue;
             }
+            instance.may_need_stops = instance.attempts.values().any(|a| a.stop_requested);
             for (task, attempt) in &mut instance.attempts {
                 let may_run = match attempt.stage {
                     Stage::Proposed | Stage::Ending | Stage::Starting => false,
@@ -265,6 +266,11 @@
 }
 
 impl Instance {
+    /// Whether a renewal or the stop of an attempt may be due.
+    pub(crate) fn needs_check(&self, now: Time) -> bool {
+        self.may_need_stops || self.renewal_is_due(now)
+    }
+
     fn renewal_is_due(&self, now: Time) -> bool {
         let needed = !self.attempts.is_empty() || !self.fenced || self.received > self.acknowledged;
         // The instance repeats ends in every report until a renewal acknowledges them, so the next
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -32,6 +32,12 @@
     pub(crate) attempts: BTreeMap<TaskId, Attempt>,
     /// Resources reserved by these attempts.
     pub(crate) used: Resources,
+    /// Number of long-lived attempts.
+    pub(crate) long_lived: usize,
+    /// Number of attempts with a latency target.
+    pub(crate) with_latency_target: usize,
+    /// Whether an attempt may have to be stopped.
+    pub(crate) may_need_stops: bool,
     /// No new attempts are placed here before this time.
     pub(crate) avoided_until: Time,
     /// Jobs with a failed task here since the last task that succeeded.
@@ -120,6 +126,9 @@
             received: 0,
             attempts: BTreeMap::new(),
             used: Resources::default(),
+            long_lived: 0,
+            with_latency_target: 0,
+            may_need_stops: false,
             avoided_until: Time::ZERO,
             failed_jobs: BTreeSet::new(),
             avoid_count: 0,
@@ -175,15 +184,28 @@
 
     pub(crate) fn insert(&mut self, task: TaskId, attempt: Attempt) {
         self.used += attempt.reserved;
+        self.long_lived += usize::from(attempt.long_lived);
+        self.with_latency_target += usize::from(attempt.has_latency_target);
+        self.may_need_stops |= attempt.stop_requested;
         self.attempts.insert(task, attempt);
     }
 
+    /// Requests the stop of an attempt, if it is assigned here.
+    pub(crate) fn request_stop(&mut self, task: &TaskId) {
+        if let Some(attempt) = self.attempts.get_mut(task) {
+            attempt.stop_requested = true;
+            self.may_need_stops = true;
+        }
+    }
+
     pub(crate) fn remove(&mut self, task: &TaskId, number: AttemptNumber) -> Option<Attempt> {
         if self.attempts.get(task)?.number != number {
             return None;
         }
         let attempt = self.attempts.remove(task)?;
         self.used = self.used.saturating_sub(attempt.reserved);
+        self.long_lived -= usize::from(attempt.long_lived);
+        self.with_latency_target -= usize::from(attempt.has_latency_target);
         Some(attempt)
     }
 
--- a/crates/job/src/maintenance.rs
+++ b/crates/job/src/maintenance.rs
@@ -68,8 +68,8 @@
         let next = next.map(|(task, _)| *task);
         let Some(instance) = self.instances.get_mut(&incarnation) else { return true };
         instance.draining = true;
-        if let Some(attempt) = next.and_then(|task| instance.attempts.get_mut(&task)) {
-            attempt.stop_requested = true;
+        if let Some(task) = next {
+            instance.request_stop(&task);
         }
         instance.attempts.is_empty()
     }
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -97,7 +97,7 @@
 #[derive(Debug)]
 struct Host {
     incarnation: Incarnation,
-    labels: Vec<Name>,
+    labels: Arc<[Name]>,
     free: Resources,
     /// Number of long-lived attempts.
     long_lived: usize,
@@ -130,7 +130,8 @@
             return Vec::new();
         }
         ready_groups.sort_by_key(|ready_group| (ready_group.key, ready_group.group_id));
-        let mut hosts = self.hosts(now);
+        let wanted = ready_groups.iter().map(|ready_group| &ready_group.queue.pool).collect();
+        let mut hosts = self.hosts(now, &wanted);
         let mut claims = Vec::new();
         let mut unplaceable = Unplaceable::new();
         for ready_group in ready_groups {
@@ -144,18 +145,20 @@
         claims
     }
 
-    /// Instances on which tasks can be placed, by pool.
-    fn hosts(&self, now: Time) -> BTreeMap<Name, Vec<Host>> {
-        let mut hosts = BTreeMap::<Name, Vec<Host>>::new();
+    /// Instances of the `wanted` pools on which tasks can be placed, by pool.
+    fn hosts(&self, now: Time, wanted: &BTreeSet<&Name>) -> BTreeMap<Name, Vec<Host>> {
+        let mut hosts: BTreeMap<Name, Vec<Host>> =
+            wanted.iter().map(|pool| ((*pool).clone(), Vec::new())).collect();
         for (incarnation, instance) in &self.instances {
             let Some(announcement) = instance.announcement.as_ref() else { continue };
+            let Some(hosts) = hosts.get_mut(&announcement.pool) else { continue };
             if instance.is_usable(now) {
-                hosts.entry(announcement.pool.clone()).or_default().push(Host {
+                hosts.push(Host {
                     incarnation: incarnation.clone(),
                     labels: announcement.labels.clone(),
                     free: instance.free(),
-                    long_lived: instance.attempts.values().filter(|a| a.long_lived).count(),
-                    has_latency_target: instance.attempts.values().any(|a| a.has_latency_target),
+                    long_lived: instance.long_lived,
+                    has_latency_target: instance.with_latency_target > 0,
                 });
             }
         }
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -27,6 +27,8 @@
     pub(crate) announcements: BTreeMap<Name, (Announcement, Time)>,
     /// Latest announcement of each instance that the other members were told, and when.
     published: BTreeMap<Name, (Announcement, Time)>,
+    /// When announcements of silent instances were last dropped.
+    last_forgotten: Time,
     pub(crate) calls: Map<CallId, (Incarnation, PendingCall)>,
     last_call_id: CallId,
     /// Ended attempts to propose in the next batch.
@@ -87,6 +89,9 @@
     /// Interval at which other members hear of an instance about which nothing has changed. They use
     /// it to estimate the clock of the instance when they become leader.
     const PUBLICATION_INTERVAL: Duration = Duration::from_secs(6);
+    /// An instance that has not announced itself for this long is not taken over by a new leader;
+    /// more than two intervals of publication.
+    const ANNOUNCEMENT_VALIDITY: Duration = Duration::from_secs(16);
     /// Delay before a renewal that was not answered is repeated.
     pub(crate) const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(100);
     /// Delay before a request to stop an attempt is repeated.
@@ -114,7 +119,8 @@
     /// Number of instances in each data centre.
     pub fn instances_by_data_center(&self) -> BTreeMap<Name, usize> {
         let mut counts = BTreeMap::<Name, usize>::new();
-        for announcement in self.instances.values().filter_map(|i| i.announcement.as_ref()) {
+        let present = self.announcements.values().map(|(announcement, _)| announcement);
+        for announcement in present.filter(|a| a.condition != Condition::Gone) {
             match counts.get_mut(&announcement.data_center) {
                 Some(count) => *count += 1,
                 None => drop(counts.insert(announcement.data_center.clone(), 1)),
@@ -175,7 +181,8 @@
             }
             Event::MaxQueries(max_queries) => self.on_max_queries(max_queries),
             Event::Tick => {
-                self.touched.extend(self.instances.keys().cloned());
+                let due = self.instances.iter().filter(|(_, instance)| instance.needs_check(now));
+                self.touched.extend(due.map(|(incarnation, _)| incarnation.clone()));
                 self.expire_leases(now, &mut effects);
                 if self.leads() {
                     self.check_machines(now, &mut effects);
@@ -202,7 +209,8 @@
         self.machines.recover(now, table, &self.order_history, self.bounds.order_turn);
         let lease_expires = Instance::lease_expiry_after(now, self.bounds.max_lease);
         for (announcement, heard) in self.announcements.values() {
-            if announcement.condition != Condition::Gone {
+            let recent = now < *heard + Self::ANNOUNCEMENT_VALIDITY;
+            if recent && announcement.condition != Condition::Gone {
                 let mut instance = Instance::new(Some(announcement.clone()), *heard, lease_expires);
                 instance.renew_at = now;
                 self.instances.insert(announcement.incarnation.clone(), instance);
@@ -269,6 +277,7 @@
             return;
         }
         self.announcements.insert(name.clone(), (announcement.clone(), now));
+        self.forget_silent_instances(now);
         if !self.leads() {
             return;
         }
@@ -303,12 +312,26 @@
         }
         instance.draining |= ordered;
         instance.last_heard = now;
-        self.latest_on_machine.insert(announcement.machine.clone(), incarnation.clone());
+        let latest = self.latest_on_machine.get(&announcement.machine);
+        if latest.is_none_or(|latest| latest.born <= incarnation.born) {
+            self.latest_on_machine.insert(announcement.machine.clone(), incarnation.clone());
+        }
         self.touched.insert(incarnation);
         instance.update_clock(announcement.clock, now);
         instance.announcement = Some(announcement);
     }
 
+    /// Drops the announcements of instances that have not been heard from for long.
+    fn forget_silent_instances(&mut self, now: Time) {
+        if now < self.last_forgotten + Self::ANNOUNCEMENT_VALIDITY / 4 {
+            return;
+        }
+        self.last_forgotten = now;
+        let is_recent = |at: Time| now < at + Self::ANNOUNCEMENT_VALIDITY;
+        self.announcements.retain(|_, (_, heard)| is_recent(*heard));
+        self.published.retain(|_, (_, at)| is_recent(*at));
+    }
+
     /// Handles the end of an incarnation: what ran there is lost.
     ///
     /// Requests are addressed by instance name, so a start request that was not answered, that was
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -404,3 +404,15 @@
     assert_eq!(state(&world, 7), JobState::Queued);
     assert_eq!(world.table.pending("a"), 1);
 }
+
+#[test]
+fn a_member_forgets_instances_that_have_been_silent_for_long() {
+    let world = one_pool(13, 4);
+    let mut follower = Scheduler::new(Bounds::default());
+    let announcements = world.instances.values().map(|i| i.announcement.clone());
+    for (i, announcement) in announcements.enumerate() {
+        let heard = Duration::from_secs(if i == 3 { 30 } else { 1 });
+        follower.reduce(heard, 0, &world.table, Event::Announced(announcement));
+    }
+    assert_eq!(follower.instances_by_data_center().values().sum::<usize>(), 1);
+}
--- a/crates/job/tests/world/platform.rs
+++ b/crates/job/tests/world/platform.rs
@@ -35,7 +35,7 @@
             address: "10.0.0.1:80".into(),
             data_center: "dc".into(),
             capacity: machine.capacity,
-            labels: machine.labels.clone(),
+            labels: machine.labels.clone().into(),
             condition: Condition::Ready,
             clock: 0,
             sequence: 0,
