--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -45,6 +45,7 @@
 mod peer_clock;
 mod pending_call;
 mod pending_calls;
+mod pending_counts;
 mod query_router;
 mod reply_to;
 mod run;
@@ -73,6 +74,7 @@
     peer_clock::{PeerClocks, Reading},
     pending_call::PendingCall,
     pending_calls::PendingCalls,
+    pending_counts::PendingCounts,
     query_router::QueryRouter,
     reply_to::ReplyTo,
     state::{Identity, State},
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -55,7 +55,9 @@
             },
             Call::Show { host, path } => match self.find_job(&host, &path) {
                 Err(answer) => answer,
-                Ok((queue, None)) => Answer::Pending(self.table.pending(&queue) as u64),
+                Ok((queue, None)) => {
+                    Answer::Pending(self.pending_counts.get(now, &self.table, &queue))
+                }
                 Ok((queue, Some(id))) => {
                     let job = self.table.job(&queue, id);
                     job.map_or(Answer::NoJob, |record| Answer::Job(record.state))
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -34,6 +34,7 @@
     pub(crate) batch: Option<Index>,
     pub(crate) pending_calls: PendingCalls,
     pub(crate) query_router: QueryRouter,
+    pub(crate) pending_counts: PendingCounts,
     pub(crate) carriers: Carriers,
     pub(crate) overload: Overload,
     /// Where to send the answer once a log entry is committed.
@@ -87,6 +88,7 @@
             batch: None,
             pending_calls,
             query_router: QueryRouter::default(),
+            pending_counts: PendingCounts::default(),
             carriers: Carriers::default(),
             overload: Overload::default(),
             commits: BTreeMap::new(),
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -83,6 +83,10 @@
             match outcome {
                 Outcome::AttemptEnded(end) => {
                     self.unassign(&end.task, end.number);
+                    self.open_jobs.insert(end.task.job);
+                }
+                Outcome::Accepted(job) => {
+                    self.open_jobs.insert(*job);
                 }
                 Outcome::Cancelled(job) | Outcome::JobEnded(job) => self.stop_job(table, *job),
                 _ => {}
@@ -232,7 +236,7 @@
         table: &Table,
         effects: &mut Vec<Effect>,
     ) {
-        let due = self.needs_planning && now >= self.last_planned + Self::PLAN_INTERVAL
+        let due = self.needs_planning && now >= self.last_planned + self.plan_interval()
             || now >= self.last_planned + Self::IDLE_PLAN_INTERVAL;
         if self.batch_in_flight
             || !due && self.pending_ends.is_empty() && !self.machines.has_new_orders()
@@ -241,7 +245,10 @@
         }
         self.needs_planning = false;
         self.last_planned = now;
-        self.durations.forget(&table.live);
+        if now >= self.last_forgotten_durations + Self::FORGET_DURATIONS_INTERVAL {
+            self.last_forgotten_durations = now;
+            self.durations.forget(&table.live);
+        }
         let ends = std::mem::take(&mut self.pending_ends);
         let claims = self.plan(now, unix, table, effects);
         let mut batch = Batch { ends, claims, ..Batch::default() };
@@ -260,6 +267,12 @@
         effects.push(Effect::Propose(batch));
     }
 
+    /// Minimum time between planning passes. A pass takes longer the more jobs wait.
+    fn plan_interval(&self) -> Duration {
+        let waiting = self.open_jobs.len() as u32;
+        Self::PLAN_INTERVAL + Self::PLAN_INTERVAL * waiting / Self::JOBS_PER_PLAN_INTERVAL
+    }
+
     /// Time since the last announcement or answer after which an instance without attempts is
     /// forgotten.
     const FORGET_DELAY: Duration = Duration::from_secs(8);
--- a/crates/job/src/due.rs
+++ b/crates/job/src/due.rs
@@ -21,7 +21,17 @@
         config: &'a Config,
         by: impl Fn(&Queue) -> Option<UnixMs>,
     ) -> impl Iterator<Item = Self> {
-        let live = table.live.iter().filter_map(|job| Some((*job, table.jobs.get(job)?)));
+        Self::of(&table.live, table, config, by)
+    }
+
+    /// The same, of the given jobs.
+    pub(crate) fn of(
+        jobs: &'a BTreeSet<JobId>,
+        table: &'a Table,
+        config: &'a Config,
+        by: impl Fn(&Queue) -> Option<UnixMs>,
+    ) -> impl Iterator<Item = Self> {
+        let live = jobs.iter().filter_map(|job| Some((*job, table.jobs.get(job)?)));
         let open = live.filter(|(_, record)| !record.state.is_terminal());
         let queued = open.filter_map(move |(job, record)| {
             let queue = config.queue(&record.queue)?;
--- a/crates/job/src/job_record.rs
+++ b/crates/job/src/job_record.rs
@@ -41,6 +41,12 @@
         self.rounds.get(task.round as usize)?.task_state(task.group, task.index)
     }
 
+    /// Whether a task waits to be started, now or in a later round.
+    pub(crate) fn has_waiting_tasks(&self) -> bool {
+        let waits = |round: &Round| round.waiting.iter().any(|waiting| *waiting > 0);
+        !self.state.is_terminal() && self.rounds.iter().any(waits)
+    }
+
     /// The group of `task`.
     pub fn group(&self, task: TaskId) -> Option<&Group> {
         self.spec.groups.get(usize::from(task.group))
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -41,6 +41,13 @@
     slack: u64,
 }
 
+impl PlacementKey {
+    /// Whether the objective has been missed.
+    fn is_late(self) -> bool {
+        matches!(self.class, Class::Late | Class::Owed)
+    }
+}
+
 /// Objective of a round and the time it still needs.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Forecast {
@@ -125,11 +132,12 @@
         effects: &mut Vec<Effect>,
     ) -> Vec<Claim> {
         let Some(config) = &table.config else { return Vec::new() };
-        let mut ready_groups = self.ready_groups(unix, table, config);
-        if ready_groups.is_empty() {
-            return Vec::new();
-        }
+        let open_jobs = self.jobs_to_plan(now, table);
+        let mut ready_groups = self.ready_groups(unix, &open_jobs, table, config);
         ready_groups.sort_by_key(|ready_group| (ready_group.key, ready_group.group_id));
+        let is_late = |group: &&ReadyGroup| group.key.is_late() && group.record.rounds.len() == 1;
+        let late: BTreeSet<_> =
+            ready_groups.iter().filter(is_late).map(|group| group.group_id.job).collect();
         let wanted = ready_groups.iter().map(|ready_group| &ready_group.queue.pool).collect();
         let mut hosts = self.hosts(now, &wanted);
         let mut claims = Vec::new();
@@ -142,9 +150,24 @@
                 effects.push(ready_group.placement_note(claims.len() - before));
             }
         }
+        self.open_jobs = &open_jobs - &late;
+        self.late_jobs.extend(late);
         claims
     }
 
+    /// Jobs with waiting tasks that the next pass looks at. It leaves out the late ones while a pool
+    /// is overloaded, since it would not place them.
+    fn jobs_to_plan(&mut self, now: Time, table: &Table) -> BTreeSet<JobId> {
+        let mut jobs = std::mem::take(&mut self.open_jobs);
+        let late_due = now >= self.last_late_plan + Self::LATE_PLAN_INTERVAL;
+        if late_due && self.overloaded_pools.is_empty() {
+            self.last_late_plan = now;
+            jobs.append(&mut self.late_jobs);
+        }
+        jobs.retain(|job| table.jobs.get(job).is_some_and(JobRecord::has_waiting_tasks));
+        jobs
+    }
+
     /// Instances of the `wanted` pools on which tasks can be placed, by pool.
     fn hosts(&self, now: Time, wanted: &BTreeSet<&Name>) -> BTreeMap<Name, Vec<Host>> {
         let mut hosts: BTreeMap<Name, Vec<Host>> =
@@ -169,11 +192,12 @@
     pub(crate) fn ready_groups<'a>(
         &self,
         unix: UnixMs,
+        open_jobs: &'a BTreeSet<JobId>,
         table: &'a Table,
         config: &'a Config,
     ) -> Vec<ReadyGroup<'a>> {
         let mut ready_groups = Vec::new();
-        for due in DueRound::all(table, config, |_| Some(unix)) {
+        for due in DueRound::of(open_jobs, table, config, |_| Some(unix)) {
             let ready =
                 due.waiting_groups().filter(|(_, group)| due.round.dependencies_done(group));
             let mut forecast = None;
@@ -238,7 +262,7 @@
         let is_unplaceable = |(pool, size): &(&str, Resources)| {
             *pool == &*ready_group.queue.pool && size.fits(reserved) && group.requirement.is_none()
         };
-        let late = matches!(ready_group.key.class, Class::Late | Class::Owed);
+        let late = ready_group.key.is_late();
         // While a pool lacks machines, late jobs leave its capacity to jobs that can still meet
         // their objective.
         if late && !self.overloaded_pools.is_empty() || unplaceable.iter().any(is_unplaceable) {
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -35,6 +35,15 @@
     pub(crate) pending_ends: Vec<AttemptEnd>,
     /// Whether a batch is being committed.
     pub(crate) batch_in_flight: bool,
+    /// Jobs that may have tasks waiting to be started; the planning pass looks at no others.
+    pub(crate) open_jobs: BTreeSet<JobId>,
+    /// Of these, jobs that have missed their objective. They wait while a pool is overloaded, and
+    /// are looked at less often.
+    pub(crate) late_jobs: BTreeSet<JobId>,
+    /// When late jobs were last planned.
+    pub(crate) last_late_plan: Time,
+    /// When observed run times were last dropped.
+    pub(crate) last_forgotten_durations: Time,
     /// Whether something changed since the last planning pass.
     pub(crate) needs_planning: bool,
     pub(crate) last_planned: Time,
@@ -98,6 +107,12 @@
     pub(crate) const STOP_RETRY_DELAY: Duration = Duration::from_millis(250);
     /// Minimum time between planning passes, so that the events in between share one pass.
     pub(crate) const PLAN_INTERVAL: Duration = Duration::from_millis(8);
+    /// For each this many waiting jobs, the time between passes grows by as much again.
+    pub(crate) const JOBS_PER_PLAN_INTERVAL: u32 = 250;
+    /// Minimum time between passes that also look at late jobs.
+    pub(crate) const LATE_PLAN_INTERVAL: Duration = Duration::from_millis(40);
+    /// Interval at which the run times observed for ended jobs are dropped.
+    pub(crate) const FORGET_DURATIONS_INTERVAL: Duration = Duration::from_secs(1);
     /// Interval between planning passes without events, since rounds come due as time passes.
     pub(crate) const IDLE_PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -119,8 +134,11 @@
     /// Number of instances in each data centre.
     pub fn instances_by_data_center(&self) -> BTreeMap<Name, usize> {
         let mut counts = BTreeMap::<Name, usize>::new();
-        let present = self.announcements.values().map(|(announcement, _)| announcement);
-        for announcement in present.filter(|a| a.condition != Condition::Gone) {
+        let live = self.instances.values().filter_map(|i| i.announcement.as_ref());
+        let heard = self.announcements.values().map(|(announcement, _)| announcement);
+        // A daemon that does not lead yet only knows who has announced itself.
+        let heard = heard.filter(|a| !self.leads() && a.condition != Condition::Gone);
+        for announcement in live.chain(heard) {
             match counts.get_mut(&announcement.data_center) {
                 Some(count) => *count += 1,
                 None => drop(counts.insert(announcement.data_center.clone(), 1)),
@@ -220,6 +238,7 @@
                 self.current_starts.insert(name, born);
             }
         }
+        self.open_jobs.clone_from(&table.live);
         for id in &table.live {
             let Some(record) = table.jobs.get(id) else { continue };
             for claim in record.claims(*id) {
@@ -261,6 +280,8 @@
         self.latest_on_machine.clear();
         self.touched.clear();
         self.acknowledging.clear();
+        self.open_jobs.clear();
+        self.late_jobs.clear();
         self.calls.clear();
         self.published.clear();
         self.pending_ends.clear();
@@ -285,17 +306,17 @@
         if announcement.condition == Condition::Gone {
             return self.end_incarnation(now, &incarnation, "the instance has ended", effects);
         }
-        self.current_starts.insert(name.clone(), incarnation.born);
-        let first = Incarnation { name, born: 0 };
-        let earlier =
-            self.instances.range(first..incarnation.clone()).map(|(other, _)| other.clone());
-        for earlier in earlier.collect::<Vec<_>>() {
-            self.end_incarnation(
-                now,
-                &earlier,
-                "a later incarnation has announced itself",
-                effects,
-            );
+        if self.current_starts.insert(name.clone(), incarnation.born) != Some(incarnation.born) {
+            let earlier = |other: &&Incarnation| other.name == name && **other < incarnation;
+            let earlier: Vec<_> = self.instances.keys().filter(earlier).cloned().collect();
+            for earlier in earlier {
+                self.end_incarnation(
+                    now,
+                    &earlier,
+                    "a later incarnation has announced itself",
+                    effects,
+                );
+            }
         }
         let lease_expires = now;
         let ordered = self.machines.is_ordered(&announcement.machine);
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -40,10 +40,17 @@
         self.jobs.get(&id).filter(|record| *record.queue == *queue)
     }
 
-    /// Number of jobs of `queue` without a started task.
-    pub fn pending(&self, queue: &str) -> usize {
+    /// Number of jobs without a started task, by queue.
+    pub fn pending(&self) -> BTreeMap<Name, u64> {
         let live = self.live.iter().filter_map(|id| self.jobs.get(id));
-        live.filter(|job| *job.queue == *queue && job.state == JobState::Queued).count()
+        let mut counts = BTreeMap::<Name, u64>::new();
+        for job in live.filter(|job| job.state == JobState::Queued) {
+            match counts.get_mut(&job.queue) {
+                Some(count) => *count += 1,
+                None => drop(counts.insert(job.queue.clone(), 1)),
+            }
+        }
+        counts
     }
 
     fn configure(&mut self, config: Config) -> Vec<Outcome> {
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -402,7 +402,7 @@
     world.faults = FaultRates::default();
     world.run(1500);
     assert_eq!(state(&world, 7), JobState::Queued);
-    assert_eq!(world.table.pending("a"), 1);
+    assert_eq!(world.table.pending()["a"], 1);
 }
 
 #[test]
