Carriers are counted by the orders that they carry

Change: carriers are also chosen by the rate of orders, 100 a second each, which falls by half in 4 s after a peak. At most a sixth of the daemons is suspended at a time.

--- a/crates/entry/src/carriers.rs
+++ b/crates/entry/src/carriers.rs
@@ -5,8 +5,8 @@
 //! their way, and the leader treats those as it treats an instance that does not answer.
 //!
 //! Small fleets need no carriers. Otherwise each data centre has a few, in proportion to its
-//! instances, and rendezvous hashing assigns the instances, so that a change of one carrier moves
-//! only its own.
+//! instances and to the orders of the last seconds, since a carrier's link is slow. Rendezvous
+//! hashing assigns the instances, so that a change of one carrier moves only its own.
 
 use {super::*, std::net::IpAddr, twox_hash::XxHash64};
 
@@ -18,6 +18,12 @@
     /// The carriers in use, by data centre.
     chosen: BTreeMap<Name, Vec<Name>>,
     open: BTreeMap<job::CallId, OpenOrder>,
+    /// Number of orders opened since the carriers were chosen.
+    opened: usize,
+    /// When the carriers were chosen.
+    chosen_at: Time,
+    /// Orders a second, as a peak that decays.
+    peak_rate: f64,
     /// When this daemon first chose carriers since it became leader.
     leads_since: Option<Time>,
     /// Carriers that are not used until the given time, since they reached no instance.
@@ -44,9 +50,13 @@
 impl Carriers {
     /// Up to this many instances, the leader sends all orders itself.
     const MAX_DIRECT_INSTANCES: usize = 96;
-    /// Instances for each carrier. The link of an entry instance without a disk bounds them: at
-    /// twice the planned starts it is half full.
+    /// Instances for each carrier, if they get few orders.
     const INSTANCES_PER_CARRIER: usize = 48;
+    /// Orders a second for each carrier. An order and its answer take about 1 KB of its link of
+    /// 250 KB/s.
+    const ORDERS_PER_CARRIER: f64 = 100.0;
+    /// The rate of orders that carriers are chosen for falls to half in this time after a peak.
+    const RATE_HALF_LIFE: Duration = Duration::from_secs(4);
     /// A daemon that was not heard from for this long is not chosen.
     const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1400);
     /// The same for a new leader, which daemons asked only now and then until they learn of it.
@@ -57,6 +67,8 @@
     const TRANSPORT_TIME: Duration = Duration::from_millis(350);
     /// A carrier that failed to reach this many different instances in a row is suspended.
     const MAX_FAILURES: usize = 4;
+    /// At most one of this many daemons is suspended.
+    const MAX_SUSPENDED_DIVISOR: usize = 6;
     const SUSPENSION: Duration = Duration::from_secs(4);
 
     /// Number of daemons from which on each should ask for the leader less often.
@@ -90,6 +102,11 @@
         };
         self.daemons.retain(|_, daemon| now < daemon.heard + timeout);
         self.suspended.retain(|_, until| now < *until);
+        self.measure_rate(now);
+        let total = instances.values().sum::<usize>().max(1);
+        let by_rate = (self.peak_rate / Self::ORDERS_PER_CARRIER).ceil() as usize;
+        let by_instances = total.div_ceil(Self::INSTANCES_PER_CARRIER);
+        let wanted = by_rate.max(by_instances);
         let mut chosen = BTreeMap::<Name, Vec<Name>>::new();
         if instances.values().sum::<usize>() > Self::MAX_DIRECT_INSTANCES {
             for (address, daemon) in &self.daemons {
@@ -102,7 +119,7 @@
         for (data_center, carriers) in &mut chosen {
             let count = instances.get(data_center).copied().unwrap_or_default();
             carriers.sort_by_cached_key(|carrier| hash(carrier, 0));
-            carriers.truncate(count.div_ceil(Self::INSTANCES_PER_CARRIER).max(1));
+            carriers.truncate((wanted * count).div_ceil(total).max(1));
         }
         let count = |chosen: &BTreeMap<Name, Vec<Name>>| chosen.values().map(Vec::len).sum();
         let (before, after): (usize, usize) = (count(&self.chosen), count(&chosen));
@@ -110,6 +127,18 @@
         (before != after).then_some(after)
     }
 
+    /// Updates the rate of orders.
+    fn measure_rate(&mut self, now: Time) {
+        let elapsed = now.saturating_sub(self.chosen_at).as_secs_f64();
+        if elapsed > 0.0 {
+            let rate = self.opened as f64 / elapsed;
+            let decay = (-elapsed / Self::RATE_HALF_LIFE.as_secs_f64()).exp2();
+            self.peak_rate = rate.max(self.peak_rate * decay);
+        }
+        self.opened = 0;
+        self.chosen_at = now;
+    }
+
     /// The carrier for an instance; `None` if the leader sends its orders itself.
     pub(crate) fn carrier_of(&self, instance: &Name, data_center: &Name) -> Option<&Name> {
         let seed = hash(instance, 0);
@@ -128,6 +157,7 @@
         instance: Name,
         timeout: Duration,
     ) {
+        self.opened += 1;
         let until = now + timeout + Self::TRANSPORT_TIME;
         self.open.insert(id, OpenOrder { carrier, instance, until });
     }
@@ -149,7 +179,9 @@
         }
         let failures = self.failures.entry(carrier.clone()).or_default();
         failures.insert(instance);
-        if failures.len() < Self::MAX_FAILURES {
+        // If many fail, it is not they: fewer carriers would only be slower.
+        let many = self.suspended.len() >= self.daemons.len() / Self::MAX_SUSPENDED_DIVISOR;
+        if failures.len() < Self::MAX_FAILURES || many {
             return (true, None);
         }
         self.failures.remove(&carrier);
--- a/crates/entry/tests/reducer/carriers.rs
+++ b/crates/entry/tests/reducer/carriers.rs
@@ -161,3 +161,33 @@
     carriers.choose(ms(11_000), &instances(150), &BTreeSet::new());
     assert_eq!(carriers.carrier_of(&"i-1".into(), &data_center(0)), None, "none has called since");
 }
+
+#[test]
+fn many_orders_need_more_carriers_than_as_many_instances_with_few() {
+    let mut carriers = carriers(ms(0));
+    // 300 instances with short tasks get 1,500 orders in a second.
+    for id in 0..1500 {
+        carriers.open(ms(500), id, daemon(0), "i-1".into(), ms(700));
+    }
+    carriers.choose(ms(1000), &instances(150), &BTreeSet::new());
+    let distinct: BTreeSet<_> = assigned(&carriers, &data_center(0)).into_iter().collect();
+    assert!((8..=10).contains(&distinct.len()), "{} of 16 in two data centres", distinct.len());
+    for i in 0..24 {
+        carriers.heard_from(ms(60_000), &daemon(i), &data_center(i));
+    }
+    carriers.choose(ms(60_000), &instances(150), &BTreeSet::new());
+    let distinct: BTreeSet<_> = assigned(&carriers, &data_center(0)).into_iter().collect();
+    assert_eq!(distinct.len(), 4, "the burst is over");
+}
+
+#[test]
+fn most_carriers_stay_in_use_even_if_none_reaches_an_instance() {
+    let mut carriers = carriers(ms(0));
+    let mut suspended = 0;
+    for id in 0..400 {
+        let carrier = daemon((id % 24) as u8);
+        carriers.open(ms(0), id, carrier, format!("i-{id}").into(), ms(700));
+        suspended += usize::from(carriers.finish(ms(10), id, false).1.is_some());
+    }
+    assert_eq!(suspended, 4);
+}
