One type for a request to an instance; what carriers do stands in one module

The seven fields of a request stood in an effect, a message and two functions (duplicates). Now InstanceCall holds them; carrying.rs has both ends of a carrier; a late order is returned without a second pass through the reducer. is_news also records, and is record_news now.

Behaviour as before.

--- a/crates/entry/src/carrying.rs
+++ b/crates/entry/src/carrying.rs
@@ -1,4 +1,5 @@
-//! Sends orders through carriers, on the leader, and handles their results.
+//! Sends orders through carriers, on the leader, and handles their results; on a carrier, sends them
+//! to the instances.
 
 use super::*;
 
@@ -15,35 +16,37 @@
         }
     }
 
-    /// Turns a call to an instance into an order to its carrier, if it has one.
-    pub(crate) fn route_order(&mut self, now: Time, call: Effect) -> Effect {
-        let Effect::CallInstance { id, incarnation, address, order, epoch, timeout, origin } = call
-        else {
-            return call;
-        };
-        let data_center = self.scheduler.data_center_of(&incarnation);
+    /// Sends a call to an instance through its carrier, if it has one.
+    pub(crate) fn route_order(&mut self, now: Time, call: InstanceCall) -> Effect {
+        let InstanceCall { id, timeout, .. } = call;
+        let instance = &call.incarnation.name;
+        let data_center = self.scheduler.data_center_of(&call.incarnation);
         let carrier = data_center
-            .and_then(|data_center| self.carriers.carrier_of(&incarnation.name, data_center))
+            .and_then(|data_center| self.carriers.carrier_of(instance, data_center))
             .cloned();
         let clocks = &self.pending_calls.clocks;
         let deadline =
             carrier.as_ref().and_then(|carrier| clocks.translate(carrier, now + timeout));
         let (Some(to), Some(deadline)) = (carrier, deadline) else {
-            return Effect::CallInstance {
-                id,
-                incarnation,
-                address,
-                order,
-                epoch,
-                timeout,
-                origin,
-            };
+            return Effect::CallInstance { call, origin: None };
         };
-        self.carriers.open(now, id, to.clone(), incarnation.name.clone(), timeout);
-        let boot = self.boot;
-        let message =
-            Message::Order { id, boot, incarnation, address, order, epoch, timeout, deadline };
-        Effect::Send { to, message }
+        self.carriers.open(now, id, to.clone(), instance.clone(), timeout);
+        Effect::Send { to, message: Message::Order { boot: self.boot, call, deadline } }
+    }
+
+    /// Sends an order of the leader to its instance, on a carrier; returns it if it is late.
+    pub(crate) fn carry_order(
+        &self,
+        now: Time,
+        (leader, boot): Origin,
+        call: InstanceCall,
+        deadline: Reading,
+    ) -> Effect {
+        if deadline.boot == self.boot && now < deadline.at {
+            return Effect::CallInstance { call, origin: Some((leader, boot)) };
+        }
+        let result = Err(job::CallError::Timeout);
+        Effect::Send { to: leader, message: Message::OrderResult { id: call.id, boot, result } }
     }
 
     /// Handles the result of an order that a carrier returned, or that none returned in time.
--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -15,12 +15,7 @@
     Answer { ticket: CallTicket, answer: Answer },
     /// Send a request to an instance.
     CallInstance {
-        id: job::CallId,
-        incarnation: job::Incarnation,
-        address: Name,
-        order: job::Order,
-        epoch: job::Epoch,
-        timeout: Duration,
+        call: InstanceCall,
         /// Leader to return the answer to; `None` if this daemon leads.
         origin: Option<Origin>,
     },
--- /dev/null
+++ b/crates/entry/src/instance_call.rs
@@ -0,0 +1,17 @@
+use super::*;
+
+/// A request to an instance, as the leader decided it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct InstanceCall {
+    /// Id of the request at the leader.
+    pub(crate) id: job::CallId,
+    /// Receiver; any other incarnation rejects the request.
+    pub(crate) incarnation: job::Incarnation,
+    /// Address of the instance.
+    pub(crate) address: Name,
+    pub(crate) order: job::Order,
+    /// Epoch of the leader.
+    pub(crate) epoch: job::Epoch,
+    /// How long to wait for the answer of the instance.
+    pub(crate) timeout: Duration,
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod http;
 mod http_client;
 mod inbox;
+mod instance_call;
 mod log;
 mod membership;
 mod message;
@@ -66,6 +67,7 @@
     effect::Effect,
     event::Event,
     inbox::Inbox,
+    instance_call::InstanceCall,
     membership::Membership,
     message::{Message, Origin},
     metrics::Metrics,
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -81,20 +81,10 @@
     },
     /// Asks the receiver to send an order of the leader to an instance.
     Order {
-        /// Id of the order at the leader.
-        id: job::CallId,
         /// Process of the leader; its ids start anew with each process.
         boot: u64,
-        /// Receiver; any other incarnation rejects the order.
-        incarnation: job::Incarnation,
-        /// Address of the instance.
-        address: Name,
         /// The order.
-        order: job::Order,
-        /// Epoch of the leader.
-        epoch: job::Epoch,
-        /// How long to wait for the answer of the instance.
-        timeout: Duration,
+        call: InstanceCall,
         /// When the leader gives the order up, on the clock of the receiver. An order that is late
         /// is not sent, since it could reach a later incarnation of the instance.
         deadline: Reading,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -432,7 +432,8 @@
                     sender.send(answer).ok();
                 }
             }
-            Effect::CallInstance { id, incarnation, address, order, epoch, timeout, origin } => {
+            Effect::CallInstance { call, origin } => {
+                let InstanceCall { id, incarnation, address, order, epoch, timeout } = call;
                 let (http_client, events) = (self.http_client.clone(), self.events.clone());
                 let metrics = self.metrics.clone();
                 spawn_local(async move {
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -74,7 +74,7 @@
                 },
             },
             Call::Announce(announcement) => {
-                if self.scheduler.is_news(now, &announcement) {
+                if self.scheduler.record_news(now, &announcement) {
                     self.broadcast_announcement(&announcement, effects);
                 }
                 self.step_scheduler(now, unix, job::Event::Announced(announcement), effects);
@@ -276,16 +276,8 @@
                 job::Effect::CallInstance { id, incarnation, address, order, timeout }
                     if can_serve =>
                 {
-                    let order = Effect::CallInstance {
-                        id,
-                        incarnation,
-                        address,
-                        order,
-                        epoch,
-                        timeout,
-                        origin: None,
-                    };
-                    effects.push(self.route_order(now, order));
+                    let call = InstanceCall { id, incarnation, address, order, epoch, timeout };
+                    effects.push(self.route_order(now, call));
                 }
                 job::Effect::CallPlatform { id, order } if can_serve => {
                     effects.push(Effect::CallPlatform { id, order, epoch });
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -453,22 +453,9 @@
                     self.pending_calls.leader = leader;
                 }
             }
-            Message::Order { id, boot, incarnation, address, order, epoch, timeout, deadline } => {
-                let origin = Some((from, boot));
-                if deadline.boot != self.boot || now >= deadline.at {
-                    let result = Err(job::CallError::Timeout);
-                    let event = Event::InstanceAnswered { id, result, origin };
-                    return effects.extend(self.reduce(now, unix, event));
-                }
-                effects.push(Effect::CallInstance {
-                    id,
-                    incarnation,
-                    address,
-                    order,
-                    epoch,
-                    timeout,
-                    origin,
-                });
+            Message::Order { boot, call, deadline } => {
+                let leader = (from, boot);
+                effects.push(self.carry_order(now, leader, call, deadline));
             }
             Message::OrderResult { id, boot, result } => {
                 if boot == self.boot {
--- a/crates/entry/tests/reducer/carriers.rs
+++ b/crates/entry/tests/reducer/carriers.rs
@@ -116,16 +116,15 @@
     let mut state = gateway(&leader);
     let order =
         job::Order::Stop { task: job::TaskId { job: 1, round: 0, group: 0, index: 0 }, number: 1 };
-    let message = Message::Order {
+    let call = InstanceCall {
         id: 5,
-        boot: 7,
         incarnation: job::Incarnation { name: "i-1".into(), born: 1 },
         address: "10.9.0.1:80".into(),
         order,
         epoch: 3,
         timeout: ms(700),
-        deadline: Reading { boot, at: ms(1000) },
     };
+    let message = Message::Order { boot: 7, call, deadline: Reading { boot, at: ms(1000) } };
     peer(&mut state, now, &leader, message)
 }
 
@@ -133,7 +132,8 @@
 fn a_carrier_sends_an_order_as_it_is() {
     let effects = deliver(ms(900), 1);
     let sent = effects.iter().any(|effect| {
-        matches!(effect, Effect::CallInstance { id: 5, epoch: 3, origin: Some((_, 7)), .. })
+        let Effect::CallInstance { call, origin: Some((_, 7)) } = effect else { return false };
+        call.id == 5 && call.epoch == 3
     });
     assert!(sent, "{effects:?}");
 }
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -148,9 +148,10 @@
         counts
     }
 
-    /// Whether other members should hear of an announcement: it differs from the last one that they
-    /// heard of in more than its sequence, or that was some time ago.
-    pub fn is_news(&mut self, now: Time, announcement: &Announcement) -> bool {
+    /// Returns whether the other members should hear of an announcement, and records that they do: it
+    /// differs from the last one that they heard of in more than its sequence, or that was some time
+    /// ago.
+    pub fn record_news(&mut self, now: Time, announcement: &Announcement) -> bool {
         let name = &announcement.incarnation.name;
         let known = self.published.get(name).is_some_and(|(published, at)| {
             published.is_repeated_by(announcement) && now < *at + Self::PUBLICATION_INTERVAL
