A new leader counts a task as at work only after stops of the former one have shown

Besides: an attempt whose start was in doubt went on being stopped after it had been reported to run; and of two incarnations on one machine the new leader took the one whose name sorts last, not the later one.

Change: an attempt adopted from a former leader counts as at work from the first report that arrives 1 s after it was adopted; a start in doubt is no longer stopped once it is known to run; the later incarnation is the latest.

Tests: takeover.rs, two of three fail before. The third, a late order of the former leader, holds before as well. The world checks each stop against the group's limit, lets platform orders of a former leader arrive late, and counts the machines of a wave by wave (two waves at once broke the old check, which took the largest budget).

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -186,6 +186,7 @@
         instance.fenced = true;
         instance.unresponsive = false;
         instance.renew_at = now;
+        instance.last_report = now;
         let complete = ended.len() < Self::MAX_ENDS_IN_REPORT;
         for end in ended {
             if end.sequence <= instance.received {
@@ -244,7 +245,11 @@
             attempt.percent = run.percent;
             attempt.gauge = run.gauge;
             attempt.checkpoint = run.checkpoint.or(attempt.checkpoint.take());
+            if attempt.stage == Stage::Recovered {
+                attempt.adopted_at = Some(now);
+            }
             if matches!(attempt.stage, Stage::Unanswered | Stage::Recovered | Stage::Starting) {
+                attempt.start_in_doubt = false;
                 attempt.stage = Stage::Running;
                 attempt.conclusive_from = Some(now);
             }
@@ -255,7 +260,7 @@
             }
             if attempt.stage == Stage::Unanswered {
                 // The start request may still arrive; the instance rejects it after the stop.
-                attempt.stop_requested = true;
+                attempt.start_in_doubt = true;
                 instance.may_need_stops = true;
             }
             let absent =
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -122,7 +122,7 @@
             if instance.announcement.is_none() || !instance.may_need_stops {
                 continue;
             }
-            instance.may_need_stops = instance.attempts.values().any(|a| a.stop_requested);
+            instance.may_need_stops = instance.attempts.values().any(Attempt::needs_stop);
             for (task, attempt) in &mut instance.attempts {
                 let may_run = match attempt.stage {
                     Stage::Proposed | Stage::Ending | Stage::Starting => false,
@@ -131,7 +131,7 @@
                 };
                 let recently_sent =
                     attempt.stop_sent.is_some_and(|sent| now < sent + Self::STOP_RETRY_DELAY);
-                if attempt.stop_requested && may_run && !recently_sent {
+                if attempt.needs_stop() && may_run && !recently_sent {
                     attempt.stop_sent = Some(now);
                     due.push((incarnation.clone(), *task, attempt.number));
                 }
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -7,6 +7,8 @@
     pub(crate) announcement: Option<Announcement>,
     /// When the last announcement or answer arrived.
     pub(crate) last_heard: Time,
+    /// When the last report of its attempts arrived.
+    pub(crate) last_report: Time,
     /// Latest reading of its clock, and the local time at which it arrived. The clock may have
     /// advanced while the reading was on its way.
     pub(crate) clock: Option<(InstanceMs, Time)>,
@@ -69,6 +71,12 @@
     pub(crate) confirmed: bool,
     /// Whether it is to be stopped.
     pub(crate) stop_requested: bool,
+    /// Whether its start request was not answered and has to be made impossible, by a stop, before
+    /// the task may start elsewhere. The attempt is kept if it is reported to run after all.
+    pub(crate) start_in_doubt: bool,
+    /// When the instance first reported it to a new leader. A stop by the former leader may be under
+    /// way until [`Self::STOP_TIME`] after that.
+    pub(crate) adopted_at: Option<Time>,
     /// When the last stop request was sent.
     pub(crate) stop_sent: Option<Time>,
     /// Percentage of its work done, as last reported.
@@ -114,6 +122,7 @@
         Self {
             announcement,
             last_heard: now,
+            last_report: Time::ZERO,
             clock,
             lease: 0,
             lease_expires,
@@ -186,7 +195,7 @@
         self.used += attempt.reserved;
         self.long_lived += usize::from(attempt.long_lived);
         self.with_latency_target += usize::from(attempt.has_latency_target);
-        self.may_need_stops |= attempt.stop_requested;
+        self.may_need_stops |= attempt.needs_stop();
         self.attempts.insert(task, attempt);
     }
 
@@ -224,6 +233,9 @@
 }
 
 impl Attempt {
+    /// Longest time from a stop request to the report of the end.
+    const STOP_TIME: Duration = Duration::from_millis(1000);
+
     pub(crate) fn new(
         number: AttemptNumber,
         stage: Stage,
@@ -239,6 +251,8 @@
             conclusive_from: None,
             confirmed: false,
             stop_requested: false,
+            start_in_doubt: false,
+            adopted_at: None,
             stop_sent: None,
             percent: 0,
             gauge: 0,
@@ -249,4 +263,16 @@
             full_run: false,
         }
     }
+
+    /// Whether a stop request has to be sent until it is answered.
+    pub(crate) fn needs_stop(&self) -> bool {
+        self.stop_requested || self.start_in_doubt
+    }
+
+    /// Whether the task was at work in the report that arrived at `reported`, and no leader has
+    /// requested its stop.
+    pub(crate) fn is_at_work(&self, reported: Time) -> bool {
+        let settled = self.adopted_at.is_none_or(|at| reported >= at + Self::STOP_TIME);
+        settled && self.stage == Stage::Running && self.percent >= 100 && !self.needs_stop()
+    }
 }
--- a/crates/job/src/maintenance.rs
+++ b/crates/job/src/maintenance.rs
@@ -63,7 +63,7 @@
             let record = table.jobs.get(&task.job);
             let Some(group) = record.and_then(|record| record.group(**task)) else { return false };
             let must_move = group.continuous || now > attempt.started + Self::DRAIN_GRACE;
-            must_move && !attempt.stop_requested && self.may_stop(table, **task, group)
+            must_move && !attempt.needs_stop() && self.may_stop(table, **task, group)
         });
         let next = next.map(|(task, _)| *task);
         let Some(instance) = self.instances.get_mut(&incarnation) else { return true };
@@ -107,7 +107,7 @@
         let Phase::Claimed(incarnation) = &task_state.phase else { return false };
         let Some(instance) = self.instances.get(incarnation) else { return false };
         let attempt = instance.attempts.get(&task).filter(|a| a.number == task_state.number);
-        attempt.is_some_and(|a| a.stage == Stage::Running && a.percent >= 100 && !a.stop_requested)
+        attempt.is_some_and(|attempt| attempt.is_at_work(instance.last_report))
             && !instance.unresponsive
     }
 }
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -235,8 +235,7 @@
                 instance.renew_at = now;
                 self.instances.insert(announcement.incarnation.clone(), instance);
                 let Incarnation { name, born } = announcement.incarnation.clone();
-                self.latest_on_machine
-                    .insert(announcement.machine.clone(), announcement.incarnation.clone());
+                record_latest(&mut self.latest_on_machine, announcement);
                 self.current_starts.insert(name, born);
             }
         }
@@ -335,10 +334,7 @@
         }
         instance.draining |= ordered;
         instance.last_heard = now;
-        let latest = self.latest_on_machine.get(&announcement.machine);
-        if latest.is_none_or(|latest| latest.born <= incarnation.born) {
-            self.latest_on_machine.insert(announcement.machine.clone(), incarnation.clone());
-        }
+        record_latest(&mut self.latest_on_machine, &announcement);
         self.touched.insert(incarnation);
         instance.update_clock(announcement.clock, now);
         instance.announcement = Some(announcement);
@@ -455,6 +451,15 @@
     }
 }
 
+/// Records the incarnation of an announcement as the latest on its machine, unless a later one has
+/// announced itself.
+fn record_latest(latest: &mut BTreeMap<Name, Incarnation>, announcement: &Announcement) {
+    let Announcement { machine, incarnation, .. } = announcement;
+    if latest.get(machine).is_none_or(|known| known.born <= incarnation.born) {
+        latest.insert(machine.clone(), incarnation.clone());
+    }
+}
+
 /// Creates an effect that writes a log entry.
 pub(crate) fn note(what: &'static str, about: String, why: String) -> Effect {
     Effect::Note(Note { what, about, why })
--- a/crates/job/src/throttling.rs
+++ b/crates/job/src/throttling.rs
@@ -36,7 +36,7 @@
         let mut orders = Vec::new();
         for (task, attempt) in &mut instance.attempts {
             let is_best_effort = group(task).is_some_and(|group| group.best_effort);
-            if !is_best_effort || attempt.stage != Stage::Running || attempt.stop_requested {
+            if !is_best_effort || attempt.stage != Stage::Running || attempt.needs_stop() {
                 continue;
             }
             let percent = Self::new_speed(now, worst, attempt);
--- a/crates/job/tests/fuzz.rs
+++ b/crates/job/tests/fuzz.rs
@@ -21,8 +21,13 @@
     }
     world.add_machine("m8", "spare", "r0", 16_000);
     world.run(200);
-    world.faults =
-        FaultRates { request_lost: 15, answer_lost: 15, delayed: 15, platform_answer_lost: 200 };
+    world.faults = FaultRates {
+        request_lost: 15,
+        answer_lost: 15,
+        stop_lost: 15,
+        delayed: 15,
+        platform_answer_lost: 200,
+    };
     let mut next = 1;
     for round in 0..120 {
         if world.rng.random_range(0..3) > 0 {
--- /dev/null
+++ b/crates/job/tests/takeover.rs
@@ -0,0 +1,89 @@
+//! Tests of what a new leader may order before it knows what the former one did.
+
+mod world;
+
+use {job::*, world::*};
+
+/// A world with machines in one pool, each on a rack of its own.
+fn one_pool(machines: usize) -> World {
+    let mut world = World::new(1, config(&["a"]));
+    for i in 0..machines {
+        world.add_machine(&format!("m{i}"), "a", &format!("r{i}"), 16_000);
+    }
+    world.run(200);
+    world
+}
+
+/// Submits a job with continuous tasks on different instances, of which at most one may be away.
+fn submit_continuous(world: &mut World, id: JobId, count: u16) {
+    let mut continuous = chain(&[count], 2000, 500);
+    continuous.groups[0].continuous = true;
+    continuous.groups[0].max_per_instance = Some(1);
+    continuous.groups[0].max_unavailable = Some(1);
+    world.submit(id, "a", continuous);
+}
+
+#[test]
+fn no_task_starts_on_a_machine_that_a_former_leader_ordered_away() {
+    let mut world = one_pool(3);
+    submit_continuous(&mut world, 6, 2);
+    world.run(3300);
+    world.order_delay_ms = 2000;
+    world.start_wave(1, &["m0", "m1", "m2"], 1);
+    world.run(100);
+    assert_eq!(world.table.orders.len(), 1, "the order is committed and on its way");
+    // The new leader hears from all instances before its first tick.
+    world.run(1);
+    world.change_leader(true);
+    submit_continuous(&mut world, 7, 3);
+    // The world checks that the order ends no tasks.
+    world.run(30_000);
+    assert!(world.table.waves[&1].is_complete(), "the wave goes on under the new leader");
+}
+
+#[test]
+fn a_new_leader_waits_for_stops_of_the_former_one_before_it_stops_others() {
+    let mut world = one_pool(5);
+    submit_continuous(&mut world, 7, 3);
+    world.run(2000);
+    let machine_of = |world: &World, index: u16| {
+        let start = world.starts.iter().find(|(_, task, _, _)| task.index == index);
+        let (_, _, _, incarnation) = start.expect("the task has started");
+        world.instances[incarnation].machine().clone()
+    };
+    let (first, second) = (machine_of(&world, 0), machine_of(&world, 1));
+    world.start_wave(2, &[&second], 1);
+    while !is_stopping(&world) {
+        world.run(1);
+    }
+    world.start_wave(1, &[&first], 1);
+    // The world checks that each stop leaves enough tasks of the group at work.
+    world.change_leader(true);
+    world.run(30_000);
+    assert!(world.table.waves.values().all(Wave::is_complete), "the waves go on");
+}
+
+/// Whether an instance is stopping a task.
+fn is_stopping(world: &World) -> bool {
+    let mut runs = world.instances.values().flat_map(|instance| instance.running.values());
+    runs.any(|run| run.stopping.is_some())
+}
+
+#[test]
+fn a_task_whose_start_was_carried_out_late_is_kept() {
+    let mut world = one_pool(3);
+    submit_continuous(&mut world, 7, 1);
+    world.delay_ms = 400;
+    world.run(60);
+    world.delay_ms = 2;
+    while !world.notes.iter().any(|note| note.what == "start-unanswered") {
+        world.run(1);
+    }
+    world.run(3);
+    // The stop that follows the report without the task is lost.
+    world.faults = FaultRates { stop_lost: 1000, ..FaultRates::default() };
+    world.run(200);
+    world.faults = FaultRates::default();
+    world.run(5000);
+    assert_eq!(world.starts.len(), 1, "{:?}", world.starts);
+}
--- a/crates/job/tests/world/calls.rs
+++ b/crates/job/tests/world/calls.rs
@@ -79,6 +79,9 @@
                 instance.report(now)
             }
             Order::Stop { task, number } => {
+                self.check_stop(&receiver, task, number);
+                let instance =
+                    self.instances.get_mut(&receiver).expect("the instance is in the world");
                 let rejected = instance.rejected.entry(task).or_default();
                 *rejected = (*rejected).max(number);
                 if let Some(run) = instance.running.get_mut(&task).filter(|r| r.number == number) {
--- a/crates/job/tests/world/checks.rs
+++ b/crates/job/tests/world/checks.rs
@@ -60,6 +60,35 @@
         );
     }
 
+    /// Checks that a stop leaves enough tasks of its group at work.
+    pub(super) fn check_stop(
+        &self,
+        incarnation: &Incarnation,
+        task: TaskId,
+        number: AttemptNumber,
+    ) {
+        let at_work = |run: &Run| run.number == number && run.stopping.is_none();
+        if !self.instances[incarnation].running.get(&task).is_some_and(at_work) {
+            return;
+        }
+        let record = &self.table.jobs[&task.job];
+        let group = record.group(task).expect("the task has a group");
+        let Some(budget) = group.max_unavailable.filter(|_| !record.state.is_terminal()) else {
+            return;
+        };
+        let runs = |sibling: TaskId| {
+            let runs = self.instances.values().filter(|instance| instance.alive);
+            runs.filter_map(|instance| instance.running.get(&sibling))
+                .any(|run| run.stopping.is_none())
+        };
+        let siblings = (0..group.count).map(|index| TaskId { index, ..task });
+        let away = siblings.filter(|sibling| *sibling != task && !runs(*sibling)).count();
+        assert!(
+            away < usize::from(budget),
+            "{task} is stopped on {incarnation} while {away} of its group are away"
+        );
+    }
+
     /// Pool of the queue of a job.
     pub(super) fn pool(&self, record: &JobRecord) -> Name {
         let config = self.table.config.as_ref().expect("the world has a configuration");
--- a/crates/job/tests/world/instance.rs
+++ b/crates/job/tests/world/instance.rs
@@ -35,6 +35,11 @@
 }
 
 impl Instance {
+    /// The machine on which it runs.
+    pub fn machine(&self) -> &Name {
+        &self.announcement.machine
+    }
+
     /// Resources reserved by the running attempts.
     pub fn used(&self) -> Resources {
         self.running.values().fold(Resources::default(), |mut used, run| {
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -28,6 +28,8 @@
 pub struct FaultRates {
     pub request_lost: u32,
     pub answer_lost: u32,
+    /// Stop requests that get lost.
+    pub stop_lost: u32,
     /// Requests that are carried out late, after 2 to 12 s, and are not answered in time.
     pub delayed: u32,
     /// Answers of the platform to machine orders that get lost.
@@ -78,6 +80,8 @@
     pub faults: FaultRates,
     /// Current one-way delay of a call.
     pub delay_ms: u64,
+    /// Current delay after which the platform carries out an order about a machine.
+    pub order_delay_ms: u64,
     pub rng: ChaCha8Rng,
     /// Every start carried out by an instance, with its time.
     pub starts: Vec<(u64, TaskId, AttemptNumber, Incarnation)>,
@@ -93,7 +97,8 @@
     sent: Vec<SentCall>,
     /// Batch being committed.
     batch: Option<Batch>,
-    platform_calls: BTreeMap<CallId, MachineOrder>,
+    /// Calls to the platform, with the time at which they were sent.
+    platform_calls: BTreeMap<(Epoch, CallId), (MachineOrder, u64)>,
     platform_answers: BTreeMap<CallId, Result<MachineReply, CallError>>,
     /// Epoch and time of the last order about each machine that the platform received.
     last_ordered: BTreeMap<Name, (Epoch, u64)>,
@@ -129,6 +134,7 @@
             machines: BTreeMap::new(),
             faults: FaultRates::default(),
             delay_ms: CALL_DELAY_MS,
+            order_delay_ms: CALL_DELAY_MS,
             rng: ChaCha8Rng::seed_from_u64(seed),
             starts: Vec::new(),
             moves: 0,
@@ -259,14 +265,15 @@
         for (at, batch) in &self.order_batches {
             self.scheduler.record_batch(*at, batch);
         }
-        self.platform_calls.clear();
         self.platform_answers.clear();
+        // The other members have heard of the instances that announced themselves.
+        let heard = self.instances.values().filter(|instance| instance.alive);
+        let heard: Vec<_> = heard.map(|instance| instance.announcement.clone()).collect();
+        for announcement in heard {
+            self.step(Event::Announced(announcement));
+        }
         self.step(Event::Lead { epoch: self.epoch });
         self.step(Event::MaxQueries(1));
-        let incarnations: Vec<_> = self.instances.keys().cloned().collect();
-        for incarnation in incarnations {
-            self.announce(&incarnation);
-        }
     }
 
     pub fn submit(&mut self, id: JobId, queue: &str, spec: Spec) {
@@ -377,6 +384,12 @@
         self.check_runs();
     }
 
+    /// Whether a request gets lost.
+    fn is_lost(&mut self, call: usize) -> bool {
+        let is_stop = matches!(self.sent[call].order, Order::Stop { .. });
+        self.chance(self.faults.request_lost) || is_stop && self.chance(self.faults.stop_lost)
+    }
+
     /// Returns true with the given probability.
     fn chance(&mut self, permille: u32) -> bool {
         permille > 0 && self.rng.random_range(0..1000) < permille
@@ -418,14 +431,16 @@
                         self.sent[call].answer = Some(Err(CallError::Timeout));
                         let delay_ms = self.rng.random_range(2_000..12_000);
                         self.schedule(delay_ms, SimEvent::Arrive { call });
-                    } else if !self.chance(self.faults.request_lost) {
+                    } else if !self.is_lost(call) {
                         self.schedule(self.delay_ms, SimEvent::Arrive { call });
                     }
                 }
                 Effect::CallPlatform { id, order } => {
-                    self.platform_calls.insert(id, order);
                     let epoch = self.epoch;
-                    self.schedule(CALL_DELAY_MS, SimEvent::PlatformCall { epoch, id });
+                    let is_list = matches!(order, MachineOrder::List { .. });
+                    let delay = if is_list { CALL_DELAY_MS } else { self.order_delay_ms };
+                    self.platform_calls.insert((epoch, id), (order, self.now));
+                    self.schedule(delay, SimEvent::PlatformCall { epoch, id });
                 }
                 Effect::QueryAdmission { id, query } => {
                     let at = self.admission_free_at.max(self.now);
--- a/crates/job/tests/world/platform.rs
+++ b/crates/job/tests/world/platform.rs
@@ -47,7 +47,7 @@
 
     /// Carries out an order about a machine, unless it is busy, and schedules the answer.
     pub(super) fn carry_out_machine_order(&mut self, epoch: Epoch, id: CallId) {
-        let Some(order) = self.platform_calls.remove(&id) else { return };
+        let Some((order, sent)) = self.platform_calls.remove(&(epoch, id)) else { return };
         self.trace(|| format!("platform receives {order:?} of epoch {epoch}"));
         let (machine, pool, absence_ms) = match order.clone() {
             MachineOrder::List { .. } => {
@@ -61,12 +61,16 @@
             MachineOrder::Move { machine, pool } => (machine, Some(pool), 1500),
             MachineOrder::Maintain { machine, .. } => (machine, None, 2000),
         };
-        if let Some((earlier, at)) = self.last_ordered.insert(machine.clone(), (epoch, self.now)) {
+        if self.last_ordered.get(&machine).is_some_and(|(earlier, _)| *earlier > epoch) {
+            // The platform rejects the order of an earlier leader.
+            return;
+        }
+        if let Some((earlier, at)) = self.last_ordered.insert(machine.clone(), (epoch, sent)) {
             let turn = Bounds::default().order_turn.as_millis() as u64;
             assert!(
-                earlier == epoch || self.now >= at + turn,
+                earlier == epoch || sent >= at + turn,
                 "leaders {earlier} and {epoch} order {machine} within {} ms",
-                self.now - at
+                sent - at
             );
         }
         let listed = self.machines.get_mut(&machine).expect("the machine is in the world");
@@ -79,10 +83,7 @@
             listed.state = if maintained { MachineState::Maintained } else { MachineState::Moving };
             listed.pool = pool.unwrap_or(listed.pool.clone());
             listed.instance = None;
-            let down =
-                self.machines.values().filter(|m| m.state == MachineState::Maintained).count();
-            let budgets = self.table.waves.values().map(|wave| wave.budget as usize);
-            assert!(!maintained || down <= budgets.max().unwrap_or(0), "wave exceeds its budget");
+            self.check_wave_budget(&machine);
             for instance in self.instances.values_mut() {
                 if instance.announcement.machine == machine && instance.alive {
                     self.check_machine_is_empty(&machine);
@@ -106,6 +107,20 @@
         self.platform_answers.insert(id, result);
     }
 
+    /// Checks that the wave for which a machine is maintained has no more machines down than it may.
+    fn check_wave_budget(&self, machine: &Name) {
+        let Some(MachineOrder::Maintain { wave, .. }) = self.last_carried_out.get(machine) else {
+            return;
+        };
+        let down = self.machines.values().filter(|machine| {
+            let order = self.last_carried_out.get(&machine.name);
+            machine.state == MachineState::Maintained
+                && matches!(order, Some(MachineOrder::Maintain { wave: other, .. }) if other == wave)
+        });
+        let budget = self.table.waves[wave].budget as usize;
+        assert!(down.count() <= budget, "wave {wave} exceeds its budget");
+    }
+
     /// Checks that an order about a machine ends no running tasks.
     pub(super) fn check_machine_is_empty(&self, machine: &Name) {
         let running =
