A new leader orders machines at once if the former ones have restarted

Cause: a new leader leaves three seconds between the last order about a machine that it applied and its own first. The wait is for a former leader that may still order; one whose process has restarted does not.

Change: a leader commits its name and the run of its process before its first order (TakeOver). A new leader waits only for former leaders that may have ordered within the turn and that have not answered it, in its own term, in a later run of their process. Without that proof (silent, or in touch in the same run) the turn stays whole.

Tests: takeover.rs plays a leader with and without the proof; the fuzz changes leaders both ways, and fails at once if the proof is left out (leaders 1 and 2 order m5 within 1712 ms).

--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -158,7 +158,7 @@
     }
 
     /// Proposes a command. `reply_to` gets the answer once it is committed.
-    fn propose(
+    pub(crate) fn propose(
         &mut self,
         now: Time,
         unix: job::UnixMs,
@@ -193,8 +193,12 @@
         }
         let command = postcard::from_bytes::<Command>(&entry.command);
         let command = command.expect("committed entries decode: the leader encoded them");
-        if let Command::CommitBatch { batch, .. } = &command {
-            self.scheduler.record_batch(now, batch);
+        match &command {
+            Command::CommitBatch { batch, .. } => self.scheduler.record_batch(now, batch),
+            Command::TakeOver(leader) => {
+                self.scheduler.record_takeover(now, &self.table.leaders, leader);
+            }
+            _ => {}
         }
         let outcomes = self.table.apply(command);
         if let Some(reply_to) = self.commits.remove(&index) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -213,6 +213,7 @@
             self.on_order_result(now, unix, id, Err(job::CallError::Timeout), effects);
         }
         if self.can_serve(now) {
+            self.check_former_leaders(now, unix, effects);
             self.step_scheduler(now, unix, job::Event::Tick, effects);
         }
         for ticket in self.pending_calls.tickets() {
@@ -225,6 +226,20 @@
         }
     }
 
+    /// Tells the scheduler which former leaders have restarted: a member that follows this leader
+    /// reports the run of its process in its answers.
+    fn check_former_leaders(&mut self, now: Time, unix: job::UnixMs, effects: &mut Vec<Effect>) {
+        let Some(quorum) = &self.quorum else { return };
+        let has_restarted = |former: &&job::Leader| {
+            quorum.boot_of(&former.name).is_some_and(|boot| boot != former.boot)
+        };
+        let former = self.scheduler.former_leaders().iter();
+        let ended: Vec<_> = former.filter(has_restarted).cloned().collect();
+        for former in ended {
+            self.step_scheduler(now, unix, job::Event::FormerLeaderEnded(former), effects);
+        }
+    }
+
     fn check_peers(&mut self, now: Time, unix: job::UnixMs, effects: &mut Vec<Effect>) {
         effects.push(Effect::Subscribe { timer: Timer::Beat, after: PEER_CHECK_INTERVAL });
         self.request_membership(now, effects);
@@ -622,7 +637,11 @@
             self.leader_term = Some(term);
             effects.push(log::line("owns", self.id.to_string(), &format!("epoch {term}")));
             self.choose_carriers(now, effects);
-            self.step_scheduler(now, unix, job::Event::Lead { epoch: term }, effects);
+            let boot = self.quorum.as_ref().map_or(0, |quorum| quorum.boot());
+            let leader = job::Leader { name: self.id.clone(), boot };
+            let event = job::Event::Lead { epoch: term, leader: leader.clone() };
+            self.step_scheduler(now, unix, event, effects);
+            self.propose(now, unix, Command::TakeOver(leader), None, effects);
         }
     }
 }
--- a/crates/job/src/command.rs
+++ b/crates/job/src/command.rs
@@ -37,4 +37,6 @@
         /// What to commit.
         batch: Batch,
     },
+    /// Records a new leader, before it sends its first order about a machine.
+    TakeOver(Leader),
 }
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -88,6 +88,7 @@
                 Outcome::Accepted(job) => {
                     self.open_jobs.insert(*job);
                 }
+                Outcome::TakenOver(_) => self.on_taken_over(),
                 Outcome::Cancelled(job) | Outcome::JobEnded(job) => self.stop_job(table, *job),
                 _ => {}
             }
--- a/crates/job/src/event.rs
+++ b/crates/job/src/event.rs
@@ -7,7 +7,11 @@
     Lead {
         /// Term of the leader.
         epoch: Epoch,
+        /// This daemon.
+        leader: Leader,
     },
+    /// A former leader has restarted, so it sends no orders any more.
+    FormerLeaderEnded(Leader),
     /// This daemon no longer leads.
     Resign,
     /// An instance announced itself.
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -39,6 +39,7 @@
 mod instance;
 mod job_record;
 mod job_state;
+mod leader;
 mod machine;
 mod machines;
 mod maintenance;
@@ -86,6 +87,7 @@
     incarnation::Incarnation,
     job_record::JobRecord,
     job_state::JobState,
+    leader::Leader,
     machine::{Machine, MachineState},
     order::{MachineOrder, Order},
     outcome::Outcome,
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct OrderHistory {
     last: BTreeMap<Name, Time>,
+    /// When the takeover of another daemon ended the leadership of each former leader.
+    succeeded: BTreeMap<Name, Time>,
     /// Orders applied before this time are not in `last`.
     known_since: Time,
 }
@@ -24,6 +26,18 @@
             self.last.insert(machine.clone(), now);
         }
     }
+
+    fn record_takeover(&mut self, now: Time, leaders: &[Leader], leader: &Leader) {
+        for former in leaders {
+            self.succeeded.entry(former.name.clone()).or_insert(now);
+        }
+        self.succeeded.remove(&leader.name);
+    }
+
+    /// Whether a former leader may have sent an order within the last `turn`.
+    fn may_have_ordered(&self, now: Time, leader: &Leader, turn: Duration) -> bool {
+        self.succeeded.get(&leader.name).is_none_or(|at| now < *at + turn)
+    }
 }
 
 /// State of the machines and of the orders about them.
@@ -54,8 +68,30 @@
     unconfirmed: BTreeMap<Name, (MachineOrder, Time)>,
     /// Earliest time of the next order about a machine; set after each answer.
     retry_at: BTreeMap<Name, Time>,
+    /// Whether the takeover of this leader is committed.
+    recorded: bool,
+    handover: Handover,
+}
+
+/// The wait between the last orders of former leaders and the first ones of this leader. It ends
+/// early once each former leader that may have ordered lately is known to have restarted: a run of a
+/// process that has ended sends nothing any more.
+#[derive(Debug, Default)]
+struct Handover {
+    /// Former leaders that may have sent orders lately and are not known to have restarted.
+    former: BTreeSet<Leader>,
+    /// Earliest time of the first order about a machine that was ordered lately.
+    first_order_at: BTreeMap<Name, Time>,
     /// Earliest time of the first order about any machine.
-    first_order_at: Time,
+    any_order_at: Time,
+}
+
+impl Handover {
+    fn is_over(&self, now: Time, machine: &Name) -> bool {
+        self.former.is_empty()
+            || now >= self.any_order_at
+                && self.first_order_at.get(machine).is_none_or(|at| now >= *at)
+    }
 }
 
 /// Interval between machine lists.
@@ -106,22 +142,30 @@
         &mut self,
         now: Time,
         table: &Table,
+        leader: &Leader,
         history: &OrderHistory,
         turn: Duration,
     ) {
+        let former = table.leaders.iter().filter(|former| {
+            former.name != leader.name && history.may_have_ordered(now, former, turn)
+        });
+        self.handover.former = former.cloned().collect();
+        self.handover.any_order_at = history.known_since + turn;
+        let first_order_at = &mut self.handover.first_order_at;
         for (machine, order) in &table.orders {
             self.unconfirmed.insert(machine.clone(), (order.clone(), now));
-            self.retry_at.insert(machine.clone(), now + turn);
+            first_order_at.insert(machine.clone(), now + turn);
         }
         for (machine, at) in history.last.iter().filter(|(_, at)| now < **at + turn) {
-            self.retry_at.entry(machine.clone()).or_insert(*at + turn);
+            first_order_at.entry(machine.clone()).or_insert(*at + turn);
         }
-        self.first_order_at = history.known_since + turn;
     }
 
     /// Whether an order about a machine may be sent now.
     fn may_send(&self, now: Time, machine: &Name) -> bool {
-        now >= self.first_order_at && self.retry_at.get(machine).is_none_or(|at| now >= *at)
+        self.recorded
+            && self.handover.is_over(now, machine)
+            && self.retry_at.get(machine).is_none_or(|at| now >= *at)
     }
 
     /// Every order that is pending or may still be carried out.
@@ -163,6 +207,31 @@
     /// Records that the table was replaced by a snapshot, which does not show the latest orders.
     pub fn record_snapshot(&mut self, now: Time) {
         self.order_history.known_since = now;
+        self.order_history.succeeded.clear();
+    }
+
+    /// Records a committed takeover; called on every member, with the leaders recorded before.
+    pub fn record_takeover(&mut self, now: Time, leaders: &[Leader], leader: &Leader) {
+        self.order_history.record_takeover(now, leaders, leader);
+    }
+
+    /// Former leaders that may have sent orders lately and are not known to have restarted.
+    pub fn former_leaders(&self) -> &BTreeSet<Leader> {
+        &self.machines.handover.former
+    }
+
+    pub(crate) fn on_former_leader_ended(&mut self, former: &Leader, effects: &mut Vec<Effect>) {
+        if self.machines.handover.former.remove(former) {
+            let why = match self.machines.handover.former.len() {
+                0 => "has restarted; orders about machines need not wait".into(),
+                others => format!("has restarted; {others} other former leaders have not"),
+            };
+            effects.push(note("former-leader-ended", former.to_string(), why));
+        }
+    }
+
+    pub(crate) fn on_taken_over(&mut self) {
+        self.machines.recorded = true;
     }
 
     /// Requests the list of machines when it is due, and repeats orders that were not answered.
--- a/crates/job/src/outcome.rs
+++ b/crates/job/src/outcome.rs
@@ -19,4 +19,6 @@
     JobEnded(JobId),
     /// The wave exists, whether it was new or not.
     WaveStarted(WaveId),
+    /// A new leader was recorded.
+    TakenOver(Leader),
 }
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -182,7 +182,12 @@
     pub fn reduce(&mut self, now: Time, unix: UnixMs, table: &Table, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
-            Event::Lead { epoch } => self.become_leader(now, table, epoch, &mut effects),
+            Event::Lead { epoch, leader } => {
+                self.become_leader(now, table, epoch, &leader, &mut effects);
+            }
+            Event::FormerLeaderEnded(former) => {
+                self.on_former_leader_ended(&former, &mut effects);
+            }
             Event::Resign => self.resign(),
             Event::Announced(announcement) => self.on_announced(now, announcement, &mut effects),
             Event::InstanceAnswered { id, result } => {
@@ -222,11 +227,18 @@
     }
 
     /// Takes over as leader: every attempt claimed in the table may be running.
-    fn become_leader(&mut self, now: Time, table: &Table, epoch: Epoch, effects: &mut Vec<Effect>) {
+    fn become_leader(
+        &mut self,
+        now: Time,
+        table: &Table,
+        epoch: Epoch,
+        leader: &Leader,
+        effects: &mut Vec<Effect>,
+    ) {
         self.resign();
         self.epoch = Some(epoch);
         self.leader_since = now;
-        self.machines.recover(now, table, &self.order_history, self.bounds.order_turn);
+        self.machines.recover(now, table, leader, &self.order_history, self.bounds.order_turn);
         let lease_expires = Instance::lease_expiry_after(now, self.bounds.max_lease);
         for (announcement, heard) in self.announcements.values() {
             let recent = now < *heard + Self::ANNOUNCEMENT_VALIDITY;
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -13,6 +13,8 @@
     pub waves: BTreeMap<WaveId, Wave>,
     /// Orders that the platform may still carry out, by machine.
     pub orders: BTreeMap<Name, MachineOrder>,
+    /// Daemons that have led, each in its last run as leader, in the order of their last takeover.
+    pub leaders: Vec<Leader>,
     /// Ended jobs in the order in which they ended, until they are forgotten.
     ended: std::collections::VecDeque<(UnixMs, JobId)>,
 }
@@ -20,6 +22,8 @@
 impl Table {
     /// How long a job is kept after it ended; twice the time that callers are promised.
     pub const REMEMBERED: Duration = Duration::from_secs(240);
+    /// Number of daemons that are remembered as leaders, several times that of voters.
+    const MAX_LEADERS: usize = 32;
 
     /// Applies a committed command.
     pub fn apply(&mut self, command: Command) -> Vec<Outcome> {
@@ -32,6 +36,7 @@
                 vec![Outcome::WaveStarted(id)]
             }
             Command::CommitBatch { at, batch } => self.apply_batch(at, batch),
+            Command::TakeOver(leader) => self.record_leader(leader),
         }
     }
 
@@ -73,6 +78,14 @@
         vec![Outcome::Accepted(id)]
     }
 
+    fn record_leader(&mut self, leader: Leader) -> Vec<Outcome> {
+        self.leaders.retain(|known| known.name != leader.name);
+        self.leaders.push(leader.clone());
+        let excess = self.leaders.len().saturating_sub(Self::MAX_LEADERS);
+        self.leaders.drain(..excess);
+        vec![Outcome::TakenOver(leader)]
+    }
+
     fn cancel(&mut self, id: JobId, at: UnixMs) -> Vec<Outcome> {
         let Some(record) = self.jobs.get_mut(&id) else { return vec![Outcome::UnknownJob(id)] };
         let mut outcomes = vec![Outcome::Cancelled(id)];
--- a/crates/job/tests/fuzz.rs
+++ b/crates/job/tests/fuzz.rs
@@ -76,7 +76,11 @@
         }
         3 | 4 => {
             let commit_batch = world.rng.random_bool(0.5);
-            world.change_leader(commit_batch);
+            if world.rng.random_bool(0.5) {
+                world.change_leader(commit_batch);
+            } else {
+                world.restart_leader(commit_batch);
+            }
         }
         5 | 6 => {
             let id = world.rng.random_range(1..=next);
--- a/crates/job/tests/takeover.rs
+++ b/crates/job/tests/takeover.rs
@@ -87,3 +87,41 @@
     world.run(5000);
     assert_eq!(world.starts.len(), 1, "{:?}", world.starts);
 }
+
+/// Lets the only pool ask for machines of the spare pool, and returns when the new leader first moves
+/// one, after the former leader moved others.
+fn first_move_after(change_leader: impl Fn(&mut World)) -> u64 {
+    let mut world = World::new(1, config(&["a"]));
+    for i in 0..12 {
+        world.add_machine(&format!("m{i}"), if i < 2 { "a" } else { "spare" }, "r0", 16_000);
+    }
+    world.run(3500);
+    world.submit(1, "a", chain(&[4], 8000, 1500));
+    world.run(300);
+    assert!(world.moves > 0, "the former leader moves machines");
+    change_leader(&mut world);
+    let (changed, moves) = (world.now, world.moves);
+    world.submit(2, "a", chain(&[12], 16_000, 1500));
+    while world.moves == moves {
+        world.run(10);
+    }
+    world.now - changed
+}
+
+#[test]
+fn a_new_leader_orders_machines_at_once_if_the_former_one_has_restarted() {
+    let wait = first_move_after(|world| {
+        world.forget_orders();
+        world.restart_leader(true);
+    });
+    assert!(wait <= 300, "first order after {wait} ms");
+}
+
+#[test]
+fn a_new_leader_waits_its_turn_if_the_former_one_may_go_on() {
+    let wait = first_move_after(|world| {
+        world.forget_orders();
+        world.change_leader(true);
+    });
+    assert!(wait >= 2900, "first order after {wait} ms");
+}
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -115,6 +115,17 @@
         &self.id
     }
 
+    /// Random number of this run of the process.
+    pub fn boot(&self) -> u64 {
+        self.boot
+    }
+
+    /// On the leader, the run of the process in which a member has answered it in this term.
+    pub fn boot_of(&self, member: &Name) -> Option<u64> {
+        let ElectionState::Leader { progress, .. } = &self.election else { return None };
+        Some(progress.get(member)?.stamp?.boot)
+    }
+
     /// Latest membership in the log, committed or not.
     pub fn members(&self) -> &Members {
         &self.members
--- a/crates/quorum/tests/replication.rs
+++ b/crates/quorum/tests/replication.rs
@@ -102,3 +102,31 @@
     assert!(b.is_leader());
     assert_eq!(b.last_index(), a.last_index());
 }
+
+#[test]
+fn a_leader_knows_the_run_of_a_member_once_it_has_answered_in_this_term() {
+    let (mut a, mut b) = leader_and_follower();
+    assert_eq!(a.boot_of(&"b".into()), Some(1));
+    assert_eq!(b.boot_of(&"a".into()), None, "a follower does not know");
+
+    // The leader loses its lease and is elected again; an answer to an earlier term does not count.
+    let now = 6 * SECOND;
+    let late = step(&mut a, now, Event::Propose(vec![1]))
+        .into_iter()
+        .flat_map(|message| step(&mut b, now, Event::Message { from: "a".into(), message }))
+        .collect::<Vec<_>>();
+    step(&mut a, 10 * SECOND, Event::Timer(Timer::Heartbeat));
+    assert!(!a.is_leader());
+    let members = ["a", "b"].map(|name| (Name::from(name), Role::Voter)).into();
+    let restored = PersistentState { disk: Some(2), ..PersistentState::default() };
+    let mut restarted = State::new("b".into(), members, restored, 2);
+    restarted.reduce(11 * SECOND, Event::Start);
+    let now = 16 * SECOND;
+    let asked = step(&mut a, now, Event::Timer(Timer::Election));
+    exchange(&mut a, &mut restarted, now, asked);
+    assert!(a.is_leader());
+    for message in late {
+        step(&mut a, now, Event::Message { from: "b".into(), message });
+    }
+    assert_eq!(a.boot_of(&"b".into()), Some(2));
+}
