--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -95,7 +95,8 @@
         limit => STOP_GRACE.min(limit.saturating_sub(STOP_RESERVE)),
     };
     let identity = Identity { id, boot, data_center: settings.data_center.clone() };
-    let state = State::new(identity, seeds, settings.founding, Scheduler::new(bounds), grace);
+    let scheduler = Scheduler::new(bounds).with_mechanisms(settings.mechanisms.clone());
+    let state = State::new(identity, seeds, settings.founding, scheduler, grace);
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, calls_in) = mpsc::unbounded_channel();
--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -224,7 +224,8 @@
                 checkpoint,
             });
         }
-        if instance.failed_jobs.len() >= Self::MAX_FAILED_JOBS {
+        let avoids = self.mechanisms.is_on(Mechanism::Avoidance);
+        if avoids && instance.failed_jobs.len() >= Self::MAX_FAILED_JOBS {
             instance.failed_jobs.clear();
             instance.avoid_count += 1;
             instance.avoided_until =
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -8,7 +8,7 @@
 
 use {
     derive_more::{Display, From},
-    model::{Map, Name, Resources, Time},
+    model::{Map, Mechanism, Mechanisms, Name, Resources, Time},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -42,6 +42,20 @@
 }
 
 impl PlacementKey {
+    /// The key without the mechanisms that are off, of a round that was due at `at`.
+    fn with(mut self, mechanisms: &Mechanisms, at: UnixMs) -> Self {
+        if !mechanisms.is_on(Mechanism::ObjectiveFirst) {
+            if self.is_late() {
+                self.class = Class::InTime;
+            }
+            self.slack = at;
+        }
+        if !mechanisms.is_on(Mechanism::BegunFirst) {
+            self.begun = std::cmp::Reverse(false);
+        }
+        self
+    }
+
     /// Whether the objective has been missed.
     fn is_late(self) -> bool {
         matches!(self.class, Class::Late | Class::Owed)
@@ -160,7 +174,7 @@
     fn jobs_to_plan(&mut self, now: Time, table: &Table) -> BTreeSet<JobId> {
         let mut jobs = std::mem::take(&mut self.open_jobs);
         let late_due = now >= self.last_late_plan + Self::LATE_PLAN_INTERVAL;
-        if late_due && self.overloaded_pools.is_empty() {
+        if late_due && !self.holds_late_jobs() {
             self.last_late_plan = now;
             jobs.append(&mut self.late_jobs);
         }
@@ -168,6 +182,11 @@
         jobs
     }
 
+    /// Whether late jobs wait, because a pool lacks capacity.
+    fn holds_late_jobs(&self) -> bool {
+        self.uses(Mechanism::LateAside) && !self.overloaded_pools.is_empty()
+    }
+
     /// Instances of the `wanted` pools on which tasks can be placed, by pool.
     fn hosts(&self, now: Time, wanted: &BTreeSet<&Name>) -> BTreeMap<Name, Vec<Host>> {
         let mut hosts: BTreeMap<Name, Vec<Host>> =
@@ -203,7 +222,8 @@
             let mut forecast = None;
             for (position, group) in ready {
                 let forecast = *forecast.get_or_insert_with(|| self.forecast(due));
-                let (key, group_id) = (forecast.key(unix, due, group), due.group_id(position));
+                let key = forecast.key(unix, due, group).with(&self.mechanisms, due.at);
+                let group_id = due.group_id(position);
                 ready_groups.push(ReadyGroup {
                     key,
                     group_id,
@@ -229,8 +249,11 @@
         let mut all_ends: Vec<Duration> = Vec::with_capacity(groups.len());
         let mut remaining_ends: Vec<Duration> = Vec::with_capacity(groups.len());
         for (position, group) in groups.iter().enumerate() {
-            let expected =
-                self.durations.estimate(&queue.name, due.group_id(position as u16), group);
+            let expected = if self.uses(Mechanism::LearnedDurations) {
+                self.durations.estimate(&queue.name, due.group_id(position as u16), group)
+            } else {
+                group.estimate
+            };
             let before = |ends: &[Duration]| {
                 let before = group.after.iter().filter_map(|i| ends.get(usize::from(*i))).max();
                 before.copied().unwrap_or_default()
@@ -265,7 +288,7 @@
         let late = ready_group.key.is_late();
         // While a pool lacks machines, late jobs leave its capacity to jobs that can still meet
         // their objective.
-        if late && !self.overloaded_pools.is_empty() || unplaceable.iter().any(is_unplaceable) {
+        if late && self.holds_late_jobs() || unplaceable.iter().any(is_unplaceable) {
             return;
         }
         let Some(state) = ready_group.record.rounds.get(round as usize) else { return };
@@ -354,12 +377,15 @@
                     .max_per_instance
                     .is_none_or(|limit| self.count_on_instance(&host.incarnation, task) < limit)
         };
+        let packs = self.uses(Mechanism::Packing);
         let score = |host: &Host| {
             // Long-lived tasks are packed together so that the other machines can move to other
             // pools.
-            let together = if group.is_long_lived() { host.long_lived } else { 0 };
+            let together = if packs && group.is_long_lived() { host.long_lived } else { 0 };
             let keeps_latency = !group.best_effort || !host.has_latency_target;
-            (in_wanted_rack(host), keeps_latency, together, std::cmp::Reverse(host.free.millicores))
+            let free = host.free.millicores;
+            let fullness = if packs { u64::MAX - free } else { free };
+            (in_wanted_rack(host), keeps_latency, together, fullness)
         };
         let candidates = hosts.iter().enumerate().filter(|(_, host)| fits(host));
         let (best, host) = candidates.max_by_key(|(_, host)| score(host))?;
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -36,6 +36,8 @@
     /// Lower bound of the capacity that the pool needs: that of `min_machines` machines, or more
     /// while admission decisions leave no instance of the pool for some group.
     pub(crate) min_capacity: u64,
+    /// Percentage of the capacity in use that is kept free for upcoming work.
+    pub(crate) headroom_percent: u64,
     /// Idle machines with their capacity, longest idle first.
     pub(crate) idle: Vec<(Name, u64)>,
 }
@@ -70,7 +72,7 @@
 impl PoolBalance {
     /// Capacity that the pool should have.
     pub(crate) fn need(&self) -> u64 {
-        let working = self.used + self.used * HEADROOM_PERCENT / 100;
+        let working = self.used + self.used * self.headroom_percent / 100;
         let onset = self.onset / ONSET_WINDOW.as_millis() as u64;
         let arriving = self.arriving / ARRIVAL_WINDOW.as_millis() as u64;
         let arriving = if onset > ONSET_FACTOR * self.used { onset } else { arriving };
@@ -189,7 +191,8 @@
             })
             .collect();
         let park = |machine: &Name| {
-            idle_since.get(machine).is_some_and(|since| now >= *since + PARKING_IDLE_TIME)
+            self.uses(Mechanism::Parking)
+                && idle_since.get(machine).is_some_and(|since| now >= *since + PARKING_IDLE_TIME)
         };
         let mut moves = plan_moves(&mut pools, &mut parked, spare.as_ref(), park);
         let rate = self.bounds.machine_orders_per_second;
@@ -218,7 +221,7 @@
         let used: BTreeSet<_> = config.queues.values().map(|queue| queue.pool.clone()).collect();
         let pools = config.pools.iter().filter(|(name, pool)| !pool.spare && used.contains(*name));
         let mut pools: BTreeMap<Name, PoolBalance> =
-            pools.map(|(name, _)| (name.clone(), PoolBalance::default())).collect();
+            pools.map(|(name, _)| (name.clone(), self.empty_balance())).collect();
         let late = self.add_up_demand(unix, table, config, &mut pools);
         let mut idle = Vec::new();
         for instance in self.instances.values() {
@@ -269,6 +272,11 @@
         pools
     }
 
+    fn empty_balance(&self) -> PoolBalance {
+        let headroom_percent = if self.uses(Mechanism::Headroom) { HEADROOM_PERCENT } else { 0 };
+        PoolBalance { headroom_percent, ..PoolBalance::default() }
+    }
+
     /// Whether the instance on a machine belongs to `pool` and is usable.
     fn is_usable_in(&self, now: Time, machine: &Name, pool: &Name) -> bool {
         self.instance_on(machine).is_some_and(|(_, instance)| {
@@ -296,13 +304,19 @@
                 continue;
             }
             pool.backlog = pool.backlog.saturating_add(round.ready_work(&record.spec, largest));
-            pool.min_machines = pool.min_machines.max(round.min_machines(&record.spec));
+            let spare = u32::from(self.uses(Mechanism::SpareInstance));
+            let min_machines = round.min_machines(&record.spec).map_or(0, |least| least + spare);
+            pool.min_machines = pool.min_machines.max(min_machines);
             let age = Duration::from_millis(unix.saturating_sub(due.at));
             let fits = record.spec.groups.iter().all(|group| group.reserved().fits(largest));
             let work = if fits { record.spec.work() } else { 0 };
             let within = |window| if age <= window { work } else { 0 };
-            pool.onset = pool.onset.saturating_add(within(ONSET_WINDOW));
-            pool.arriving = pool.arriving.saturating_add(within(ARRIVAL_WINDOW));
+            if self.uses(Mechanism::Onset) {
+                pool.onset = pool.onset.saturating_add(within(ONSET_WINDOW));
+            }
+            if self.uses(Mechanism::ArrivalRate) {
+                pool.arriving = pool.arriving.saturating_add(within(ARRIVAL_WINDOW));
+            }
         }
         late
     }
@@ -322,7 +336,8 @@
             let burst = self.last_burst.get(name);
             let recent = burst.is_some_and(|burst| now < *burst + RECENT_BURST_WINDOW);
             let permille = if recent { RESERVE_AFTER_BURST_PERMILLE } else { RESERVE_PERMILLE };
-            pool.reserve = mean * permille / 1000;
+            let keeps_reserve = self.mechanisms.is_on(Mechanism::Reserve);
+            pool.reserve = if keeps_reserve { mean * permille / 1000 } else { 0 };
             pool.min_capacity = u64::from(pool.min_machines) * machine;
             if self.admissions.denies_whole_pool(name) {
                 let limit = MAX_MACHINES_WHILE_DENIED * machine;
--- a/crates/job/src/round.rs
+++ b/crates/job/src/round.rs
@@ -61,16 +61,15 @@
         groups.map(work).fold(0, u64::saturating_add)
     }
 
-    /// Minimum number of machines that continuous tasks must be spread over, plus one so that the
-    /// loss of a machine can be made up at once.
-    pub(crate) fn min_machines(&self, spec: &Spec) -> u32 {
+    /// Minimum number of machines that continuous tasks must be spread over.
+    pub(crate) fn min_machines(&self, spec: &Spec) -> Option<u32> {
         let groups = spec.groups.iter().zip(&self.open);
         let groups = groups.filter(|(group, _)| group.continuous && self.dependencies_done(group));
         let machines = groups.filter_map(|(group, open)| {
             let max_per_instance = u32::from(group.max_per_instance?.max(1));
-            Some(u32::from(*open).div_ceil(max_per_instance) + 1)
+            Some(u32::from(*open).div_ceil(max_per_instance))
         });
-        machines.max().unwrap_or(0)
+        machines.max()
     }
 
     pub(crate) fn task_state(&self, group: u16, index: u16) -> Option<&TaskState> {
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -4,6 +4,7 @@
 #[derive(Debug, Default)]
 pub struct Scheduler {
     pub(crate) bounds: Bounds,
+    pub(crate) mechanisms: Mechanisms,
     /// Term of this leader; `None` while another daemon leads.
     pub(crate) epoch: Option<Epoch>,
     /// When it became leader.
@@ -122,6 +123,16 @@
         Self { bounds, ..Self::default() }
     }
 
+    /// Switches mechanisms off.
+    pub fn with_mechanisms(mut self, mechanisms: Mechanisms) -> Self {
+        self.mechanisms = mechanisms;
+        self
+    }
+
+    pub(crate) fn uses(&self, mechanism: Mechanism) -> bool {
+        self.mechanisms.is_on(mechanism)
+    }
+
     /// Whether this scheduler is active, that is, whether this daemon leads.
     pub fn leads(&self) -> bool {
         self.epoch.is_some()
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,7 +5,7 @@
     derive_more::{Add, AddAssign, Deref, Display, Error, From},
     serde::{Deserialize, Serialize},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         fmt::{self, Formatter},
         str::FromStr,
         sync::Arc,
@@ -22,6 +22,8 @@
 mod kind;
 mod labels;
 mod location;
+mod mechanism;
+mod mechanisms;
 mod policy;
 mod pool;
 mod quota;
@@ -37,9 +39,10 @@
 
 pub use {
     announcement::Announcement, budget::Budget, config::Config, error::Error, instance::Instance,
-    job::Job, kind::Kind, labels::Labels, location::Location, policy::Policy, pool::Pool,
-    quota::Quota, requirement::Requirement, resources::Resources, selector::Selector,
-    service::Service, spread::Spread, team::Team, tenant::Tenant, urgency::Urgency, worker::Worker,
+    job::Job, kind::Kind, labels::Labels, location::Location, mechanism::Mechanism,
+    mechanisms::Mechanisms, policy::Policy, pool::Pool, quota::Quota, requirement::Requirement,
+    resources::Resources, selector::Selector, service::Service, spread::Spread, team::Team,
+    tenant::Tenant, urgency::Urgency, worker::Worker,
 };
 
 /// Name of an instance, pool, job or other named object; cheap to clone.
--- /dev/null
+++ b/crates/model/src/mechanism.rs
@@ -0,0 +1,68 @@
+/// A mechanism of the scheduler that can be switched off in the settings, to measure what it is
+/// worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Mechanism {
+    /// Jobs that can still meet their objective go first, the most urgent one before the others;
+    /// without it, jobs go in the order in which they came.
+    ObjectiveFirst,
+    /// Jobs that have begun go before those that have not.
+    BegunFirst,
+    /// While a pool is overloaded, late jobs wait.
+    LateAside,
+    /// Run times are estimated from the tasks that have ended; without it, as the caller declares.
+    LearnedDurations,
+    /// Long-lived tasks are packed on few instances, and others on the fullest instance that fits;
+    /// without it, tasks go to the emptiest one.
+    Packing,
+    /// Instances on which tasks of several jobs failed in a row are avoided for some time.
+    Avoidance,
+    /// Pools keep capacity free for the start of a burst.
+    Reserve,
+    /// A pool with continuous tasks keeps one instance more than they need.
+    SpareInstance,
+    /// A pool in which much more work arrives than it has capacity in use gets machines for the
+    /// rate of the last moments.
+    Onset,
+    /// A pool gets machines for the rate at which work has arrived lately.
+    ArrivalRate,
+    /// A pool keeps more capacity than is in use.
+    Headroom,
+    /// Idle machines that no pool needs go to the spare pool.
+    Parking,
+}
+
+impl Mechanism {
+    /// Every mechanism.
+    pub const ALL: [Self; 12] = [
+        Self::ObjectiveFirst,
+        Self::BegunFirst,
+        Self::LateAside,
+        Self::LearnedDurations,
+        Self::Packing,
+        Self::Avoidance,
+        Self::Reserve,
+        Self::SpareInstance,
+        Self::Onset,
+        Self::ArrivalRate,
+        Self::Headroom,
+        Self::Parking,
+    ];
+
+    /// Its name in the settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ObjectiveFirst => "objective-first",
+            Self::BegunFirst => "begun-first",
+            Self::LateAside => "late-aside",
+            Self::LearnedDurations => "learned-durations",
+            Self::Packing => "packing",
+            Self::Avoidance => "avoidance",
+            Self::Reserve => "reserve",
+            Self::SpareInstance => "spare-instance",
+            Self::Onset => "onset",
+            Self::ArrivalRate => "arrival-rate",
+            Self::Headroom => "headroom",
+            Self::Parking => "parking",
+        }
+    }
+}
--- a/crates/settings/src/entry_daemon.rs
+++ b/crates/settings/src/entry_daemon.rs
@@ -30,6 +30,8 @@
     pub admission: Option<SocketAddr>,
     /// Limits that the platform guarantees.
     pub bounds: Bounds,
+    /// Mechanisms of the scheduler that are in use.
+    pub mechanisms: Mechanisms,
 }
 
 /// Limits that the platform guarantees, zero if they are not set.
@@ -76,6 +78,7 @@
     machines: Option<SocketAddr>,
     admission: Option<SocketAddr>,
     bounds: Bounds,
+    mechanisms: Mechanisms,
     /// Required sections that were found.
     seen: Vec<&'static str>,
 }
@@ -91,6 +94,7 @@
             "machines" => self.read_machines(&mut reader),
             "admission" => self.admission = reader.non_empty("address"),
             "bounds" => self.read_bounds(&mut reader),
+            "policies" => self.read_policies(&mut reader),
             _ => return reader.unknown_section(),
         }
         reader.finish();
@@ -134,6 +138,13 @@
         bounds.stop_grace = reader.seconds("stop-grace-s").unwrap_or_default();
     }
 
+    fn read_policies(&mut self, reader: &mut Reader) {
+        for mechanism in Mechanism::ALL {
+            let on = reader.switch(mechanism.name()).unwrap_or(true);
+            self.mechanisms.set(mechanism, on);
+        }
+    }
+
     fn finish(self) -> Option<EntryDaemon> {
         let port = self.port?;
         let peers = SocketAddr::new(self.address?, port);
@@ -151,6 +162,7 @@
             machines: self.machines,
             admission: self.admission,
             bounds: self.bounds,
+            mechanisms: self.mechanisms,
         })
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,8 +5,8 @@
 use {
     derive_more::Display,
     model::{
-        Budget, Config, Instance, Job, Kind, Labels, Location, Name, Policy, Pool, Resources,
-        Selector, Service, Spread, Team, Tenant,
+        Budget, Config, Instance, Job, Kind, Labels, Location, Mechanism, Mechanisms, Name, Policy,
+        Pool, Resources, Selector, Service, Spread, Team, Tenant,
     },
     serde::{Deserialize, Serialize},
     std::{
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -82,6 +82,21 @@
         self.optional(key).map(Duration::from_millis)
     }
 
+    /// Value of `key`, which is `on` or `off`.
+    pub(crate) fn switch(&mut self, key: &'static str) -> Option<bool> {
+        let text = self.non_empty::<String>(key)?;
+        match text.as_str() {
+            "on" => Some(true),
+            "off" => Some(false),
+            _ => {
+                let line = self.section.entries.iter().find(|entry| entry.key == key)?.line;
+                let problem = Problem::Value(format!("`{text}` is neither `on` nor `off`"));
+                self.report(line, Some(key), problem);
+                None
+            }
+        }
+    }
+
     /// Name in the section header; a missing name is a finding.
     pub(crate) fn name(&mut self) -> Option<Name> {
         if self.section.name.is_empty() {
