--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -74,7 +74,12 @@
         self.call_instance(incarnation, PendingCall::Start(task, number), order, timeout, effects);
     }
 
-    pub(crate) fn on_command_committed(&mut self, table: &Table, outcomes: &[Outcome]) {
+    pub(crate) fn on_command_committed(
+        &mut self,
+        now: Time,
+        table: &Table,
+        outcomes: &[Outcome],
+    ) {
         if !self.leads() {
             return;
         }
@@ -86,7 +91,11 @@
                     self.open_jobs.insert(end.task.job);
                 }
                 Outcome::Accepted(job) => {
-                    self.open_jobs.insert(*job);
+                    let record = table.jobs.get(job);
+                    let is_new = self.open_jobs.insert(*job);
+                    if let Some(record) = record.filter(|r| is_new && r.spec.recurrence.is_none()) {
+                        self.record_arrival(now, table, record);
+                    }
                 }
                 Outcome::TakenOver(_) => self.on_taken_over(),
                 Outcome::Cancelled(job) | Outcome::JobEnded(job) => self.stop_job(table, *job),
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -24,9 +24,7 @@
     /// Work that is ready to start, of jobs that can still meet their objective, in
     /// millicore-milliseconds.
     pub(crate) backlog: u64,
-    /// Work that arrived within the last [`ONSET_WINDOW`], in the unit of `backlog`.
-    pub(crate) onset: u64,
-    /// Work that arrived within the last [`ARRIVAL_WINDOW`], in the unit of `backlog`.
+    /// Rate at which work arrives.
     pub(crate) arriving: u64,
     /// Capacity kept free for the start of the next burst.
     pub(crate) reserve: u64,
@@ -44,12 +42,6 @@
 
 /// Time within which the backlog is to be worked off.
 const BACKLOG_HORIZON_MS: u64 = 1200;
-/// Window for detecting the start of a burst: long enough to see a few jobs.
-const ONSET_WINDOW: Duration = Duration::from_millis(700);
-/// A burst has started when work arrives at more than this multiple of the capacity in use.
-const ONSET_FACTOR: u64 = 2;
-/// Window for the rate of arrivals during a burst; short compared to a burst.
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(2000);
 /// Percentage of the capacity in use that a pool keeps free for upcoming work.
 const HEADROOM_PERCENT: u64 = 15;
 /// Capacity kept free by a pool that may have the next burst, in thousandths of a mean pool.
@@ -73,10 +65,7 @@
     /// Capacity that the pool should have.
     pub(crate) fn need(&self) -> u64 {
         let working = self.used + self.used * self.headroom_percent / 100;
-        let onset = self.onset / ONSET_WINDOW.as_millis() as u64;
-        let arriving = self.arriving / ARRIVAL_WINDOW.as_millis() as u64;
-        let arriving = if onset > ONSET_FACTOR * self.used { onset } else { arriving };
-        let working = working.max(arriving) + self.backlog / BACKLOG_HORIZON_MS;
+        let working = working.max(self.arriving) + self.backlog / BACKLOG_HORIZON_MS;
         working.max(self.used + self.reserve).max(self.min_capacity)
     }
 
@@ -166,13 +155,14 @@
         if !self.machines.complete || now < self.last_rebalance + Self::REBALANCE_INTERVAL {
             return;
         }
-        self.last_rebalance = now;
+        let since = std::mem::replace(&mut self.last_rebalance, now);
         for instance in self.instances.values_mut() {
             if !instance.attempts.is_empty() {
                 instance.last_busy = now;
             }
         }
         let Some(config) = &table.config else { return };
+        self.record_rounds(now, unix, table, since);
         let mut pools = self.balances(now, unix, table, config);
         self.set_reserves(now, &mut pools);
         if now >= self.last_report + Self::REPORT_INTERVAL {
@@ -223,6 +213,10 @@
         let mut pools: BTreeMap<Name, PoolBalance> =
             pools.map(|(name, _)| (name.clone(), self.empty_balance())).collect();
         let late = self.add_up_demand(unix, table, config, &mut pools);
+        for (name, pool) in &mut pools {
+            let arrivals = self.arrivals.get(name).filter(|_| self.uses(Mechanism::ArrivalRate));
+            pool.arriving = arrivals.map_or(0, |arrivals| arrivals.rate(now));
+        }
         let mut idle = Vec::new();
         for instance in self.instances.values() {
             let Some(announcement) = &instance.announcement else { continue };
@@ -307,20 +301,34 @@
             let spare = u32::from(self.uses(Mechanism::SpareInstance));
             let min_machines = round.min_machines(&record.spec).map_or(0, |least| least + spare);
             pool.min_machines = pool.min_machines.max(min_machines);
-            let age = Duration::from_millis(unix.saturating_sub(due.at));
-            let fits = record.spec.groups.iter().all(|group| group.reserved().fits(largest));
-            let work = if fits { record.spec.work() } else { 0 };
-            let within = |window| if age <= window { work } else { 0 };
-            if self.uses(Mechanism::Onset) {
-                pool.onset = pool.onset.saturating_add(within(ONSET_WINDOW));
-            }
-            if self.uses(Mechanism::ArrivalRate) {
-                pool.arriving = pool.arriving.saturating_add(within(ARRIVAL_WINDOW));
-            }
         }
         late
     }
 
+    /// Records that the work of a round of a job has arrived for its pool.
+    pub(crate) fn record_arrival(&mut self, now: Time, table: &Table, record: &JobRecord) {
+        let queue = table.config.as_ref().and_then(|config| config.queue(&record.queue));
+        let Some(queue) = queue else { return };
+        let sizes = self.machines.listed.values().map(|machine| machine.capacity);
+        let largest = sizes.fold(Resources::default(), Resources::max);
+        if record.spec.groups.iter().all(|group| group.reserved().fits(largest)) {
+            let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
+            arrivals.record(now, record.spec.work());
+        }
+    }
+
+    /// Records the rounds of recurring jobs that have become due since the last pass.
+    fn record_rounds(&mut self, now: Time, unix: UnixMs, table: &Table, since: Time) {
+        let Some(config) = &table.config else { return };
+        let newest = Duration::from_millis(unix).saturating_sub(now.saturating_sub(since));
+        let is_new = |due: &DueRound| {
+            due.record.spec.recurrence.is_some() && Duration::from_millis(due.at) > newest
+        };
+        for due in DueRound::all(table, config, |_| Some(unix)).filter(is_new) {
+            self.record_arrival(now, table, due.record);
+        }
+    }
+
     /// Sets the capacity that each pool keeps free, which is less for a pool that had a burst
     /// recently, and the minimum capacity of each pool.
     fn set_reserves(&mut self, now: Time, pools: &mut BTreeMap<Name, PoolBalance>) {
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -52,6 +52,8 @@
     pub(crate) last_wave_check: Time,
     /// When the pools were last rebalanced.
     pub(crate) last_rebalance: Time,
+    /// Work that has arrived lately, by pool.
+    pub(crate) arrivals: BTreeMap<Name, Arrivals>,
     /// When each pool last had a burst of demand.
     pub(crate) last_burst: BTreeMap<Name, Time>,
     /// Pools whose capacity is too small for the work that can still meet its objective.
@@ -209,9 +211,11 @@
             }
             Event::BatchCommitted(outcomes) => {
                 self.on_batch_committed(now, table, &outcomes, &mut effects);
-                self.on_command_committed(table, &outcomes);
+                self.on_command_committed(now, table, &outcomes);
+            }
+            Event::CommandCommitted(outcomes) => {
+                self.on_command_committed(now, table, &outcomes);
             }
-            Event::CommandCommitted(outcomes) => self.on_command_committed(table, &outcomes),
             Event::AdmissionAnswered { id, result } => {
                 self.on_admission_answered(now, id, result, &mut effects)
             }
@@ -305,6 +309,7 @@
         self.touched.clear();
         self.acknowledging.clear();
         self.open_jobs.clear();
+        self.arrivals.clear();
         self.late_jobs.clear();
         self.calls.clear();
         self.published.clear();
--- a/crates/model/src/mechanism.rs
+++ b/crates/model/src/mechanism.rs
@@ -20,10 +20,7 @@
     Reserve,
     /// A pool with continuous tasks keeps one instance more than they need.
     SpareInstance,
-    /// A pool in which much more work arrives than it has capacity in use gets machines for the
-    /// rate of the last moments.
-    Onset,
-    /// A pool gets machines for the rate at which work has arrived lately.
+    /// A pool gets machines for the rate at which work arrives.
     ArrivalRate,
     /// A pool keeps more capacity than is in use.
     Headroom,
@@ -33,7 +30,7 @@
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 11] = [
         Self::ObjectiveFirst,
         Self::BegunFirst,
         Self::LateAside,
@@ -42,7 +39,6 @@
         Self::Avoidance,
         Self::Reserve,
         Self::SpareInstance,
-        Self::Onset,
         Self::ArrivalRate,
         Self::Headroom,
         Self::Parking,
@@ -59,7 +55,6 @@
             Self::Avoidance => "avoidance",
             Self::Reserve => "reserve",
             Self::SpareInstance => "spare-instance",
-            Self::Onset => "onset",
             Self::ArrivalRate => "arrival-rate",
             Self::Headroom => "headroom",
             Self::Parking => "parking",
