Pools get machines for the backlog that is expected when they arrive

The need of a pool counts the backlog expected when a machine ordered now arrives: what arrives until then, less what its instances and the machines on their way work off. The time of a move is observed.

--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -74,12 +74,7 @@
         self.call_instance(incarnation, PendingCall::Start(task, number), order, timeout, effects);
     }
 
-    pub(crate) fn on_command_committed(
-        &mut self,
-        now: Time,
-        table: &Table,
-        outcomes: &[Outcome],
-    ) {
+    pub(crate) fn on_command_committed(&mut self, now: Time, table: &Table, outcomes: &[Outcome]) {
         if !self.leads() {
             return;
         }
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -71,6 +71,9 @@
     /// Whether the takeover of this leader is committed.
     recorded: bool,
     handover: Handover,
+    /// Moving average of the time from an accepted move to the first announcement of the instance
+    /// in its new pool; `None` before the first one.
+    mean_move_time: Option<Duration>,
 }
 
 /// The wait between the last orders of former leaders and the first ones of this leader. It ends
@@ -100,6 +103,11 @@
 /// Delay before a machine whose order was answered gets another one.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Assumed time of a move before one has been seen.
+const DEFAULT_MOVE_TIME: Duration = Duration::from_millis(2000);
+/// Weight of the latest move in the average time of a move, as a divisor.
+const MOVE_TIME_WEIGHT_DIVISOR: u32 = 16;
+
 /// Longest time after which the platform may still carry out an order that it has not answered.
 const MAX_ORDER_DELAY: Duration = Duration::from_secs(13);
 
@@ -114,6 +122,22 @@
         maintenance_begun
     }
 
+    /// Expected time that a machine takes to get into another pool.
+    pub(crate) fn move_time(&self) -> Duration {
+        self.mean_move_time.unwrap_or(DEFAULT_MOVE_TIME)
+    }
+
+    /// Records that a new instance has announced itself on a machine.
+    pub(crate) fn record_arrival(&mut self, now: Time, machine: &Name) {
+        let Some(since) = self.away.get(machine).filter(|_| !self.is_ordered(machine)) else {
+            return;
+        };
+        let took = now.saturating_sub(*since);
+        let mean = self.mean_move_time.unwrap_or(took);
+        self.mean_move_time =
+            Some((mean * (MOVE_TIME_WEIGHT_DIVISOR - 1) + took) / MOVE_TIME_WEIGHT_DIVISOR);
+    }
+
     /// Whether an order about a machine is pending or may still be carried out.
     pub(crate) fn is_ordered(&self, machine: &Name) -> bool {
         let is_about = |order: &MachineOrder| order.machine() == Some(machine);
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -17,6 +17,10 @@
 pub(crate) struct PoolBalance {
     /// Capacity of its usable instances and of the machines that are moving or returning to it.
     pub(crate) capacity: u64,
+    /// Capacity of its usable instances.
+    pub(crate) ready: u64,
+    /// Capacity of the machines that are on their way, times the milliseconds that each has been.
+    pub(crate) underway: u64,
     /// Reserved by running tasks of jobs that can still meet their objective.
     pub(crate) used: u64,
     /// Reserved by running tasks of jobs that can no longer meet their objective.
@@ -26,6 +30,10 @@
     pub(crate) backlog: u64,
     /// Rate at which work arrives.
     pub(crate) arriving: u64,
+    /// Reserved by continuous tasks.
+    pub(crate) lasting: u64,
+    /// Time that a machine takes to get into the pool, in milliseconds.
+    pub(crate) move_ms: u64,
     /// Capacity kept free for the start of the next burst.
     pub(crate) reserve: u64,
     /// Minimum number of machines, so that continuous tasks whose number per instance is limited
@@ -65,10 +73,19 @@
     /// Capacity that the pool should have.
     pub(crate) fn need(&self) -> u64 {
         let working = self.used + self.used * self.headroom_percent / 100;
-        let working = working.max(self.arriving) + self.backlog / BACKLOG_HORIZON_MS;
+        let working = working.max(self.arriving + self.lasting);
+        let working = working + self.expected_backlog() / BACKLOG_HORIZON_MS;
         working.max(self.used + self.reserve).max(self.min_capacity)
     }
 
+    /// Backlog by the time at which a machine that is ordered now starts to work, if work goes on
+    /// arriving at the present rate.
+    fn expected_backlog(&self) -> u64 {
+        let serving = self.ready.saturating_sub(self.late + self.lasting);
+        let worked_off = serving * self.move_ms + self.underway;
+        (self.backlog + self.arriving * self.move_ms).saturating_sub(worked_off)
+    }
+
     /// Missing capacity.
     pub(crate) fn shortage(&self) -> u64 {
         self.need().saturating_sub(self.capacity)
@@ -225,11 +242,14 @@
             let in_time = instance.attempts.iter().filter(|(task, _)| !late.contains(&task.job));
             let in_time = in_time.map(|(_, attempt)| attempt.reserved.millicores).sum::<u64>();
             pool.used += in_time;
+            let lasting = instance.attempts.values().filter(|attempt| attempt.long_lived);
+            pool.lasting += lasting.map(|attempt| attempt.reserved.millicores).sum::<u64>();
             pool.late += instance.used.millicores.saturating_sub(in_time);
             if !instance.is_usable(now) {
                 continue;
             }
             pool.capacity += size;
+            pool.ready += size;
             let machine = &announcement.machine;
             let free = instance.attempts.is_empty() && now >= instance.last_busy + MOVE_IDLE_TIME;
             if free
@@ -254,6 +274,8 @@
             let coming = away && !self.is_usable_in(now, name, &machine.pool);
             if let Some(pool) = pools.get_mut(&machine.pool).filter(|_| coming) {
                 pool.capacity += machine.capacity.millicores;
+                let since = self.machines.away.get(name).map_or(Duration::ZERO, |at| now - *at);
+                pool.underway += machine.capacity.millicores * since.as_millis() as u64;
             }
         }
         for order in self.machines.orders() {
@@ -268,7 +290,8 @@
 
     fn empty_balance(&self) -> PoolBalance {
         let headroom_percent = if self.uses(Mechanism::Headroom) { HEADROOM_PERCENT } else { 0 };
-        PoolBalance { headroom_percent, ..PoolBalance::default() }
+        let move_ms = self.machines.move_time().as_millis() as u64;
+        PoolBalance { headroom_percent, move_ms, ..PoolBalance::default() }
     }
 
     /// Whether the instance on a machine belongs to `pool` and is usable.
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -349,6 +349,9 @@
         }
         let lease_expires = now;
         let ordered = self.machines.is_ordered(&announcement.machine);
+        if !self.instances.contains_key(&incarnation) {
+            self.machines.record_arrival(now, &announcement.machine);
+        }
         let instance = self.instances.entry(incarnation.clone()).or_insert_with(|| {
             effects.push(note(
                 "instance-joined",
