--- a/crates/demand/src/lib.rs
+++ b/crates/demand/src/lib.rs
@@ -2,10 +2,15 @@
 //! of a deployment.
 
 use {
-    model::Time,
+    model::{Name, Time},
+    serde::{Deserialize, Serialize},
     std::{collections::VecDeque, time::Duration},
 };
 
 mod arrivals;
+mod turns;
 
-pub use arrivals::Arrivals;
+pub use {
+    arrivals::Arrivals,
+    turns::{Turn, Turns},
+};
