Idle machines stay in their pool for a time from the settings; headroom and reserve are removed

Hypothesis: most machines that are parked after 1.2 s idle are missed 1 to 20 s later, at the start of the next burst, and each return takes 1.7 s and two moves. What a pool may lend or park counts the work that is ready now, also where machines that come will work it off (a gang waited for a machine that had just been parked: gang_members_start_together).

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -85,6 +85,7 @@
     let bounds = job::Bounds {
         max_lease: set(settings.bounds.max_lease, defaults.max_lease),
         order_turn: set(settings.bounds.order_turn, defaults.order_turn),
+        parking_idle_time: set(settings.bounds.parking_idle_time, defaults.parking_idle_time),
         machine_orders_per_second: match settings.bounds.machine_orders_per_second {
             0 => defaults.machine_orders_per_second,
             rate => rate,
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -43,12 +43,12 @@
 fn policies_are_switched_on_or_off_by_name() {
     let daemon =
         "[daemon]\nid = a\ndata-center = dc\n[listen]\n[peers]\naddress = 127.0.0.1\nport = 7000\n";
-    let output = check(&format!("{daemon}[policies]\nheadroom = off\nparking = on\n"));
+    let output = check(&format!("{daemon}[policies]\npacking = off\nparking = on\n"));
     assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
-    let output = check(&format!("{daemon}[policies]\nheadroom = maybe\nhedroom = off\n"));
+    let output = check(&format!("{daemon}[policies]\npacking = maybe\npakcing = off\n"));
     assert_eq!(output.status.code(), Some(2));
     let text = String::from_utf8_lossy(&output.stderr);
-    for finding in ["`maybe` is neither `on` nor `off`", "hedroom"] {
+    for finding in ["`maybe` is neither `on` nor `off`", "pakcing"] {
         assert!(text.contains(finding), "`{finding}` is not in {text}");
     }
 }
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -34,35 +34,18 @@
     pub(crate) lasting: u64,
     /// Time that a machine takes to get into the pool, in milliseconds.
     pub(crate) move_ms: u64,
-    /// Capacity kept free for the start of the next burst.
-    pub(crate) reserve: u64,
     /// Minimum number of machines, so that continuous tasks whose number per instance is limited
     /// can be spread; see [`Round::min_machines`].
     pub(crate) min_machines: u32,
     /// Lower bound of the capacity that the pool needs: that of `min_machines` machines, or more
     /// while admission decisions leave no instance of the pool for some group.
     pub(crate) min_capacity: u64,
-    /// Percentage of the capacity in use that is kept free for upcoming work.
-    pub(crate) headroom_percent: u64,
     /// Idle machines with their capacity, longest idle first.
     pub(crate) idle: Vec<(Name, u64)>,
 }
 
 /// Time within which the backlog is to be worked off.
 const BACKLOG_HORIZON_MS: u64 = 1200;
-/// Percentage of the capacity in use that a pool keeps free for upcoming work.
-const HEADROOM_PERCENT: u64 = 15;
-/// Capacity kept free by a pool that may have the next burst, in thousandths of a mean pool.
-const RESERVE_PERMILLE: u64 = 200;
-/// Capacity kept free by a pool that had a burst recently, in thousandths of a mean pool.
-const RESERVE_AFTER_BURST_PERMILLE: u64 = 100;
-/// A pool has a burst when it uses more than this, in thousandths of a mean pool.
-const BURST_PERMILLE: u64 = 800;
-/// How long after a burst a pool counts as having had one recently.
-const RECENT_BURST_WINDOW: Duration = Duration::from_secs(16);
-/// Idle time after which a machine goes to the spare pool. A move costs as much as a machine in a
-/// pool does in this time.
-const PARKING_IDLE_TIME: Duration = Duration::from_millis(1200);
 /// Idle time after which a machine may go to a pool that needs it.
 const MOVE_IDLE_TIME: Duration = Duration::from_millis(100);
 /// Maximum number of machines provided to a pool for tasks whose admission policy denies all of its
@@ -72,10 +55,8 @@
 impl PoolBalance {
     /// Capacity that the pool should have.
     pub(crate) fn need(&self) -> u64 {
-        let working = self.used + self.used * self.headroom_percent / 100;
-        let working = working.max(self.arriving + self.lasting);
-        let working = working + self.expected_backlog() / BACKLOG_HORIZON_MS;
-        working.max(self.used + self.reserve).max(self.min_capacity)
+        let working = self.used.max(self.arriving + self.lasting);
+        (working + self.expected_backlog() / BACKLOG_HORIZON_MS).max(self.min_capacity)
     }
 
     /// Backlog by the time at which a machine that is ordered now starts to work, if work goes on
@@ -91,14 +72,19 @@
         self.need().saturating_sub(self.capacity)
     }
 
+    /// Capacity for the work that runs or is ready now.
+    fn demand(&self) -> u64 {
+        self.used + self.backlog / BACKLOG_HORIZON_MS
+    }
+
     /// Whether its capacity is too small for the work that can still meet its objective.
     fn is_overloaded(&self) -> bool {
-        self.used + self.backlog / BACKLOG_HORIZON_MS > self.capacity
+        self.demand() > self.capacity
     }
 
     /// Whether the pool can give away a machine of this capacity.
     fn can_spare(&self, machine: u64) -> bool {
-        self.capacity >= self.need() + machine
+        self.capacity >= self.need().max(self.demand()) + machine
     }
 }
 
@@ -181,7 +167,7 @@
         let Some(config) = &table.config else { return };
         self.record_rounds(now, unix, table, since);
         let mut pools = self.balances(now, unix, table, config);
-        self.set_reserves(now, &mut pools);
+        self.set_min_capacities(&mut pools);
         if now >= self.last_report + Self::REPORT_INTERVAL {
             self.last_report = now;
             effects.extend(
@@ -199,7 +185,9 @@
             .collect();
         let park = |machine: &Name| {
             self.uses(Mechanism::Parking)
-                && idle_since.get(machine).is_some_and(|since| now >= *since + PARKING_IDLE_TIME)
+                && idle_since
+                    .get(machine)
+                    .is_some_and(|since| now >= *since + self.bounds.parking_idle_time)
         };
         let mut moves = plan_moves(&mut pools, &mut parked, spare.as_ref(), park);
         let rate = self.bounds.machine_orders_per_second;
@@ -289,9 +277,8 @@
     }
 
     fn empty_balance(&self) -> PoolBalance {
-        let headroom_percent = if self.uses(Mechanism::Headroom) { HEADROOM_PERCENT } else { 0 };
         let move_ms = self.machines.move_time().as_millis() as u64;
-        PoolBalance { headroom_percent, move_ms, ..PoolBalance::default() }
+        PoolBalance { move_ms, ..PoolBalance::default() }
     }
 
     /// Whether the instance on a machine belongs to `pool` and is usable.
@@ -318,6 +305,9 @@
             let Some(pool) = pools.get_mut(&queue.pool) else { continue };
             if !self.can_meet_objective(unix, due) {
                 late.insert(due.job);
+                // Late work alone gets a single machine, so that it ends at all.
+                let waits = due.waiting_groups().next().is_some();
+                pool.min_machines = pool.min_machines.max(u32::from(waits));
                 continue;
             }
             pool.backlog = pool.backlog.saturating_add(round.ready_work(&record.spec, largest));
@@ -352,23 +342,11 @@
         }
     }
 
-    /// Sets the capacity that each pool keeps free, which is less for a pool that had a burst
-    /// recently, and the minimum capacity of each pool.
-    fn set_reserves(&mut self, now: Time, pools: &mut BTreeMap<Name, PoolBalance>) {
+    /// Sets the minimum capacity of each pool.
+    fn set_min_capacities(&self, pools: &mut BTreeMap<Name, PoolBalance>) {
         let sizes = self.machines.listed.values().map(|machine| machine.capacity.millicores);
-        let all = sizes.sum::<u64>();
-        // The spare pool counts as one more pool.
-        let mean = all / (pools.len() as u64 + 1);
-        let machine = all / (self.machines.listed.len() as u64).max(1);
+        let machine = sizes.sum::<u64>() / (self.machines.listed.len() as u64).max(1);
         for (name, pool) in pools {
-            if pool.used > mean * BURST_PERMILLE / 1000 {
-                self.last_burst.insert(name.clone(), now);
-            }
-            let burst = self.last_burst.get(name);
-            let recent = burst.is_some_and(|burst| now < *burst + RECENT_BURST_WINDOW);
-            let permille = if recent { RESERVE_AFTER_BURST_PERMILLE } else { RESERVE_PERMILLE };
-            let keeps_reserve = self.mechanisms.is_on(Mechanism::Reserve);
-            pool.reserve = if keeps_reserve { mean * permille / 1000 } else { 0 };
             pool.min_capacity = u64::from(pool.min_machines) * machine;
             if self.admissions.denies_whole_pool(name) {
                 let limit = MAX_MACHINES_WHILE_DENIED * machine;
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -54,8 +54,6 @@
     pub(crate) last_rebalance: Time,
     /// Work that has arrived lately, by pool.
     pub(crate) arrivals: BTreeMap<Name, Arrivals>,
-    /// When each pool last had a burst of demand.
-    pub(crate) last_burst: BTreeMap<Name, Time>,
     /// Pools whose capacity is too small for the work that can still meet its objective.
     pub(crate) overloaded_pools: BTreeSet<Name>,
     /// When the balance of each pool was last logged.
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -416,3 +416,13 @@
     }
     assert_eq!(follower.instances_by_data_center().values().sum::<usize>(), 1);
 }
+
+#[test]
+fn a_pool_without_machines_gets_one_for_late_jobs() {
+    let mut world = World::new(1, config(&["a", "b"]));
+    world.submit(7, "b", chain(&[2], 2000, 500));
+    world.run(10_000);
+    world.add_machine("m0", "a", "r0", 16_000);
+    world.run(10_000);
+    assert_eq!(state(&world, 7), JobState::Completed);
+}
--- a/crates/model/src/mechanism.rs
+++ b/crates/model/src/mechanism.rs
@@ -16,31 +16,25 @@
     Packing,
     /// Instances on which tasks of several jobs failed in a row are avoided for some time.
     Avoidance,
-    /// Pools keep capacity free for the start of a burst.
-    Reserve,
     /// A pool with continuous tasks keeps one instance more than they need.
     SpareInstance,
     /// A pool gets machines for the rate at which work arrives.
     ArrivalRate,
-    /// A pool keeps more capacity than is in use.
-    Headroom,
     /// Idle machines that no pool needs go to the spare pool.
     Parking,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 9] = [
         Self::ObjectiveFirst,
         Self::BegunFirst,
         Self::LateAside,
         Self::LearnedDurations,
         Self::Packing,
         Self::Avoidance,
-        Self::Reserve,
         Self::SpareInstance,
         Self::ArrivalRate,
-        Self::Headroom,
         Self::Parking,
     ];
 
@@ -53,10 +47,8 @@
             Self::LearnedDurations => "learned-durations",
             Self::Packing => "packing",
             Self::Avoidance => "avoidance",
-            Self::Reserve => "reserve",
             Self::SpareInstance => "spare-instance",
             Self::ArrivalRate => "arrival-rate",
-            Self::Headroom => "headroom",
             Self::Parking => "parking",
         }
     }
--- a/crates/settings/src/entry_daemon.rs
+++ b/crates/settings/src/entry_daemon.rs
@@ -41,6 +41,8 @@
     pub max_lease: Duration,
     /// How long after the last order about a machine another daemon must not send one.
     pub order_turn: Duration,
+    /// How long an idle machine stays in its pool before it goes to the spare pool.
+    pub parking_idle_time: Duration,
     /// Machine orders that the platform accepts in a second, from all daemons together.
     pub machine_orders_per_second: u32,
     /// Time from the signal that stops the daemon until the platform ends its process.
@@ -127,6 +129,7 @@
 
     fn read_machines(&mut self, reader: &mut Reader) {
         self.machines = reader.non_empty("address");
+        self.bounds.parking_idle_time = reader.seconds("parking-idle-s").unwrap_or_default();
         let rate = reader.non_empty::<f64>("orders-per-s").unwrap_or_default();
         self.bounds.machine_orders_per_second = rate as u32;
     }
