Arrivals: no walk over all machines or jobs for one event

The largest machine is known from the last pass, and jobs with several rounds are kept in a set of their own. No change of a decision; tests of job and demand pass.

--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -88,8 +88,12 @@
                 Outcome::Accepted(job) => {
                     let record = table.jobs.get(job);
                     let is_new = self.open_jobs.insert(*job);
-                    if let Some(record) = record.filter(|r| is_new && r.spec.recurrence.is_none()) {
-                        self.record_arrival(now, table, record);
+                    match record.filter(|_| is_new) {
+                        Some(record) if record.is_recurring() => {
+                            self.recurring_jobs.insert(*job);
+                        }
+                        Some(record) => self.record_arrival(now, table, record),
+                        None => {}
                     }
                 }
                 Outcome::TakenOver(_) => self.on_taken_over(),
--- a/crates/job/src/job_record.rs
+++ b/crates/job/src/job_record.rs
@@ -41,6 +41,10 @@
         self.rounds.get(task.round as usize)?.task_state(task.group, task.index)
     }
 
+    pub(crate) fn is_recurring(&self) -> bool {
+        self.spec.recurrence.is_some()
+    }
+
     /// Whether a task waits to be started, now or in a later round.
     pub(crate) fn has_waiting_tasks(&self) -> bool {
         let waits = |round: &Round| round.waiting.iter().any(|waiting| *waiting > 0);
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -45,6 +45,8 @@
 pub(crate) struct Machines {
     /// Machines by name, as last listed.
     pub(crate) listed: BTreeMap<Name, Machine>,
+    /// Largest capacity of a machine, in each resource.
+    pub(crate) largest: Resources,
     /// Whether a complete list has been read since this daemon became leader.
     pub(crate) complete: bool,
     /// When the last list was requested.
@@ -71,8 +73,8 @@
     /// Whether the takeover of this leader is committed.
     recorded: bool,
     handover: Handover,
-    /// Moving average of the time from an accepted move to the first announcement of the instance
-    /// in its new pool; `None` before the first one.
+    /// Moving average of the time from an accepted order to the first announcement of the next
+    /// instance on the machine; `None` before the first one.
     mean_move_time: Option<Duration>,
 }
 
@@ -122,13 +124,18 @@
         maintenance_begun
     }
 
+    pub(crate) fn update_largest(&mut self) {
+        let sizes = self.listed.values().map(|machine| machine.capacity);
+        self.largest = sizes.fold(Resources::default(), Resources::max);
+    }
+
     /// Expected time that a machine takes to get into another pool.
     pub(crate) fn move_time(&self) -> Duration {
         self.mean_move_time.unwrap_or(DEFAULT_MOVE_TIME)
     }
 
     /// Records that a new instance has announced itself on a machine.
-    pub(crate) fn record_arrival(&mut self, now: Time, machine: &Name) {
+    pub(crate) fn record_return(&mut self, now: Time, machine: &Name) {
         let Some(since) = self.away.get(machine).filter(|_| !self.is_ordered(machine)) else {
             return;
         };
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -2,8 +2,9 @@
 //!
 //! Demand comes in bursts: one queue asks for about five times its mean for some seconds, more than
 //! its pool holds, while the others ask for almost nothing. The pool with the burst gets idle
-//! machines of the other pools, and machines that no pool needs wait in the spare pool, where they
-//! cost nothing.
+//! machines of the other pools. A machine takes seconds to get there, so a pool asks for what it
+//! will lack by then. Machines that have been idle for long go to the spare pool, where they cost
+//! nothing.
 
 use super::*;
 use scheduler::note;
@@ -165,6 +166,7 @@
             }
         }
         let Some(config) = &table.config else { return };
+        self.machines.update_largest();
         self.record_rounds(now, unix, table, since);
         let mut pools = self.balances(now, unix, table, config);
         self.set_min_capacities(&mut pools);
@@ -262,7 +264,8 @@
             let coming = away && !self.is_usable_in(now, name, &machine.pool);
             if let Some(pool) = pools.get_mut(&machine.pool).filter(|_| coming) {
                 pool.capacity += machine.capacity.millicores;
-                let since = self.machines.away.get(name).map_or(Duration::ZERO, |at| now - *at);
+                let since = self.machines.away.get(name).map_or(now, |at| *at);
+                let since = now.saturating_sub(since);
                 pool.underway += machine.capacity.millicores * since.as_millis() as u64;
             }
         }
@@ -298,8 +301,7 @@
         pools: &mut BTreeMap<Name, PoolBalance>,
     ) -> BTreeSet<JobId> {
         let mut late = BTreeSet::new();
-        let sizes = self.machines.listed.values().map(|machine| machine.capacity);
-        let largest = sizes.fold(Resources::default(), Resources::max);
+        let largest = self.machines.largest;
         for due in DueRound::all(table, config, |_| Some(unix)) {
             let DueRound { record, round, queue, .. } = due;
             let Some(pool) = pools.get_mut(&queue.pool) else { continue };
@@ -322,8 +324,7 @@
     pub(crate) fn record_arrival(&mut self, now: Time, table: &Table, record: &JobRecord) {
         let queue = table.config.as_ref().and_then(|config| config.queue(&record.queue));
         let Some(queue) = queue else { return };
-        let sizes = self.machines.listed.values().map(|machine| machine.capacity);
-        let largest = sizes.fold(Resources::default(), Resources::max);
+        let largest = self.machines.largest;
         if record.spec.groups.iter().all(|group| group.reserved().fits(largest)) {
             let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
             arrivals.record(now, record.spec.work());
@@ -333,13 +334,14 @@
     /// Records the rounds of recurring jobs that have become due since the last pass.
     fn record_rounds(&mut self, now: Time, unix: UnixMs, table: &Table, since: Time) {
         let Some(config) = &table.config else { return };
+        self.recurring_jobs.retain(|job| table.live.contains(job));
+        let recurring = std::mem::take(&mut self.recurring_jobs);
         let newest = Duration::from_millis(unix).saturating_sub(now.saturating_sub(since));
-        let is_new = |due: &DueRound| {
-            due.record.spec.recurrence.is_some() && Duration::from_millis(due.at) > newest
-        };
-        for due in DueRound::all(table, config, |_| Some(unix)).filter(is_new) {
+        let is_new = |due: &DueRound| Duration::from_millis(due.at) > newest;
+        for due in DueRound::of(&recurring, table, config, |_| Some(unix)).filter(is_new) {
             self.record_arrival(now, table, due.record);
         }
+        self.recurring_jobs = recurring;
     }
 
     /// Sets the minimum capacity of each pool.
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -52,6 +52,8 @@
     pub(crate) last_wave_check: Time,
     /// When the pools were last rebalanced.
     pub(crate) last_rebalance: Time,
+    /// Live jobs with several rounds.
+    pub(crate) recurring_jobs: BTreeSet<JobId>,
     /// Work that has arrived lately, by pool.
     pub(crate) arrivals: BTreeMap<Name, Arrivals>,
     /// Pools whose capacity is too small for the work that can still meet its objective.
@@ -265,6 +267,8 @@
             }
         }
         self.open_jobs.clone_from(&table.live);
+        let recurs = |id: &&JobId| table.jobs.get(id).is_some_and(JobRecord::is_recurring);
+        self.recurring_jobs = table.live.iter().filter(recurs).copied().collect();
         for id in &table.live {
             let Some(record) = table.jobs.get(id) else { continue };
             for claim in record.claims(*id) {
@@ -308,6 +312,7 @@
         self.acknowledging.clear();
         self.open_jobs.clear();
         self.arrivals.clear();
+        self.recurring_jobs.clear();
         self.late_jobs.clear();
         self.calls.clear();
         self.published.clear();
@@ -348,7 +353,7 @@
         let lease_expires = now;
         let ordered = self.machines.is_ordered(&announcement.machine);
         if !self.instances.contains_key(&incarnation) {
-            self.machines.record_arrival(now, &announcement.machine);
+            self.machines.record_return(now, &announcement.machine);
         }
         let instance = self.instances.entry(incarnation.clone()).or_insert_with(|| {
             effects.push(note(
