--- a/crates/demand/src/arrivals.rs
+++ b/crates/demand/src/arrivals.rs
@@ -46,12 +46,12 @@
 
     /// Work that arrives in a millisecond.
     pub fn rate(&self, now: Time) -> u64 {
-        let mut rate = None;
-        for window in WINDOWS {
-            let (mean, low, high) = self.measure(now, window);
-            rate = Some(rate.map_or(mean, |rate: f64| rate.clamp(low, high)));
-        }
-        rate.unwrap_or_default() as u64
+        let (mean, _, _) = self.measure(now, WINDOWS[0]);
+        let rate = WINDOWS[1..].iter().fold(mean, |rate, window| {
+            let (_, low, high) = self.measure(now, *window);
+            rate.clamp(low, high)
+        });
+        rate as u64
     }
 
     /// Mean rate in a window, and the lowest and highest rate that it agrees with.
--- a/crates/job/src/bounds.rs
+++ b/crates/job/src/bounds.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Limits set by the platform.
+/// Limits set by the platform, and times set by the operator.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Bounds {
     /// Longest lease that an instance accepts.
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -92,6 +92,7 @@
 }
 
 impl Handover {
+    /// Whether an order about a machine need not wait any more.
     fn is_over(&self, now: Time, machine: &Name) -> bool {
         self.former.is_empty()
             || now >= self.any_order_at
@@ -124,6 +125,7 @@
         maintenance_begun
     }
 
+    /// Updates `largest` from the listed machines.
     pub(crate) fn update_largest(&mut self) {
         let sizes = self.listed.values().map(|machine| machine.capacity);
         self.largest = sizes.fold(Resources::default(), Resources::max);
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -36,7 +36,7 @@
     /// Time that a machine takes to get into the pool, in milliseconds.
     pub(crate) move_ms: u64,
     /// Minimum number of machines, so that continuous tasks whose number per instance is limited
-    /// can be spread; see [`Round::min_machines`].
+    /// can be spread, see [`Round::min_machines`], and late jobs end.
     pub(crate) min_machines: u32,
     /// Lower bound of the capacity that the pool needs: that of `min_machines` machines, or more
     /// while admission decisions leave no instance of the pool for some group.
@@ -264,9 +264,9 @@
             let coming = away && !self.is_usable_in(now, name, &machine.pool);
             if let Some(pool) = pools.get_mut(&machine.pool).filter(|_| coming) {
                 pool.capacity += machine.capacity.millicores;
-                let since = self.machines.away.get(name).map_or(now, |at| *at);
-                let since = now.saturating_sub(since);
-                pool.underway += machine.capacity.millicores * since.as_millis() as u64;
+                let left_at = self.machines.away.get(name).copied().unwrap_or(now);
+                let elapsed = now.saturating_sub(left_at).as_millis() as u64;
+                pool.underway += machine.capacity.millicores * elapsed;
             }
         }
         for order in self.machines.orders() {
@@ -279,6 +279,7 @@
         pools
     }
 
+    /// Balance of a pool without supply and demand.
     fn empty_balance(&self) -> PoolBalance {
         let move_ms = self.machines.move_time().as_millis() as u64;
         PoolBalance { move_ms, ..PoolBalance::default() }
@@ -307,7 +308,6 @@
             let Some(pool) = pools.get_mut(&queue.pool) else { continue };
             if !self.can_meet_objective(unix, due) {
                 late.insert(due.job);
-                // Late work alone gets a single machine, so that it ends at all.
                 let waits = due.waiting_groups().next().is_some();
                 pool.min_machines = pool.min_machines.max(u32::from(waits));
                 continue;
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -52,7 +52,7 @@
     pub(crate) last_wave_check: Time,
     /// When the pools were last rebalanced.
     pub(crate) last_rebalance: Time,
-    /// Live jobs with several rounds.
+    /// Live recurring jobs.
     pub(crate) recurring_jobs: BTreeSet<JobId>,
     /// Work that has arrived lately, by pool.
     pub(crate) arrivals: BTreeMap<Name, Arrivals>,
--- a/crates/settings/src/entry_daemon.rs
+++ b/crates/settings/src/entry_daemon.rs
@@ -28,13 +28,13 @@
     pub machines: Option<SocketAddr>,
     /// Address of the service that answers the admission checks of queues.
     pub admission: Option<SocketAddr>,
-    /// Limits that the platform guarantees.
+    /// Limits of the platform, and times that the operator sets.
     pub bounds: Bounds,
     /// Mechanisms of the scheduler that are in use.
     pub mechanisms: Mechanisms,
 }
 
-/// Limits that the platform guarantees, zero if they are not set.
+/// Limits that the platform guarantees, and times that the operator sets; zero if they are not set.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Bounds {
     /// Duration of the longest lease that an instance accepts.
