--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -121,6 +121,7 @@
         method: head.method.as_str(),
         path: head.uri.path(),
         host: header_text("Host").unwrap_or_default(),
+        authorization: header_text("Authorization"),
         body: &body,
     };
     let callers = endpoint == Endpoint::Callers;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
     tokio::sync::{mpsc, oneshot},
 };
 
+mod access;
 mod account;
 mod bootstrap;
 mod carriers;
@@ -52,6 +53,7 @@
 mod run;
 mod serving;
 mod state;
+mod surplus;
 mod timer;
 
 #[cfg(test)]
@@ -80,6 +82,7 @@
     query_router::QueryRouter,
     reply_to::ReplyTo,
     state::{Identity, State},
+    surplus::Surplus,
     timer::Timer,
 };
 
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -2,6 +2,15 @@
 
 use super::*;
 
+/// What a caller's request is about.
+struct Target {
+    queue: Name,
+    /// The job, if the path names one.
+    job: Option<job::JobId>,
+    /// Organisation of the caller.
+    organisation: Option<Name>,
+}
+
 impl State {
     /// Serves the call `ticket` if this daemon leads, or forwards it to the leader.
     pub(crate) fn serve_or_forward(
@@ -38,40 +47,36 @@
             _ => None,
         };
         let answer = match call {
-            Call::Submit { host, path, spec } => match (self.find_job(&host, &path), spec) {
-                (Err(answer), _) => answer,
-                (_, Err(finding)) => Answer::Invalid(finding),
-                (Ok((_, None)), _) => Answer::Invalid("path names no job".into()),
-                (Ok((queue, Some(id))), Ok(spec)) => {
-                    if self.table.job(&queue, id).is_some() {
-                        Answer::Done
-                    } else if let Some(retry) = self.overload.retry_after() {
-                        Answer::NotRun { retry }
-                    } else {
-                        let command = Command::Submit { id, queue, spec, at: unix };
+            Call::Submit { host, path, spec, key } => {
+                match self.submission(now, unix, &host, &path, spec, key) {
+                    Ok(command) => {
                         return self.propose(now, unix, command, Some(reply_to), effects);
                     }
+                    Err(answer) => answer,
                 }
-            },
-            Call::Show { host, path } => match self.find_job(&host, &path) {
+            }
+            Call::Show { host, path, key } => match self.find_job(&host, &path, key) {
                 Err(answer) => answer,
-                Ok((queue, None)) => {
+                Ok(Target { queue, job: None, .. }) => {
                     Answer::Pending(self.pending_counts.get(now, &self.table, &queue))
                 }
-                Ok((queue, Some(id))) => {
-                    let job = self.table.job(&queue, id);
+                Ok(Target { queue, job: Some(id), organisation }) => {
+                    let job = self.visible_job(&queue, id, organisation.as_ref());
                     job.map_or(Answer::NoJob, |record| Answer::Job(record.state))
                 }
             },
-            Call::Cancel { host, path } => match self.find_job(&host, &path) {
+            Call::Cancel { host, path, key } => match self.find_job(&host, &path, key) {
                 Err(answer) => answer,
-                Ok((queue, id)) => match id.filter(|id| self.table.job(&queue, *id).is_some()) {
-                    None => Answer::NoJob,
-                    Some(id) => {
-                        let command = Command::Cancel { id, at: unix };
-                        return self.propose(now, unix, command, Some(reply_to), effects);
+                Ok(Target { queue, job, organisation }) => {
+                    let organisation = organisation.as_ref();
+                    match job.filter(|id| self.visible_job(&queue, *id, organisation).is_some()) {
+                        None => Answer::NoJob,
+                        Some(id) => {
+                            let command = Command::Cancel { id, at: unix };
+                            return self.propose(now, unix, command, Some(reply_to), effects);
+                        }
                     }
-                },
+                }
             },
             Call::Announce(announcement) => {
                 if self.scheduler.record_news(now, &announcement) {
@@ -124,17 +129,48 @@
         self.table.config.as_ref().map(|config| config.version)
     }
 
+    /// The command that accepts a job, or the answer if there is nothing to accept.
+    fn submission(
+        &mut self,
+        now: Time,
+        unix: job::UnixMs,
+        host: &str,
+        path: &str,
+        spec: Result<job::Spec, String>,
+        key: Option<job::KeyDigest>,
+    ) -> Result<Command, Answer> {
+        let Target { queue, job, organisation } = self.find_job(host, path, key)?;
+        let spec = spec.map_err(Answer::Invalid)?;
+        let id = job.ok_or_else(|| Answer::Invalid("path names no job".into()))?;
+        if self.table.job(&queue, id).is_some() {
+            let is_own = self.visible_job(&queue, id, organisation.as_ref()).is_some();
+            return Err(if is_own { Answer::Done } else { Answer::Conflict });
+        }
+        match self.refusal(now, unix, &queue, organisation.as_ref(), &spec) {
+            Some(refusal) => Err(refusal),
+            None => Ok(Command::Submit { id, queue, spec, organisation, at: unix }),
+        }
+    }
+
     /// Finds the queue, and the job if the path names one, for a request address.
-    fn find_job(&self, host: &str, path: &str) -> Result<(Name, Option<job::JobId>), Answer> {
+    fn find_job(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<job::KeyDigest>,
+    ) -> Result<Target, Answer> {
         let config = self.table.config.as_ref();
         let config = config.ok_or(Answer::NotRun { retry: PendingCalls::RETRY_AFTER })?;
         let (queue, rest) = config.route(host, path).ok_or(Answer::NoQueue)?;
+        let organisation = self.authorize(queue, key)?;
+        let queue = queue.name.clone();
         if rest.is_empty() {
-            return Ok((queue.name.clone(), None));
+            return Ok(Target { queue, job: None, organisation });
         }
         let id = Some(rest).filter(|rest| rest.len() == ID_DIGITS);
         let id = id.and_then(|rest| job::JobId::from_str_radix(rest, 16).ok());
-        id.map(|id| (queue.name.clone(), Some(id))).ok_or(Answer::NoJob)
+        let id = id.ok_or(Answer::NoJob)?;
+        Ok(Target { queue, job: Some(id), organisation })
     }
 
     /// Sends an announcement of an instance to the other members, since each may lead later.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -37,6 +37,7 @@
     pub(crate) pending_counts: PendingCounts,
     pub(crate) carriers: Carriers,
     pub(crate) overload: Overload,
+    pub(crate) surplus: Surplus,
     /// Where to send the answer once a log entry is committed.
     pub(crate) commits: BTreeMap<Index, ReplyTo>,
     /// Whether the load balancer was told to send callers here.
@@ -91,6 +92,7 @@
             pending_counts: PendingCounts::default(),
             carriers: Carriers::default(),
             overload: Overload::default(),
+            surplus: Surplus::default(),
             commits: BTreeMap::new(),
             ready: false,
             stopping: false,
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -44,6 +44,7 @@
         host: "host".into(),
         path: "/q/00000000000000aa".into(),
         spec: Err("not read".into()),
+        key: None,
     };
     state.reduce(now, 0, Event::Call { ticket, call, timeout: ms(1800) })
 }
@@ -90,6 +91,7 @@
         name: "q".into(),
         host: "host".into(),
         prefix: "/q/".into(),
+        anonymous: false,
         pool: "p".into(),
         priority: 0,
         max_attempts: 3,
@@ -103,6 +105,8 @@
         text: "".into(),
         queues: BTreeMap::from([("q".into(), queue)]),
         pools: BTreeMap::from([("p".into(), pool)]),
+        organisations: BTreeMap::new(),
+        keys: Default::default(),
         limits: job::Limits { body_bytes: 1 << 18, idle: Duration::from_secs(15) },
     };
     let call = Call::Configure(Box::new(config));
@@ -130,7 +134,7 @@
     let group = job::Group { count: 1, ..Default::default() };
     let spec = job::Spec { payload: "p".into(), groups: vec![group], recurrence: None };
     let path = format!("/q/{ticket:016x}").into();
-    let call = Call::Submit { host: "host".into(), path, spec: Ok(spec) };
+    let call = Call::Submit { host: "host".into(), path, spec: Ok(spec), key: None };
     let message = Message::Forward { ticket, call, deadline };
     Event::Peer { from: "10.0.0.9:1".into(), message }
 }
--- a/crates/job/src/call.rs
+++ b/crates/job/src/call.rs
@@ -11,6 +11,8 @@
         path: Name,
         /// The job, or why the request body is invalid.
         spec: Result<Spec, String>,
+        /// Digest of the caller's key.
+        key: Option<KeyDigest>,
     },
     /// A caller asks for the state of a job or of a queue.
     Show {
@@ -18,6 +20,8 @@
         host: Name,
         /// Path of the request.
         path: Name,
+        /// Digest of the caller's key.
+        key: Option<KeyDigest>,
     },
     /// A caller cancels a job.
     Cancel {
@@ -25,6 +29,8 @@
         host: Name,
         /// Path of the request.
         path: Name,
+        /// Digest of the caller's key.
+        key: Option<KeyDigest>,
     },
     /// An instance announces itself.
     Announce(Announcement),
@@ -99,6 +105,16 @@
     NoJob,
     /// The wave does not exist.
     NoWave,
+    /// The caller has no key that the current configuration knows.
+    Unauthorized,
+    /// The id belongs to a job of another organisation.
+    Conflict,
+    /// The job exceeds the agreed rate of its organisation and could not be done in time. It was not
+    /// accepted and will not be; the client may submit it again.
+    Throttled {
+        /// Time to wait before submitting it again.
+        retry: Duration,
+    },
     /// The request is invalid.
     Invalid(String),
 }
@@ -106,6 +122,14 @@
 impl Answer {
     /// Whether it promises that the request was not carried out and will not be.
     pub fn is_refusal(&self) -> bool {
-        matches!(self, Self::NotRun { .. } | Self::NoQueue | Self::Invalid(_))
+        matches!(
+            self,
+            Self::NotRun { .. }
+                | Self::Throttled { .. }
+                | Self::Unauthorized
+                | Self::Conflict
+                | Self::NoQueue
+                | Self::Invalid(_)
+        )
     }
 }
--- a/crates/job/src/command.rs
+++ b/crates/job/src/command.rs
@@ -13,6 +13,8 @@
         queue: Name,
         /// Description of the job.
         spec: Spec,
+        /// Organisation that submitted it.
+        organisation: Option<Name>,
         /// When the job was accepted.
         at: UnixMs,
     },
--- a/crates/job/src/config.rs
+++ b/crates/job/src/config.rs
@@ -11,6 +11,10 @@
     pub queues: BTreeMap<Name, Queue>,
     /// Pools by name.
     pub pools: BTreeMap<Name, Pool>,
+    /// Organisations by name; if there are none, callers need no keys and nothing is limited.
+    pub organisations: BTreeMap<Name, Organisation>,
+    /// Names of the organisations by the digests of their keys.
+    pub keys: Map<KeyDigest, Name>,
     /// Limits on callers' requests.
     pub limits: Limits,
 }
@@ -42,6 +46,16 @@
         found.max_by_key(|(queue, _)| queue.prefix.len())
     }
 
+    /// The organisation with this name.
+    pub fn organisation(&self, name: &str) -> Option<&Organisation> {
+        self.organisations.get(name)
+    }
+
+    /// The name of the organisation with this key.
+    pub fn organisation_of(&self, key: &KeyDigest) -> Option<&Name> {
+        self.keys.get(key)
+    }
+
     /// The queue with this name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.get(name)
--- a/crates/job/src/group.rs
+++ b/crates/job/src/group.rs
@@ -57,6 +57,17 @@
         self.size.millicores.saturating_mul(self.estimate.as_millis() as u64)
     }
 
+    /// What starts at the same time at least: one task, or all tasks of a gang.
+    pub fn smallest_start(&self) -> Resources {
+        let Resources { millicores, memory_mb, accelerators } = self.size;
+        let tasks = if self.gang { u64::from(self.count) } else { 1 };
+        Resources {
+            millicores: millicores.saturating_mul(tasks),
+            memory_mb: memory_mb.saturating_mul(tasks),
+            accelerators: accelerators.saturating_mul(tasks),
+        }
+    }
+
     /// Whether an instance with these labels may run the tasks.
     pub fn accepts(&self, labels: &[Name]) -> bool {
         self.requirement.as_ref().is_none_or(|label| labels.contains(label))
--- a/crates/job/src/job_record.rs
+++ b/crates/job/src/job_record.rs
@@ -5,6 +5,10 @@
 pub struct JobRecord {
     /// Queue of the job.
     pub queue: Name,
+    /// Organisation that submitted it; `None` for an anonymous caller.
+    pub organisation: Option<Name>,
+    /// Whether it exceeded the agreed rate of its organisation.
+    pub surplus: bool,
     /// Description of the job.
     pub spec: Arc<Spec>,
     /// When the job was accepted.
@@ -26,6 +30,8 @@
         let rounds = (0..spec.rounds()).map(|_| Round::new(&spec)).collect();
         Self {
             queue,
+            organisation: None,
+            surplus: false,
             critical_path: spec.critical_path(delay),
             spec: Arc::new(spec),
             accepted_at,
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -40,16 +40,19 @@
 mod instance;
 mod job_record;
 mod job_state;
+mod key_digest;
 mod leader;
 mod machine;
 mod machines;
 mod maintenance;
 mod order;
 mod order_budget;
+mod organisation;
 mod outcome;
 mod phase;
 mod planning;
 mod queue;
+mod rates;
 mod rebalancing;
 mod recurrence;
 mod reply;
@@ -68,6 +71,7 @@
     durations::DurationEstimator,
     instance::{Attempt, Instance, Stage},
     order_budget::OrderBudget,
+    rates::Rates,
     round::Round,
 };
 pub use {
@@ -88,9 +92,11 @@
     incarnation::Incarnation,
     job_record::JobRecord,
     job_state::JobState,
+    key_digest::KeyDigest,
     leader::Leader,
     machine::{Machine, MachineState},
     order::{MachineOrder, Order},
+    organisation::Organisation,
     outcome::Outcome,
     phase::Phase,
     queue::Queue,
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -58,7 +58,7 @@
 
     /// Whether the objective has been missed.
     fn is_late(self) -> bool {
-        matches!(self.class, Class::Late | Class::Owed)
+        matches!(self.class, Class::Late | Class::Owed | Class::Surplus)
     }
 }
 
@@ -84,6 +84,8 @@
             Class::Filler
         } else if group.continuous {
             Class::Lasting
+        } else if record.surplus {
+            Class::Surplus
         } else if age + remaining <= objective {
             Class::InTime
         } else if age + remaining <= objective * Self::LATE_FACTOR {
@@ -110,6 +112,8 @@
     Late,
     /// Has to be finished but earns nothing any more.
     Owed,
+    /// Exceeds the agreed rate of its organisation.
+    Surplus,
     /// Best-effort: uses only idle resources.
     Filler,
 }
--- a/crates/job/src/queue.rs
+++ b/crates/job/src/queue.rs
@@ -9,6 +9,8 @@
     pub host: Name,
     /// Prefix of its request paths.
     pub prefix: Name,
+    /// Whether callers need no key.
+    pub anonymous: bool,
     /// Pool whose instances run its tasks.
     pub pool: Name,
     /// Priority; lower values are scheduled first and 0 is the highest.
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -13,6 +13,8 @@
     pub waves: BTreeMap<WaveId, Wave>,
     /// Orders that the platform may still carry out, by machine.
     pub orders: BTreeMap<Name, MachineOrder>,
+    /// Agreed rates of the organisations.
+    rates: Rates,
     /// Daemons that have led, each in its last run as leader, in the order of their last takeover.
     pub leaders: Vec<Leader>,
     /// Ended jobs in the order in which they ended, until they are forgotten.
@@ -29,7 +31,9 @@
     pub fn apply(&mut self, command: Command) -> Vec<Outcome> {
         match command {
             Command::Configure(config) => self.configure(config),
-            Command::Submit { id, queue, spec, at } => self.submit(id, queue, spec, at),
+            Command::Submit { id, queue, spec, organisation, at } => {
+                self.submit(id, queue, spec, organisation, at)
+            }
             Command::Cancel { id, at } => self.cancel(id, at),
             Command::StartWave { id, wave } => {
                 self.waves.entry(id).or_insert(wave);
@@ -61,18 +65,48 @@
     fn configure(&mut self, config: Config) -> Vec<Outcome> {
         let newer = self.config.as_ref().is_none_or(|current| current.version < config.version);
         if newer {
+            self.rates.retain(&config.organisations);
             self.config = Some(config);
         }
         vec![Outcome::Configured]
     }
 
-    fn submit(&mut self, id: JobId, queue: Name, spec: Spec, at: UnixMs) -> Vec<Outcome> {
+    /// Whether the next job of an organisation exceeds its agreed rate.
+    pub fn exceeds_rate(&self, name: &Name, at: UnixMs) -> bool {
+        let organisation = self.config.as_ref().and_then(|config| config.organisation(name));
+        organisation.is_some_and(|organisation| self.rates.is_exceeded(name, organisation, at))
+    }
+
+    /// Number of jobs beyond the agreed rate of their organisation without a started task, by
+    /// organisation.
+    pub fn pending_surplus(&self) -> BTreeMap<Name, u64> {
+        let live = self.live.iter().filter_map(|id| self.jobs.get(id));
+        let pending = live.filter(|job| job.surplus && job.state == JobState::Queued);
+        let mut counts = BTreeMap::new();
+        for name in pending.filter_map(|job| job.organisation.as_ref()) {
+            *counts.entry(name.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    fn submit(
+        &mut self,
+        id: JobId,
+        queue: Name,
+        spec: Spec,
+        organisation: Option<Name>,
+        at: UnixMs,
+    ) -> Vec<Outcome> {
         self.forget_ended_jobs(at);
         let config = self.config.as_ref();
         let admission = config.and_then(|config| config.queue(&queue)?.admission);
         let delay = admission.map_or(Duration::ZERO, |admission| admission.min_delay());
         if let std::collections::btree_map::Entry::Vacant(vacant) = self.jobs.entry(id) {
-            vacant.insert(JobRecord::new(queue, spec, delay, at));
+            let limits =
+                organisation.as_ref().and_then(|name| Some((name, config?.organisation(name)?)));
+            let surplus = limits.is_some_and(|(name, limits)| self.rates.take(name, limits, at));
+            let record = JobRecord::new(queue, spec, delay, at);
+            vacant.insert(JobRecord { organisation, surplus, ..record });
             self.live.insert(id);
         }
         vec![Outcome::Accepted(id)]
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -320,7 +320,8 @@
     }
 
     pub fn submit(&mut self, id: JobId, queue: &str, spec: Spec) {
-        let command = Command::Submit { id, queue: queue.into(), spec, at: self.unix() };
+        let command =
+            Command::Submit { id, queue: queue.into(), spec, organisation: None, at: self.unix() };
         let outcomes = self.table.apply(command);
         self.step(Event::CommandCommitted(outcomes));
     }
@@ -520,6 +521,7 @@
         name: (*name).into(),
         host: "host".into(),
         prefix: format!("/{name}/").into(),
+        anonymous: false,
         pool: (*name).into(),
         priority: 0,
         max_attempts: 4,
@@ -533,6 +535,8 @@
         text: "".into(),
         queues: pools.iter().map(|name| ((*name).into(), queue(name))).collect(),
         pools: pools.iter().chain(&["spare"]).map(pool).collect(),
+        organisations: BTreeMap::new(),
+        keys: Default::default(),
         limits: Limits { body_bytes: 1 << 18, idle: Duration::from_secs(15) },
     }
 }
