Busy machines are lent to pools that lack capacity, late work waits by pool

Change: machines that a pool does not need for work in time get no new tasks and go once their tasks have ended; late tasks that save checkpoints are stopped there; late work waits only where its own pool is overloaded, by usable capacity, with a tenth of the pool for it, ordered by the time left to three times the objective.

--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -50,6 +50,9 @@
     pub(crate) last_busy: Time,
     /// Whether its machine is being drained; no new attempts are placed here.
     pub(crate) draining: bool,
+    /// Whether its machine goes to another pool as soon as its attempts have ended; no new attempts
+    /// are placed here.
+    pub(crate) lending: bool,
 }
 
 /// State of an attempt, as tracked by the scheduler.
@@ -143,6 +146,7 @@
             avoid_count: 0,
             last_busy: now,
             draining: false,
+            lending: false,
         }
     }
 
@@ -220,6 +224,11 @@
 
     /// Whether new attempts may be placed here.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
+        !self.lending && self.is_sound(now)
+    }
+
+    /// Whether its pool can count on its capacity, or lend it.
+    pub(crate) fn is_sound(&self, now: Time) -> bool {
         let ready = self.announcement.as_ref().is_some_and(|a| a.condition == Condition::Ready);
         ready && self.fenced && !self.unresponsive && !self.draining && now >= self.avoided_until
     }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -42,6 +42,7 @@
 mod job_state;
 mod key_digest;
 mod leader;
+mod lending;
 mod machine;
 mod machines;
 mod maintenance;
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -22,6 +22,17 @@
 }
 
 impl ReadyGroup<'_> {
+    /// Processor demand of the tasks that wait to be started.
+    fn waiting_millicores(&self) -> u64 {
+        let GroupId { round, group, .. } = self.group_id;
+        let waiting = self
+            .record
+            .rounds
+            .get(round as usize)
+            .map_or(0, |round| round.waiting[usize::from(group)]);
+        u64::from(waiting) * self.record.spec.groups[usize::from(group)].reserved().millicores
+    }
+
     /// Log entry about tasks of the group that were placed.
     fn placement_note(&self, tasks: usize) -> Effect {
         let PlacementKey { class, slack, .. } = self.key;
@@ -37,7 +48,8 @@
     priority: u8,
     /// Whether a task of the round has been started.
     begun: std::cmp::Reverse<bool>,
-    /// Milliseconds until the group must start for the round to meet its objective.
+    /// Milliseconds until the group must start for the round to meet its objective, or three times
+    /// the objective if it is late.
     slack: u64,
 }
 
@@ -58,7 +70,7 @@
 
     /// Whether the objective has been missed.
     fn is_late(self) -> bool {
-        matches!(self.class, Class::Late | Class::Owed | Class::Surplus)
+        matches!(self.class, Class::LateShare | Class::Late | Class::Owed | Class::Surplus)
     }
 }
 
@@ -95,7 +107,12 @@
         };
         let total: u16 = record.spec.groups.iter().map(|group| group.count).sum();
         let begun = round.waiting.iter().sum::<u16>() < total;
-        let slack = objective.saturating_sub(age + remaining);
+        let slack = match class {
+            Class::Late => (objective * Self::LATE_FACTOR).saturating_sub(age + remaining),
+            // Jobs that nobody waits for any more end in the order in which they came.
+            Class::Owed | Class::Surplus => due.at,
+            _ => objective.saturating_sub(age + remaining),
+        };
         PlacementKey { class, priority: queue.priority, begun: std::cmp::Reverse(begun), slack }
     }
 }
@@ -106,6 +123,8 @@
 enum Class {
     /// Runs until cancelled, and earns value all the time.
     Lasting,
+    /// Late, and started within the share of late work in an overloaded pool.
+    LateShare,
     /// Can meet its objective.
     InTime,
     /// Can finish within three times its objective.
@@ -153,6 +172,8 @@
         let open_jobs = self.jobs_to_plan(now, table);
         let mut ready_groups = self.ready_groups(unix, &open_jobs, table, config);
         ready_groups.sort_by_key(|ready_group| (ready_group.key, ready_group.group_id));
+        self.promote_late_groups(&mut ready_groups);
+        ready_groups.sort_by_key(|ready_group| (ready_group.key, ready_group.group_id));
         let is_late = |group: &&ReadyGroup| group.key.is_late() && group.record.rounds.len() == 1;
         let late: BTreeSet<_> =
             ready_groups.iter().filter(is_late).map(|group| group.group_id.job).collect();
@@ -173,12 +194,16 @@
         claims
     }
 
-    /// Jobs with waiting tasks that the next pass looks at. It leaves out the late ones while a pool
-    /// is overloaded, since it would not place them.
+    /// Jobs with waiting tasks that the next pass looks at. Late ones are looked at less often.
     fn jobs_to_plan(&mut self, now: Time, table: &Table) -> BTreeSet<JobId> {
         let mut jobs = std::mem::take(&mut self.open_jobs);
-        let late_due = now >= self.last_late_plan + Self::LATE_PLAN_INTERVAL;
-        if late_due && !self.holds_late_jobs() {
+        let interval = if self.late_room.is_empty() {
+            Self::LATE_PLAN_INTERVAL
+        } else {
+            Self::LATE_PLAN_INTERVAL_OVERLOADED
+        };
+        let late_due = now >= self.last_late_plan + interval;
+        if late_due {
             self.last_late_plan = now;
             jobs.append(&mut self.late_jobs);
         }
@@ -186,9 +211,25 @@
         jobs
     }
 
-    /// Whether late jobs wait, because a pool lacks capacity.
-    fn holds_late_jobs(&self) -> bool {
-        self.uses(Mechanism::LateAside) && !self.overloaded_pools.is_empty()
+    /// Whether late work of a pool waits, because the pool lacks capacity.
+    fn holds_late_work(&self, pool: &Name) -> bool {
+        self.uses(Mechanism::LateAside) && self.late_room.contains_key(pool)
+    }
+
+    /// Lets late groups of overloaded pools go first as far as the share of late work allows. Groups
+    /// must be sorted.
+    fn promote_late_groups(&mut self, ready_groups: &mut [ReadyGroup]) {
+        if !self.uses(Mechanism::LateAside) {
+            return;
+        }
+        for group in ready_groups.iter_mut().filter(|group| group.key.is_late()) {
+            let Some(room) = self.late_room.get_mut(&group.queue.pool) else { continue };
+            let size = group.waiting_millicores();
+            if size <= *room {
+                *room -= size;
+                group.key.class = Class::LateShare;
+            }
+        }
     }
 
     /// Instances of the `wanted` pools on which tasks can be placed, by pool.
@@ -289,10 +330,12 @@
         let is_unplaceable = |(pool, size): &(&str, Resources)| {
             *pool == &*ready_group.queue.pool && size.fits(reserved) && group.requirement.is_none()
         };
-        let late = ready_group.key.is_late();
+        let late = ready_group.key.is_late() && ready_group.key.class != Class::LateShare;
         // While a pool lacks machines, late jobs leave its capacity to jobs that can still meet
         // their objective.
-        if late && self.holds_late_jobs() || unplaceable.iter().any(is_unplaceable) {
+        if late && self.holds_late_work(&ready_group.queue.pool)
+            || unplaceable.iter().any(is_unplaceable)
+        {
             return;
         }
         let Some(state) = ready_group.record.rounds.get(round as usize) else { return };
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -47,6 +47,9 @@
 
 /// Time within which the backlog is to be worked off.
 const BACKLOG_HORIZON_MS: u64 = 1200;
+/// Share of an overloaded pool that late work may take, in thousandths, so that every accepted job
+/// ends however long the overload lasts.
+const LATE_SHARE_PERMILLE: u64 = 100;
 /// Idle time after which a machine may go to a pool that needs it.
 const MOVE_IDLE_TIME: Duration = Duration::from_millis(100);
 /// Maximum number of machines provided to a pool for tasks whose admission policy denies all of its
@@ -78,13 +81,18 @@
         self.used + self.backlog / BACKLOG_HORIZON_MS
     }
 
-    /// Whether its capacity is too small for the work that can still meet its objective.
+    /// Whether its usable capacity is too small for the work that can still meet its objective.
     fn is_overloaded(&self) -> bool {
-        self.demand() > self.capacity
+        self.demand() > self.ready
+    }
+
+    /// Capacity that late work may still take while the pool is overloaded.
+    fn room_for_late_work(&self) -> u64 {
+        (self.ready / 1000 * LATE_SHARE_PERMILLE).saturating_sub(self.late)
     }
 
     /// Whether the pool can give away a machine of this capacity.
-    fn can_spare(&self, machine: u64) -> bool {
+    pub(crate) fn can_spare(&self, machine: u64) -> bool {
         self.capacity >= self.need().max(self.demand()) + machine
     }
 }
@@ -168,7 +176,7 @@
         let Some(config) = &table.config else { return };
         self.machines.update_largest();
         self.record_rounds(now, unix, table, since);
-        let mut pools = self.balances(now, unix, table, config);
+        let (mut pools, late) = self.balances(now, unix, table, config);
         self.set_min_capacities(&mut pools);
         if now >= self.last_report + Self::REPORT_INTERVAL {
             self.last_report = now;
@@ -195,7 +203,9 @@
         let rate = self.bounds.machine_orders_per_second;
         moves.truncate(self.order_budget.take(now, rate, moves.len()));
         let overloaded = pools.iter().filter(|(_, pool)| pool.is_overloaded());
-        self.overloaded_pools = overloaded.map(|(name, _)| name.clone()).collect();
+        self.late_room =
+            overloaded.map(|(name, pool)| (name.clone(), pool.room_for_late_work())).collect();
+        self.lend_machines(now, table, config, &mut pools, &late, effects);
         for (machine, pool) in moves {
             if let Some((incarnation, _)) = self.instance_on(&machine) {
                 let incarnation = incarnation.clone();
@@ -207,14 +217,15 @@
         }
     }
 
-    /// Supply and demand of every pool that a queue uses, except the spare pool.
+    /// Supply and demand of every pool that a queue uses, except the spare pool, and the jobs that can
+    /// no longer meet their objective.
     fn balances(
         &self,
         now: Time,
         unix: UnixMs,
         table: &Table,
         config: &Config,
-    ) -> BTreeMap<Name, PoolBalance> {
+    ) -> (BTreeMap<Name, PoolBalance>, BTreeSet<JobId>) {
         let used: BTreeSet<_> = config.queues.values().map(|queue| queue.pool.clone()).collect();
         let pools = config.pools.iter().filter(|(name, pool)| !pool.spare && used.contains(*name));
         let mut pools: BTreeMap<Name, PoolBalance> =
@@ -235,13 +246,14 @@
             let lasting = instance.attempts.values().filter(|attempt| attempt.long_lived);
             pool.lasting += lasting.map(|attempt| attempt.reserved.millicores).sum::<u64>();
             pool.late += instance.used.millicores.saturating_sub(in_time);
-            if !instance.is_usable(now) {
+            if !instance.is_sound(now) {
                 continue;
             }
             pool.capacity += size;
-            pool.ready += size;
+            pool.ready += if instance.lending { 0 } else { size };
             let machine = &announcement.machine;
-            let free = instance.attempts.is_empty() && now >= instance.last_busy + MOVE_IDLE_TIME;
+            let settled = instance.lending || now >= instance.last_busy + MOVE_IDLE_TIME;
+            let free = instance.attempts.is_empty() && settled;
             if free
                 && self.machines.may_order(now, machine)
                 && !self.machines.away.contains_key(machine)
@@ -276,7 +288,7 @@
                 pool.capacity += size;
             }
         }
-        pools
+        (pools, late)
     }
 
     /// Balance of a pool without supply and demand.
@@ -289,7 +301,7 @@
     fn is_usable_in(&self, now: Time, machine: &Name, pool: &Name) -> bool {
         self.instance_on(machine).is_some_and(|(_, instance)| {
             let of_pool = instance.announcement.as_ref().is_some_and(|a| a.pool == *pool);
-            of_pool && instance.is_usable(now)
+            of_pool && instance.is_sound(now)
         })
     }
 
@@ -306,7 +318,7 @@
         for due in DueRound::all(table, config, |_| Some(unix)) {
             let DueRound { record, round, queue, .. } = due;
             let Some(pool) = pools.get_mut(&queue.pool) else { continue };
-            if !self.can_meet_objective(unix, due) {
+            if record.surplus || !self.can_meet_objective(unix, due) {
                 late.insert(due.job);
                 let waits = due.waiting_groups().next().is_some();
                 pool.min_machines = pool.min_machines.max(u32::from(waits));
@@ -323,7 +335,7 @@
     /// Records that the work of a round of a job has arrived for its pool.
     pub(crate) fn record_arrival(&mut self, now: Time, table: &Table, record: &JobRecord) {
         let queue = table.config.as_ref().and_then(|config| config.queue(&record.queue));
-        let Some(queue) = queue else { return };
+        let Some(queue) = queue.filter(|_| !record.surplus) else { return };
         let largest = self.machines.largest;
         if record.spec.groups.iter().all(|group| group.reserved().fits(largest)) {
             let arrivals = self.arrivals.entry(queue.pool.clone()).or_default();
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -56,8 +56,9 @@
     pub(crate) recurring_jobs: BTreeSet<JobId>,
     /// Work that has arrived lately, by pool.
     pub(crate) arrivals: BTreeMap<Name, Arrivals>,
-    /// Pools whose capacity is too small for the work that can still meet its objective.
-    pub(crate) overloaded_pools: BTreeSet<Name>,
+    /// Pools whose capacity is too small for the work that can still meet its objective, with the
+    /// capacity that late work may still take there, in millicores.
+    pub(crate) late_room: BTreeMap<Name, u64>,
     /// When the balance of each pool was last logged.
     pub(crate) last_report: Time,
     pub(crate) machines: machines::Machines,
@@ -115,6 +116,8 @@
     pub(crate) const JOBS_PER_PLAN_INTERVAL: u32 = 250;
     /// Minimum time between passes that also look at late jobs.
     pub(crate) const LATE_PLAN_INTERVAL: Duration = Duration::from_millis(40);
+    /// The same while a pool is overloaded, since few of them can start.
+    pub(crate) const LATE_PLAN_INTERVAL_OVERLOADED: Duration = Duration::from_millis(250);
     /// Interval at which the run times observed for ended jobs are dropped.
     pub(crate) const FORGET_DURATIONS_INTERVAL: Duration = Duration::from_secs(1);
     /// Interval between planning passes without events, since rounds come due as time passes.
@@ -314,6 +317,7 @@
         self.arrivals.clear();
         self.recurring_jobs.clear();
         self.late_jobs.clear();
+        self.late_room.clear();
         self.calls.clear();
         self.published.clear();
         self.pending_ends.clear();
--- a/crates/model/src/mechanism.rs
+++ b/crates/model/src/mechanism.rs
@@ -22,11 +22,16 @@
     ArrivalRate,
     /// Idle machines that no pool needs go to the spare pool.
     Parking,
+    /// Busy machines that their pool does not need for work in time go to a pool that lacks capacity
+    /// once their tasks have ended.
+    Lending,
+    /// Late tasks that save checkpoints are stopped on machines that go to another pool.
+    Preemption,
 }
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 11] = [
         Self::ObjectiveFirst,
         Self::BegunFirst,
         Self::LateAside,
@@ -36,6 +41,8 @@
         Self::SpareInstance,
         Self::ArrivalRate,
         Self::Parking,
+        Self::Lending,
+        Self::Preemption,
     ];
 
     /// Its name in the settings.
@@ -50,6 +57,8 @@
             Self::SpareInstance => "spare-instance",
             Self::ArrivalRate => "arrival-rate",
             Self::Parking => "parking",
+            Self::Lending => "lending",
+            Self::Preemption => "preemption",
         }
     }
 }
