Latest start by the lower quartile of run times, need by the trend of arrivals, room for late work

Change: the time to spare is that of a job that is shorter than three quarters, with the observed overhead of commits and starts; the time that a group has run is subtracted; a rise of arrivals is extrapolated to the time at which a machine can work; idle machines that nobody needs for work in time go to late work, which keeps a tenth of the fleet.

--- a/crates/demand/src/arrivals.rs
+++ b/crates/demand/src/arrivals.rs
@@ -24,6 +24,10 @@
 ];
 /// Deviation by which a window may differ by chance, in standard deviations.
 const TOLERANCE: f64 = 1.0;
+/// Two windows of this length, one after the other, show whether the rate rises.
+const TREND_WINDOW: Duration = Duration::from_millis(500);
+/// The expected rate is at most this multiple of the present one, since a rise ends at some time.
+const MAX_GROWTH: f64 = 2.0;
 /// Weight of the latest job in the average work of a job.
 const MEAN_WORK_WEIGHT: f64 = 0.1;
 
@@ -54,15 +58,31 @@
         rate as u64
     }
 
+    /// Work that is expected to arrive in a millisecond at the time `ahead` from now. A rise of the
+    /// rate is taken to go on as far as it exceeds what may be chance: a burst takes seconds to
+    /// reach its peak, and capacity ordered at its first sign would be too small on arrival.
+    pub fn expected_rate(&self, now: Time, ahead: Duration) -> u64 {
+        let rate = self.rate(now) as f64;
+        let start = now.saturating_sub(TREND_WINDOW);
+        let (latest, latest_squares) = self.sum(now, TREND_WINDOW);
+        let (earlier, earlier_squares) = self.sum(start, TREND_WINDOW);
+        let deviation = TOLERANCE * (latest_squares + earlier_squares).sqrt();
+        let rise = (latest - earlier - deviation).max(0.0) / TREND_WINDOW.as_millis() as f64;
+        let growth = rise * ahead.as_secs_f64() / TREND_WINDOW.as_secs_f64();
+        (rate + growth).min(rate * MAX_GROWTH) as u64
+    }
+
+    /// Work of the jobs in the window that ends at `end`, and the sum of its squares.
+    fn sum(&self, end: Time, window: Duration) -> (f64, f64) {
+        let recent = self.recent.iter().rev().skip_while(|(at, _)| *at > end);
+        let recent = recent.take_while(|(at, _)| *at + window > end);
+        recent.fold((0.0, 0.0), |(work, squares), (_, job)| (work + job, squares + job * job))
+    }
+
     /// Mean rate in a window, and the lowest and highest rate that it agrees with.
     fn measure(&self, now: Time, window: Duration) -> (f64, f64, f64) {
         let length = window.as_millis() as f64;
-        let (mut work, mut squares) = (0.0, 0.0);
-        let recent = self.recent.iter().rev().take_while(|(at, _)| *at + window > now);
-        for (_, job) in recent {
-            work += job;
-            squares += job * job;
-        }
+        let (work, squares) = self.sum(now, window);
         let deviation = TOLERANCE * squares.sqrt();
         let low = (work - deviation).max(0.0);
         let high = work + deviation + TOLERANCE * self.mean_work;
--- a/crates/job/src/admission.rs
+++ b/crates/job/src/admission.rs
@@ -222,7 +222,8 @@
                 if blocked && !round.dependencies_started(group) {
                     continue;
                 }
-                let key = forecast.get_or_insert_with(|| self.forecast(due)).key(unix, due, group);
+                let key =
+                    forecast.get_or_insert_with(|| self.forecast(unix, due)).key(unix, due, group);
                 let (group_id, pool) = (due.group_id(position), &queue.pool);
                 let waiting = round.waiting[usize::from(position)];
                 needs.push(PermitNeed { group_id, group, pool, admission, blocked, waiting, key });
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -16,6 +16,7 @@
             return;
         }
         self.batch_in_flight = false;
+        self.record_commit_time(now.saturating_sub(self.batch_proposed_at));
         self.needs_planning = true;
         for incarnation in std::mem::take(&mut self.acknowledging) {
             if let Some(instance) = self.instances.get_mut(&incarnation) {
@@ -273,11 +274,12 @@
         }
         self.claiming = batch.claims.iter().map(|claim| (claim.task, claim.number)).collect();
         self.batch_in_flight = true;
+        self.batch_proposed_at = now;
         effects.push(Effect::Propose(batch));
     }
 
     /// Minimum time between planning passes. A pass takes longer the more jobs wait.
-    fn plan_interval(&self) -> Duration {
+    pub(crate) fn plan_interval(&self) -> Duration {
         let waiting = self.open_jobs.len() as u32;
         Self::PLAN_INTERVAL + Self::PLAN_INTERVAL * waiting / Self::JOBS_PER_PLAN_INTERVAL
     }
--- a/crates/job/src/group.rs
+++ b/crates/job/src/group.rs
@@ -57,6 +57,17 @@
         self.size.millicores.saturating_mul(self.estimate.as_millis() as u64)
     }
 
+    /// Number of the `largest` machines that it takes to start a task, or the whole gang; 0 if a task
+    /// does not fit one.
+    pub(crate) fn machines(&self, largest: Resources) -> u32 {
+        if !self.reserved().fits(largest) {
+            return 0;
+        }
+        let tasks_per_machine = largest.millicores / self.reserved().millicores.max(1);
+        let tasks = if self.gang { u64::from(self.count) } else { 1 };
+        tasks.div_ceil(tasks_per_machine.max(1)) as u32
+    }
+
     /// What starts at the same time at least: one task, or all tasks of a gang.
     pub fn smallest_start(&self) -> Resources {
         let Resources { millicores, memory_mb, accelerators } = self.size;
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -22,15 +22,18 @@
 }
 
 impl ReadyGroup<'_> {
+    /// Number of tasks that wait to be started.
+    fn waiting_tasks(&self) -> usize {
+        let GroupId { round, group, .. } = self.group_id;
+        let round = self.record.rounds.get(round as usize);
+        round.map_or(0, |round| usize::from(round.waiting[usize::from(group)]))
+    }
+
     /// Processor demand of the tasks that wait to be started.
     fn waiting_millicores(&self) -> u64 {
-        let GroupId { round, group, .. } = self.group_id;
-        let waiting = self
-            .record
-            .rounds
-            .get(round as usize)
-            .map_or(0, |round| round.waiting[usize::from(group)]);
-        u64::from(waiting) * self.record.spec.groups[usize::from(group)].reserved().millicores
+        let GroupId { group, .. } = self.group_id;
+        self.waiting_tasks() as u64
+            * self.record.spec.groups[usize::from(group)].reserved().millicores
     }
 
     /// Log entry about tasks of the group that were placed.
@@ -185,8 +188,12 @@
             let Some(hosts) = hosts.get_mut(&ready_group.queue.pool) else { continue };
             let before = claims.len();
             self.place(now, &ready_group, hosts, &mut unplaceable, &mut claims);
-            if claims.len() > before {
-                effects.push(ready_group.placement_note(claims.len() - before));
+            let placed = claims.len() - before;
+            if placed == ready_group.waiting_tasks() {
+                self.durations.record_placed(ready_group.group_id, unix);
+            }
+            if placed > 0 {
+                effects.push(ready_group.placement_note(placed));
             }
         }
         self.open_jobs = &open_jobs - &late;
@@ -266,7 +273,7 @@
                 due.waiting_groups().filter(|(_, group)| due.round.dependencies_done(group));
             let mut forecast = None;
             for (position, group) in ready {
-                let forecast = *forecast.get_or_insert_with(|| self.forecast(due));
+                let forecast = *forecast.get_or_insert_with(|| self.forecast(unix, due));
                 let key = forecast.key(unix, due, group).with(&self.mechanisms, due.at);
                 let group_id = due.group_id(position);
                 ready_groups.push(ReadyGroup {
@@ -282,20 +289,21 @@
 
     /// Whether a round can still meet its objective; a continuous one always can.
     pub(crate) fn can_meet_objective(&self, unix: UnixMs, due: DueRound) -> bool {
-        let Forecast { objective, remaining } = self.forecast(due);
+        let Forecast { objective, remaining } = self.forecast(unix, due);
         due.record.spec.is_continuous() || unix.saturating_sub(due.at) + remaining <= objective
     }
 
     /// Estimates the objective and the remaining time of a round.
-    pub(crate) fn forecast(&self, due: DueRound) -> Forecast {
+    pub(crate) fn forecast(&self, unix: UnixMs, due: DueRound) -> Forecast {
         let DueRound { record, round, queue, .. } = due;
         let groups = &record.spec.groups;
         let delay = queue.admission.map_or(Duration::ZERO, |admission| admission.min_delay());
+        let overhead = self.group_overhead();
         let mut all_ends: Vec<Duration> = Vec::with_capacity(groups.len());
         let mut remaining_ends: Vec<Duration> = Vec::with_capacity(groups.len());
         for (position, group) in groups.iter().enumerate() {
             let expected = if self.uses(Mechanism::LearnedDurations) {
-                self.durations.estimate(&queue.name, due.group_id(position as u16), group)
+                self.durations.lower_quartile(&queue.name, due.group_id(position as u16), group)
             } else {
                 group.estimate
             };
@@ -304,7 +312,14 @@
                 before.copied().unwrap_or_default()
             };
             all_ends.push(before(&all_ends) + delay + expected);
-            let expected = if round.open[position] == 0 { Duration::ZERO } else { expected };
+            let expected = match (round.open[position], round.waiting[position]) {
+                (0, _) => Duration::ZERO,
+                (_, 0) => {
+                    let group_id = due.group_id(position as u16);
+                    (expected + overhead).saturating_sub(self.durations.running_for(group_id, unix))
+                }
+                _ => expected + overhead,
+            };
             remaining_ends.push(before(&remaining_ends) + expected);
         }
         let critical_path = all_ends.into_iter().max().unwrap_or_default();
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -29,8 +29,13 @@
     /// Work that is ready to start, of jobs that can still meet their objective, in
     /// millicore-milliseconds.
     pub(crate) backlog: u64,
+    /// The same of jobs that can no longer meet their objective or exceed the agreed rate of their
+    /// organisation.
+    pub(crate) late_backlog: u64,
     /// Rate at which work arrives.
     pub(crate) arriving: u64,
+    /// Rate at which work is expected to arrive when a machine ordered now starts to work.
+    pub(crate) expected: u64,
     /// Reserved by continuous tasks.
     pub(crate) lasting: u64,
     /// Time that a machine takes to get into the pool, in milliseconds.
@@ -47,6 +52,8 @@
 
 /// Time within which the backlog is to be worked off.
 const BACKLOG_HORIZON_MS: u64 = 1200;
+/// Time within which idle machines of other pools are to work off the backlog of late jobs.
+const LATE_BACKLOG_HORIZON_MS: u64 = 2400;
 /// Share of an overloaded pool that late work may take, in thousandths, so that every accepted job
 /// ends however long the overload lasts.
 const LATE_SHARE_PERMILLE: u64 = 100;
@@ -59,16 +66,16 @@
 impl PoolBalance {
     /// Capacity that the pool should have.
     pub(crate) fn need(&self) -> u64 {
-        let working = self.used.max(self.arriving + self.lasting);
+        let working = self.used.max(self.expected + self.lasting);
         (working + self.expected_backlog() / BACKLOG_HORIZON_MS).max(self.min_capacity)
     }
 
-    /// Backlog by the time at which a machine that is ordered now starts to work, if work goes on
-    /// arriving at the present rate.
+    /// Backlog by the time at which a machine that is ordered now starts to work.
     fn expected_backlog(&self) -> u64 {
         let serving = self.ready.saturating_sub(self.late + self.lasting);
         let worked_off = serving * self.move_ms + self.underway;
-        (self.backlog + self.arriving * self.move_ms).saturating_sub(worked_off)
+        let arriving = (self.arriving + self.expected) / 2;
+        (self.backlog + arriving * self.move_ms).saturating_sub(worked_off)
     }
 
     /// Missing capacity.
@@ -76,6 +83,12 @@
         self.need().saturating_sub(self.capacity)
     }
 
+    /// Capacity that late work lacks beside work that can be in time.
+    fn late_shortage(&self) -> u64 {
+        let late = self.late + self.late_backlog / LATE_BACKLOG_HORIZON_MS;
+        (self.need().max(self.demand()) + late).saturating_sub(self.capacity)
+    }
+
     /// Capacity for the work that runs or is ready now.
     fn demand(&self) -> u64 {
         self.used + self.backlog / BACKLOG_HORIZON_MS
@@ -122,6 +135,7 @@
             moves.push((machine, receiver.clone()));
         }
     }
+    moves.extend(move_for_late_work(pools, parked));
     let Some(spare) = spare else { return moves };
     for pool in pools.values_mut() {
         while let Some(position) = pool.idle.iter().position(|(machine, _)| park(machine)) {
@@ -135,6 +149,28 @@
     moves
 }
 
+/// Moves idle machines that no pool needs for work in time to pools with late work.
+fn move_for_late_work(
+    pools: &mut BTreeMap<Name, PoolBalance>,
+    parked: &mut Vec<(Name, u64)>,
+) -> Vec<(Name, Name)> {
+    let mut moves = Vec::new();
+    let mut by_shortage: Vec<_> =
+        pools.iter().map(|(name, pool)| (pool.late_shortage(), name.clone())).collect();
+    by_shortage.sort_by(|a, b| b.cmp(a));
+    for (_, receiver) in by_shortage {
+        while pools[&receiver].late_shortage() > 0 {
+            let machine = take_surplus_machine(pools, &receiver).or_else(|| parked.pop());
+            let Some((machine, size)) = machine else { break };
+            if let Some(pool) = pools.get_mut(&receiver) {
+                pool.capacity += size;
+            }
+            moves.push((machine, receiver.clone()));
+        }
+    }
+    moves
+}
+
 /// Takes an idle machine from the pool with the largest surplus.
 fn take_surplus_machine(
     pools: &mut BTreeMap<Name, PoolBalance>,
@@ -234,6 +270,8 @@
         for (name, pool) in &mut pools {
             let arrivals = self.arrivals.get(name).filter(|_| self.uses(Mechanism::ArrivalRate));
             pool.arriving = arrivals.map_or(0, |arrivals| arrivals.rate(now));
+            let ahead = Duration::from_millis(pool.move_ms);
+            pool.expected = arrivals.map_or(0, |arrivals| arrivals.expected_rate(now, ahead));
         }
         let mut idle = Vec::new();
         for instance in self.instances.values() {
@@ -320,8 +358,10 @@
             let Some(pool) = pools.get_mut(&queue.pool) else { continue };
             if record.surplus || !self.can_meet_objective(unix, due) {
                 late.insert(due.job);
-                let waits = due.waiting_groups().next().is_some();
-                pool.min_machines = pool.min_machines.max(u32::from(waits));
+                let machines = due.waiting_groups().map(|(_, group)| group.machines(largest));
+                pool.min_machines = pool.min_machines.max(machines.max().unwrap_or_default());
+                let ready = round.ready_work(&record.spec, largest);
+                pool.late_backlog = pool.late_backlog.saturating_add(ready);
                 continue;
             }
             pool.backlog = pool.backlog.saturating_add(round.ready_work(&record.spec, largest));
@@ -359,9 +399,17 @@
     /// Sets the minimum capacity of each pool.
     fn set_min_capacities(&self, pools: &mut BTreeMap<Name, PoolBalance>) {
         let sizes = self.machines.listed.values().map(|machine| machine.capacity.millicores);
-        let machine = sizes.sum::<u64>() / (self.machines.listed.len() as u64).max(1);
+        let total = sizes.sum::<u64>();
+        let machine = total / (self.machines.listed.len() as u64).max(1);
+        let late_backlog = pools.values().map(|pool| pool.late_backlog).sum::<u64>();
         for (name, pool) in pools {
+            let wanted = pool.late + pool.late_backlog / LATE_BACKLOG_HORIZON_MS;
+            let share = u128::from(total / 1000 * LATE_SHARE_PERMILLE)
+                * u128::from(pool.late_backlog)
+                / u128::from(late_backlog.max(1));
+            let for_late_work = wanted.min(share as u64);
             pool.min_capacity = u64::from(pool.min_machines) * machine;
+            pool.min_capacity = pool.min_capacity.max(pool.lasting + for_late_work);
             if self.admissions.denies_whole_pool(name) {
                 let limit = MAX_MACHINES_WHILE_DENIED * machine;
                 pool.min_capacity = pool.min_capacity.max((pool.capacity + machine).min(limit));
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -68,6 +68,10 @@
     pub(crate) durations: DurationEstimator,
     /// Moving average of the time from a start request to its answer.
     mean_start_time: Duration,
+    /// Moving average of the time that a batch takes to be committed.
+    mean_commit_time: Duration,
+    /// When the batch that is being committed was proposed.
+    pub(crate) batch_proposed_at: Time,
     /// Which instances the admission policies of the queues allow.
     pub(crate) admissions: AdmissionState,
 }
@@ -483,6 +487,19 @@
         self.mean_start_time = self.mean_start_time * (divisor - 1) / divisor + took / divisor;
     }
 
+    /// Adds the time until a batch was committed to the moving average.
+    pub(crate) fn record_commit_time(&mut self, took: Duration) {
+        let divisor = Self::START_TIME_WEIGHT_DIVISOR;
+        self.mean_commit_time = self.mean_commit_time * (divisor - 1) / divisor + took / divisor;
+    }
+
+    /// Time that a group takes beyond the run time of its tasks: its claims are committed, its tasks
+    /// are started, and their ends are committed. Before a batch can be proposed, the one in flight
+    /// has to be committed, and a planning pass is due.
+    pub(crate) fn group_overhead(&self) -> Duration {
+        self.mean_commit_time * 3 + self.mean_start_time + self.plan_interval()
+    }
+
     pub(crate) fn next_call_id(&mut self) -> CallId {
         self.last_call_id += 1;
         self.last_call_id
