Limits of organisations: a ledger of attempts, and checks from outside

Cause: nothing counted what an organisation has at work, so its limit had no effect.

Change: the ledger counts the full size of each attempt by organisation, from the proposal of its claim until its end is committed. Attempts of a dropped instance stay counted until then; a rejected claim is removed also if its instance was dropped meanwhile. Placement starts a task only if the limit has room, and a gang only as a whole. A task that exceeds a lowered limit starts while its organisation has nothing at work; once it is late, nothing else of the organisation starts before it, since a stream of small tasks would keep it waiting for ever. This does not apply while a long-lived task of the organisation runs, since the usage then never gets to zero.

The fuzz test draws organisations, limits and gangs.

Mutations of the ledger, each reverted. Each makes tests of limits.rs and the fuzz test fail, also without the exact check at every tick, unless noted: - claims count from their start only - attempts that are starting, running, being stopped or in doubt do not count (four mutations) - a new leader does not count the claims that it takes over - attempts whose end is being committed do not count (found by the exact check alone; nothing runs for them) - rejected claims of lost instances stay counted (limits.rs) - late large tasks are not let in before others (limits.rs)

--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -31,11 +31,13 @@
         }
         self.send_committed_orders(now, effects);
         // Drop the claims that the table rejected.
+        let claimed = |outcome: &Outcome| match outcome {
+            Outcome::Claimed(claim) => Some((claim.task, claim.number)),
+            _ => None,
+        };
+        let claimed: BTreeSet<_> = outcomes.iter().filter_map(claimed).collect();
         for (task, number) in std::mem::take(&mut self.claiming) {
-            let incarnation = self.assigned.get(&task);
-            let instance = incarnation.and_then(|incarnation| self.instances.get(incarnation));
-            let attempt = instance.and_then(|instance| instance.attempts.get(&task));
-            if attempt.is_some_and(|a| a.number == number && a.stage == Stage::Proposed) {
+            if !claimed.contains(&(task, number)) {
                 self.unassign(&task, number);
             }
         }
--- a/crates/job/src/group.rs
+++ b/crates/job/src/group.rs
@@ -57,6 +57,11 @@
         self.size.millicores.saturating_mul(self.estimate.as_millis() as u64)
     }
 
+    /// Whether several tasks can only run at the same time.
+    pub(crate) fn is_gang(&self) -> bool {
+        self.gang && self.count > 1
+    }
+
     /// What starts at the same time at least: one task, or all tasks of a gang.
     pub fn smallest_start(&self) -> Resources {
         let Resources { millicores, memory_mb, accelerators } = self.size;
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -42,6 +42,7 @@
 mod job_state;
 mod key_digest;
 mod leader;
+mod ledger;
 mod machine;
 mod machines;
 mod maintenance;
@@ -70,6 +71,7 @@
     due::DueRound,
     durations::DurationEstimator,
     instance::{Attempt, Instance, Stage},
+    ledger::{Charge, Ledger},
     order_budget::OrderBudget,
     rates::Rates,
     round::Round,
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -19,6 +19,8 @@
     group_id: GroupId,
     record: &'a JobRecord,
     pub(crate) queue: &'a Queue,
+    /// Name and configuration of its organisation, if both are known.
+    organisation: Option<(&'a Name, &'a Organisation)>,
 }
 
 impl ReadyGroup<'_> {
@@ -158,6 +160,7 @@
             ready_groups.iter().filter(is_late).map(|group| group.group_id.job).collect();
         let wanted = ready_groups.iter().map(|ready_group| &ready_group.queue.pool).collect();
         let mut hosts = self.hosts(now, &wanted);
+        self.let_large_tasks_start(now, table, config, &ready_groups);
         let mut claims = Vec::new();
         let mut unplaceable = Unplaceable::new();
         for ready_group in ready_groups {
@@ -224,6 +227,8 @@
             let ready =
                 due.waiting_groups().filter(|(_, group)| due.round.dependencies_done(group));
             let mut forecast = None;
+            let name = due.record.organisation.as_ref();
+            let organisation = name.and_then(|name| Some((name, config.organisation(name)?)));
             for (position, group) in ready {
                 let forecast = *forecast.get_or_insert_with(|| self.forecast(due));
                 let key = forecast.key(unix, due, group).with(&self.mechanisms, due.at);
@@ -233,6 +238,7 @@
                     group_id,
                     record: due.record,
                     queue: due.queue,
+                    organisation,
                 });
             }
         }
@@ -305,11 +311,20 @@
             task_states.iter().map(|task_state| task_state.number).max().unwrap_or(0) + 1;
         let first = claims.len();
         let mut rack = None;
+        let admitted = |scheduler: &Self| {
+            ready_group.organisation.is_none_or(|(name, organisation)| {
+                scheduler.ledger.admits(name, organisation, ready_group.group_id, group)
+            })
+        };
+        let admits_gang = !group.gang || admitted(self);
         for (index, task_state) in task_states.iter().enumerate() {
             let task = TaskId { job, round, group: position, index: index as u16 };
             if task_state.phase != Phase::Waiting || self.assigned.contains_key(&task) {
                 continue;
             }
+            if !admits_gang || !group.gang && !admitted(self) {
+                break;
+            }
             let Some(host) = self.choose(now, ready_group, group, task, rack.as_ref(), hosts)
             else {
                 let unrestricted = group.max_per_instance.is_none() && group.data_rack.is_none();
@@ -326,6 +341,7 @@
                 &incarnation,
                 task,
                 Attempt::new(number, Stage::Proposed, Some(group), now),
+                Some(Charge::new(ready_group.record, group)),
             );
             host.free = host.free.saturating_sub(reserved);
             host.long_lived += usize::from(group.is_long_lived());
@@ -347,6 +363,59 @@
         }
     }
 
+    /// Finds late groups with tasks that exceed the limit of their organisation by themselves, which
+    /// happens after a limit was lowered. They may start only while nothing else of the organisation
+    /// is at work; without further care, a steady stream of small tasks would keep them waiting for
+    /// ever.
+    fn let_large_tasks_start(
+        &mut self,
+        now: Time,
+        table: &Table,
+        config: &Config,
+        ready_groups: &[ReadyGroup],
+    ) {
+        let holds_late_jobs = self.holds_late_jobs();
+        let is_large = |name: &Name, group: &Group| {
+            let organisation = config.organisation(name);
+            organisation.is_some_and(|organisation| organisation.exceeds_limit(group.size))
+        };
+        self.ledger.retain_alone(|name, GroupId { job, round, group }| {
+            let Some(record) = table.jobs.get(&job) else { return false };
+            let state = record.rounds.get(round as usize);
+            let waits = state.is_some_and(|state| state.waiting[usize::from(group)] > 0);
+            let declared = &record.spec.groups[usize::from(group)];
+            !holds_late_jobs && !record.state.is_terminal() && waits && is_large(name, declared)
+        });
+        if holds_late_jobs {
+            return;
+        }
+        for ready_group in ready_groups {
+            let Some((name, organisation)) = ready_group.organisation else { continue };
+            let GroupId { group, .. } = ready_group.group_id;
+            let group = &ready_group.record.spec.groups[usize::from(group)];
+            let is_late = ready_group.key.slack == 0 && !group.is_long_lived();
+            if organisation.exceeds_limit(group.size)
+                && is_late
+                && !group.is_gang()
+                && self.fits_an_instance(now, &ready_group.queue.pool, group)
+            {
+                self.ledger.start_alone(name, ready_group.group_id);
+            }
+        }
+    }
+
+    /// Whether an instance of a pool could run a task of `group` if it ran nothing else.
+    fn fits_an_instance(&self, now: Time, pool: &Name, group: &Group) -> bool {
+        let fits = |instance: &Instance| {
+            instance.announcement.as_ref().is_some_and(|announcement| {
+                announcement.pool == *pool
+                    && group.reserved().fits(announcement.capacity)
+                    && group.accepts(&announcement.labels)
+            })
+        };
+        self.instances.values().any(|instance| instance.is_usable(now) && fits(instance))
+    }
+
     /// Chooses one of the instances that fit. It prefers, in this order: the wanted rack; for a
     /// best-effort task, an instance whose tasks have no latency target; for a long-lived task, the
     /// instance with the most long-lived tasks; the fullest instance.
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -13,6 +13,8 @@
     pub(crate) instances: BTreeMap<Incarnation, Instance>,
     /// Incarnation that each attempt without a committed end was assigned to.
     pub(crate) assigned: BTreeMap<TaskId, Incarnation>,
+    /// What these attempts, and those that ended since the last batch, count for.
+    pub(crate) ledger: Ledger,
     /// Latest incarnation heard from on each machine.
     pub(crate) latest_on_machine: BTreeMap<Name, Incarnation>,
     /// Instances whose stops and renewals are checked after the current event.
@@ -145,6 +147,12 @@
         Some(&self.instances.get(incarnation)?.announcement.as_ref()?.data_center)
     }
 
+    /// Resources at work for an organisation, or for jobs without one, as the leader counts them:
+    /// each attempt from the proposal of its claim until its end is committed.
+    pub fn at_work(&self, organisation: Option<&Name>) -> Resources {
+        self.ledger.at_work(organisation)
+    }
+
     /// Number of instances in each data centre.
     pub fn instances_by_data_center(&self) -> BTreeMap<Name, usize> {
         let mut counts = BTreeMap::<Name, usize>::new();
@@ -278,7 +286,8 @@
                 attempt.stop_requested = record.state.is_terminal();
                 let instance = self.instances.entry(claim.incarnation.clone());
                 instance.or_insert_with(|| Instance::new(None, now, lease_expires));
-                self.assign(&claim.incarnation, claim.task, attempt);
+                let charge = group.map(|group| Charge::new(record, group));
+                self.assign(&claim.incarnation, claim.task, attempt, charge);
             }
         }
         let replaced: Vec<_> = self.replaced().collect();
@@ -307,6 +316,7 @@
         self.instances.clear();
         self.current_starts.clear();
         self.assigned.clear();
+        self.ledger.clear();
         self.latest_on_machine.clear();
         self.touched.clear();
         self.acknowledging.clear();
@@ -385,7 +395,8 @@
         self.published.retain(|_, (_, at)| is_recent(*at));
     }
 
-    /// Handles the end of an incarnation: what ran there is lost.
+    /// Handles the end of an incarnation: what ran there is lost. It stays in the ledger until its
+    /// end is committed.
     ///
     /// Requests are addressed by instance name, so a start request that was not answered, that was
     /// sent by an earlier leader, or whose answer does not show which incarnation gave it, may have
@@ -417,7 +428,7 @@
                     attempt.conclusive_from = None;
                     let instance = self.instances.entry(successor.clone());
                     instance.or_insert_with(|| Instance::new(None, now, now));
-                    self.assign(successor, task, attempt);
+                    self.assign(successor, task, attempt, None);
                 }
                 _ => {
                     let Attempt { number, checkpoint, .. } = attempt;
@@ -433,16 +444,28 @@
         effects.push(note("instance-lost", incarnation.to_string(), why.into()));
     }
 
-    /// Assigns an attempt to an instance.
-    pub(crate) fn assign(&mut self, incarnation: &Incarnation, task: TaskId, attempt: Attempt) {
+    /// Assigns an attempt to an instance. `charge` is what it counts for, unless it is counted
+    /// already.
+    pub(crate) fn assign(
+        &mut self,
+        incarnation: &Incarnation,
+        task: TaskId,
+        attempt: Attempt,
+        charge: Option<Charge>,
+    ) {
         if let Some(instance) = self.instances.get_mut(incarnation) {
+            if let Some(charge) = charge {
+                self.ledger.add(task, attempt.number, charge);
+            }
             instance.insert(task, attempt);
             self.assigned.insert(task, incarnation.clone());
         }
     }
 
-    /// Removes an attempt from its instance.
+    /// Removes an attempt from its instance, and stops counting it. Its instance may have been
+    /// dropped earlier.
     pub(crate) fn unassign(&mut self, task: &TaskId, number: AttemptNumber) -> Option<Attempt> {
+        self.ledger.remove(*task, number);
         let instance = self.instances.get_mut(self.assigned.get(task)?)?;
         let attempt = instance.remove(task, number)?;
         self.assigned.remove(task);
--- a/crates/job/tests/world/instance.rs
+++ b/crates/job/tests/world/instance.rs
@@ -27,6 +27,9 @@
 pub struct Run {
     pub number: AttemptNumber,
     pub reserved: Resources,
+    /// Full size of the task.
+    pub size: Resources,
+    pub organisation: Option<Name>,
     pub since: u64,
     /// When it ends by itself; `None` for a continuous task.
     pub until: Option<u64>,
