Weighted dominant resource fairness among organisations, and tests of contention

Cause: in a full pool the most urgent job went first, so an organisation with many jobs got most of the room.

Change: among groups of the same class, queue priority and state (begun or not), the organisation with the lowest dominant share divided by its weight goes first, then its priority, then the slack. Shares are updated after each group placed. Jobs without an organisation count as one more organisation of mean weight. `fair-shares` in [policies] switches it off. Groups that fit no instance's free resources are left out before the order is made; this changes no placement and keeps the cost of a pass over a full pool.

--- a/crates/job/src/config.rs
+++ b/crates/job/src/config.rs
@@ -51,6 +51,19 @@
         self.organisations.get(name)
     }
 
+    /// The lowest limit of all organisations on each resource; the maximum if none has one.
+    pub(crate) fn smallest_limit(&self) -> Resources {
+        let lowest = |limit: fn(&Resources) -> u64| {
+            let limits = self.organisations.values().map(|each| limit(&each.limit));
+            limits.filter(|limit| *limit > 0).min().unwrap_or(u64::MAX)
+        };
+        Resources {
+            millicores: lowest(|limit| limit.millicores),
+            memory_mb: lowest(|limit| limit.memory_mb),
+            accelerators: lowest(|limit| limit.accelerators),
+        }
+    }
+
     /// The name of the organisation with this key.
     pub fn organisation_of(&self, key: &KeyDigest) -> Option<&Name> {
         self.keys.get(key)
--- a/crates/job/src/ledger.rs
+++ b/crates/job/src/ledger.rs
@@ -10,16 +10,22 @@
     /// What each attempt counts for.
     charges: BTreeMap<(TaskId, AttemptNumber), Charge>,
     /// Sums of the charges by organisation.
-    usage: BTreeMap<Name, Resources>,
+    accounts: Map<Name, Account>,
     /// Sum of the charges of jobs without an organisation.
     anonymous: Resources,
-    /// Number of long-lived attempts by organisation.
-    long_lived: BTreeMap<Name, usize>,
     /// A group by organisation that exceeds the limit and has waited too long. Nothing else starts
     /// for the organisation, so that its usage gets to zero and a task of the group may start.
     next_alone: BTreeMap<Name, GroupId>,
 }
 
+/// Sums of the charges of an organisation.
+#[derive(Debug, Default)]
+struct Account {
+    usage: Resources,
+    /// Number of long-lived attempts.
+    long_lived: usize,
+}
+
 /// What an attempt counts for in the [`Ledger`].
 #[derive(Debug, Clone)]
 pub(crate) struct Charge {
@@ -49,17 +55,22 @@
 impl Ledger {
     /// Counts an attempt, unless it is counted already.
     pub(crate) fn add(&mut self, task: TaskId, number: AttemptNumber, charge: Charge) {
-        if self.charges.contains_key(&(task, number)) {
+        let std::collections::btree_map::Entry::Vacant(vacant) = self.charges.entry((task, number))
+        else {
             return;
-        }
+        };
         match &charge.organisation {
             Some(name) => {
-                *self.usage.entry(name.clone()).or_default() += charge.size;
-                *self.long_lived.entry(name.clone()).or_default() += usize::from(charge.long_lived);
+                let account = match self.accounts.get_mut(name) {
+                    Some(account) => account,
+                    None => self.accounts.entry(name.clone()).or_default(),
+                };
+                account.usage += charge.size;
+                account.long_lived += usize::from(charge.long_lived);
             }
             None => self.anonymous += charge.size,
         }
-        self.charges.insert((task, number), charge);
+        vacant.insert(charge);
     }
 
     /// Stops counting an attempt.
@@ -69,18 +80,16 @@
             self.anonymous = self.anonymous.saturating_sub(charge.size);
             return;
         };
-        if let Some(usage) = self.usage.get_mut(&name) {
-            *usage = usage.saturating_sub(charge.size);
-        }
-        if let Some(long_lived) = self.long_lived.get_mut(&name) {
-            *long_lived -= usize::from(charge.long_lived);
+        if let Some(account) = self.accounts.get_mut(&name) {
+            account.usage = account.usage.saturating_sub(charge.size);
+            account.long_lived -= usize::from(charge.long_lived);
         }
     }
 
     /// Resources at work for an organisation, or for jobs without one.
     pub(crate) fn at_work(&self, organisation: Option<&Name>) -> Resources {
         let Some(name) = organisation else { return self.anonymous };
-        self.usage.get(name).copied().unwrap_or_default()
+        self.accounts.get(name).map(|account| account.usage).unwrap_or_default()
     }
 
     /// What an organisation may still start; an amount without a limit is the maximum.
@@ -95,27 +104,35 @@
         }
     }
 
-    /// Whether the limit of an organisation allows one more task of `group`, or the whole gang. A
-    /// task that exceeds the limit by itself may start while nothing else is at work, since an
-    /// accepted job must end after the limit was lowered.
-    pub(crate) fn admits(
+    /// Number of tasks of `group` that the limit of an organisation allows to start now; for a gang,
+    /// all or none. One task that exceeds the limit by itself may start while nothing else is at
+    /// work, since an accepted job must end after the limit was lowered.
+    pub(crate) fn admitted(
         &self,
         name: &Name,
         organisation: &Organisation,
         group_id: GroupId,
         group: &Group,
-    ) -> bool {
+    ) -> u64 {
         if self.next_alone.get(name).is_some_and(|next| *next != group_id) {
-            return false;
+            return 0;
+        }
+        let room = self.room(name, organisation);
+        if group.is_gang() {
+            let fits = group.smallest_start().fits(room);
+            return if fits { u64::from(group.count) } else { 0 };
+        }
+        let is_alone = || self.at_work(Some(name)) == Resources::default();
+        match room.capacity_for(group.size) {
+            0 if is_alone() => 1,
+            tasks => tasks,
         }
-        let idle = || self.at_work(Some(name)) == Resources::default();
-        group.smallest_start().fits(self.room(name, organisation)) || !group.is_gang() && idle()
     }
 
     /// Lets a group be the next of its organisation, unless another one is or a long-lived task of
     /// the organisation is at work, with which the usage never gets to zero.
     pub(crate) fn start_alone(&mut self, name: &Name, group_id: GroupId) {
-        if self.long_lived.get(name).is_none_or(|long_lived| *long_lived == 0) {
+        if self.accounts.get(name).is_none_or(|account| account.long_lived == 0) {
             self.next_alone.entry(name.clone()).or_insert(group_id);
         }
     }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -59,6 +59,7 @@
 mod reply;
 mod round;
 mod scheduler;
+mod shares;
 mod spec;
 mod table;
 mod task_id;
@@ -75,6 +76,7 @@
     order_budget::OrderBudget,
     rates::Rates,
     round::Round,
+    shares::Filling,
 };
 pub use {
     admission::{AdmissionPolicy, AdmissionQuery, AdmissionResult, Permit},
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -3,8 +3,8 @@
 //! Demand comes in bursts of about five times its mean, more than a pool can hold. Serving such a
 //! burst in order of arrival would make every job late. Instead, groups are placed by class: first
 //! continuous tasks, then jobs that can still meet their objective, then late jobs, and best-effort
-//! tasks last. Within a class and priority, jobs that have begun are finished first, and then the
-//! most urgent job goes first.
+//! tasks last. Within a class and priority, jobs that have begun are finished first, then
+//! organisations with a low share go first, and then the most urgent job does.
 //!
 //! A job earns its full value when it meets its objective, part of it up to three times the
 //! objective, and nothing after that.
@@ -16,14 +16,40 @@
 #[derive(Debug)]
 pub(crate) struct ReadyGroup<'a> {
     key: PlacementKey,
-    group_id: GroupId,
+    pub(crate) group_id: GroupId,
     record: &'a JobRecord,
     pub(crate) queue: &'a Queue,
-    /// Name and configuration of its organisation, if both are known.
-    organisation: Option<(&'a Name, &'a Organisation)>,
 }
 
+/// What comes before the order among organisations; lower ranks go first.
+pub(crate) type Rank = (Class, u8, std::cmp::Reverse<bool>);
+
 impl ReadyGroup<'_> {
+    pub(crate) fn rank(&self) -> Rank {
+        (self.key.class, self.key.priority, self.key.begun)
+    }
+
+    pub(crate) fn slack(&self) -> u64 {
+        self.key.slack
+    }
+
+    pub(crate) fn group(&self) -> &Group {
+        &self.record.spec.groups[usize::from(self.group_id.group)]
+    }
+
+    pub(crate) fn organisation_name(&self) -> Option<&Name> {
+        self.record.organisation.as_ref()
+    }
+
+    /// Name and configuration of its organisation, if both are known.
+    pub(crate) fn organisation<'a>(
+        &'a self,
+        config: &'a Config,
+    ) -> Option<(&'a Name, &'a Organisation)> {
+        let name = self.organisation_name()?;
+        Some((name, config.organisation(name)?))
+    }
+
     /// Log entry about tasks of the group that were placed.
     fn placement_note(&self, tasks: usize) -> Effect {
         let PlacementKey { class, slack, .. } = self.key;
@@ -105,7 +131,7 @@
 /// Class of a group by the value that it can still earn, highest first. The variants are printed in
 /// the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Class {
+pub(crate) enum Class {
     /// Runs until cancelled, and earns value all the time.
     Lasting,
     /// Can meet its objective.
@@ -163,11 +189,26 @@
         self.let_large_tasks_start(now, table, config, &ready_groups);
         let mut claims = Vec::new();
         let mut unplaceable = Unplaceable::new();
-        for ready_group in ready_groups {
+        // Most groups have no room while a pool is full; the order among these does not matter.
+        let largest_free = |hosts: &Vec<Host>| {
+            hosts.iter().map(|host| host.free).fold(Resources::default(), Resources::max)
+        };
+        let largest_free: BTreeMap<_, _> =
+            hosts.iter().map(|(pool, hosts)| (pool.clone(), largest_free(hosts))).collect();
+        ready_groups.retain(|ready_group| {
+            let free = largest_free.get(&ready_group.queue.pool);
+            free.is_some_and(|free| ready_group.group().reserved().fits(*free))
+        });
+        let shares = if ready_groups.is_empty() { None } else { self.shares(now, config) };
+        let mut filling = Filling::new(ready_groups, shares);
+        let mut placed = false;
+        while let Some(ready_group) = filling.next(&self.ledger, placed) {
+            placed = false;
             let Some(hosts) = hosts.get_mut(&ready_group.queue.pool) else { continue };
             let before = claims.len();
-            self.place(now, &ready_group, hosts, &mut unplaceable, &mut claims);
-            if claims.len() > before {
+            self.place(now, config, &ready_group, hosts, &mut unplaceable, &mut claims);
+            placed = claims.len() > before;
+            if placed {
                 effects.push(ready_group.placement_note(claims.len() - before));
             }
         }
@@ -227,8 +268,6 @@
             let ready =
                 due.waiting_groups().filter(|(_, group)| due.round.dependencies_done(group));
             let mut forecast = None;
-            let name = due.record.organisation.as_ref();
-            let organisation = name.and_then(|name| Some((name, config.organisation(name)?)));
             for (position, group) in ready {
                 let forecast = *forecast.get_or_insert_with(|| self.forecast(due));
                 let key = forecast.key(unix, due, group).with(&self.mechanisms, due.at);
@@ -238,7 +277,6 @@
                     group_id,
                     record: due.record,
                     queue: due.queue,
-                    organisation,
                 });
             }
         }
@@ -284,6 +322,7 @@
     fn place<'a>(
         &mut self,
         now: Time,
+        config: &Config,
         ready_group: &ReadyGroup<'a>,
         hosts: &mut [Host],
         unplaceable: &mut Unplaceable<'a>,
@@ -311,20 +350,19 @@
             task_states.iter().map(|task_state| task_state.number).max().unwrap_or(0) + 1;
         let first = claims.len();
         let mut rack = None;
-        let admitted = |scheduler: &Self| {
-            ready_group.organisation.is_none_or(|(name, organisation)| {
-                scheduler.ledger.admits(name, organisation, ready_group.group_id, group)
-            })
-        };
-        let admits_gang = !group.gang || admitted(self);
+        let mut admitted =
+            ready_group.organisation(config).map_or(u64::MAX, |(name, organisation)| {
+                self.ledger.admitted(name, organisation, ready_group.group_id, group)
+            });
         for (index, task_state) in task_states.iter().enumerate() {
             let task = TaskId { job, round, group: position, index: index as u16 };
             if task_state.phase != Phase::Waiting || self.assigned.contains_key(&task) {
                 continue;
             }
-            if !admits_gang || !group.gang && !admitted(self) {
+            if admitted == 0 {
                 break;
             }
+            admitted -= 1;
             let Some(host) = self.choose(now, ready_group, group, task, rack.as_ref(), hosts)
             else {
                 let unrestricted = group.max_per_instance.is_none() && group.data_rack.is_none();
@@ -389,14 +427,15 @@
         if holds_late_jobs {
             return;
         }
+        let smallest = config.smallest_limit();
         for ready_group in ready_groups {
-            let Some((name, organisation)) = ready_group.organisation else { continue };
-            let GroupId { group, .. } = ready_group.group_id;
-            let group = &ready_group.record.spec.groups[usize::from(group)];
+            let group = ready_group.group();
             let is_late = ready_group.key.slack == 0 && !group.is_long_lived();
+            if !is_late || group.is_gang() || group.size.fits(smallest) {
+                continue;
+            }
+            let Some((name, organisation)) = ready_group.organisation(config) else { continue };
             if organisation.exceeds_limit(group.size)
-                && is_late
-                && !group.is_gang()
                 && self.fits_an_instance(now, &ready_group.queue.pool, group)
             {
                 self.ledger.start_alone(name, ready_group.group_id);
--- /dev/null
+++ b/crates/job/src/shares.rs
@@ -0,0 +1,181 @@
+//! Order among organisations when a pool is full: weighted dominant resource fairness (Ghodsi et al.
+//! 2011) by progressive filling.
+//!
+//! The share of an organisation is the largest of its shares of the processors, memory and
+//! accelerators of all usable instances. Among groups of the same class, queue priority and state
+//! (begun or not), the next group placed is one of the organisation whose share divided by its
+//! weight is lowest, and then of the one with the best priority. The group is its most urgent one.
+//! The shares are updated after each group, so that a pass cannot give all room to one organisation.
+//! An organisation with weight 0 comes after those with a weight.
+//!
+//! Jobs without an organisation are taken together as one more organisation, with the mean weight of
+//! the configured ones and the middle priority. They are ordered by urgency among themselves. They
+//! cannot starve, since their share is the lowest while they have little at work, and gain nothing by
+//! their number. Jobs of an organisation that is no longer configured count among them.
+//!
+//! Without configured organisations, or with [`Mechanism::FairShares`] off, groups are placed in the
+//! order of their keys alone.
+
+use super::*;
+use {
+    planning::{Rank, ReadyGroup},
+    std::{
+        cmp::Reverse,
+        collections::{BinaryHeap, VecDeque, binary_heap::PeekMut},
+    },
+};
+
+/// Groups that wait to be placed, in the order of the shares of their organisations.
+pub(crate) struct Filling<'a> {
+    /// Groups of the ranks that have not begun, in the order of their keys.
+    rest: std::iter::Peekable<std::vec::IntoIter<ReadyGroup<'a>>>,
+    /// `None` if the order is that of the keys alone.
+    shares: Option<Shares<'a>>,
+    /// Groups of the current rank, by member.
+    waiting: Vec<VecDeque<ReadyGroup<'a>>>,
+    /// Members with waiting groups; that of the group returned last stays at the top.
+    next: BinaryHeap<Reverse<Turn>>,
+    /// Whether a group of the member at the top has been returned.
+    is_open: bool,
+}
+
+/// Shares of the organisations in a planning pass. The members are the configured organisations in
+/// the order of their names, and at the end the jobs without one.
+pub(crate) struct Shares<'a> {
+    capacity: Resources,
+    members: Vec<Member<'a>>,
+    positions: Map<&'a str, usize>,
+}
+
+struct Member<'a> {
+    name: Option<&'a Name>,
+    weight: u64,
+    priority: u8,
+}
+
+/// Key by which the next member is chosen; the lowest one comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    share: u64,
+    priority: u8,
+    /// Time that the first waiting group has to spare.
+    slack: u64,
+    group_id: GroupId,
+    member: usize,
+}
+
+/// Unit of weighted shares.
+const PARTS_PER_BILLION: u64 = 1_000_000_000;
+
+impl<'a> Shares<'a> {
+    pub(crate) fn new(config: &'a Config, capacity: Resources) -> Self {
+        let organisations = &config.organisations;
+        let weights: u64 = organisations.values().map(|each| u64::from(each.weight)).sum();
+        let mean = weights.div_ceil(organisations.len().max(1) as u64).max(1);
+        let member = |(name, organisation): (&'a Name, &Organisation)| Member {
+            name: Some(name),
+            weight: organisation.weight.into(),
+            priority: organisation.priority,
+        };
+        let anonymous = Member { name: None, weight: mean, priority: u8::MAX / 2 };
+        let positions = organisations.keys().enumerate();
+        Self {
+            capacity,
+            members: organisations.iter().map(member).chain([anonymous]).collect(),
+            positions: positions.map(|(position, name)| (&**name, position)).collect(),
+        }
+    }
+
+    fn position(&self, organisation: Option<&Name>) -> usize {
+        let position = organisation.and_then(|name| self.positions.get(&**name));
+        position.copied().unwrap_or(self.members.len() - 1)
+    }
+
+    /// Weighted dominant share of a member.
+    fn share(&self, ledger: &Ledger, member: usize) -> u64 {
+        let Member { name, weight, .. } = self.members[member];
+        let usage = ledger.at_work(name);
+        let share = |usage: u64, capacity: u64| {
+            usage.saturating_mul(PARTS_PER_BILLION).checked_div(capacity).unwrap_or_default()
+        };
+        let dominant = share(usage.millicores, self.capacity.millicores)
+            .max(share(usage.memory_mb, self.capacity.memory_mb))
+            .max(share(usage.accelerators, self.capacity.accelerators));
+        dominant.checked_div(weight).unwrap_or(u64::MAX)
+    }
+}
+
+impl<'a> Filling<'a> {
+    /// `groups` are in the order of their keys.
+    pub(crate) fn new(groups: Vec<ReadyGroup<'a>>, shares: Option<Shares<'a>>) -> Self {
+        let members = shares.as_ref().map_or(0, |shares| shares.members.len());
+        Self {
+            rest: groups.into_iter().peekable(),
+            shares,
+            waiting: (0..members).map(|_| VecDeque::new()).collect(),
+            next: BinaryHeap::new(),
+            is_open: false,
+        }
+    }
+
+    /// The next group to place. `placed` tells whether tasks of the last one were placed, so that the
+    /// share of its organisation has changed.
+    pub(crate) fn next(&mut self, ledger: &Ledger, placed: bool) -> Option<ReadyGroup<'a>> {
+        let Some(shares) = &self.shares else { return self.rest.next() };
+        if std::mem::take(&mut self.is_open)
+            && let Some(mut top) = self.next.peek_mut()
+        {
+            let Reverse(turn) = &mut *top;
+            if let Some(first) = self.waiting[turn.member].front() {
+                (turn.slack, turn.group_id) = (first.slack(), first.group_id);
+                if placed {
+                    turn.share = shares.share(ledger, turn.member);
+                }
+            } else {
+                PeekMut::pop(top);
+            }
+        }
+        if self.next.is_empty() {
+            self.begin_rank(ledger);
+        }
+        let Reverse(turn) = self.next.peek()?;
+        self.is_open = true;
+        self.waiting[turn.member].pop_front()
+    }
+
+    /// Takes the groups of the next rank.
+    fn begin_rank(&mut self, ledger: &Ledger) {
+        let (Some(shares), Some(first)) = (&self.shares, self.rest.peek()) else { return };
+        let rank: Rank = first.rank();
+        while let Some(group) = self.rest.next_if(|group| group.rank() == rank) {
+            let position = shares.position(group.organisation_name());
+            self.waiting[position].push_back(group);
+        }
+        for (member, groups) in self.waiting.iter().enumerate() {
+            let Some(first) = groups.front() else { continue };
+            self.next.push(Reverse(Turn {
+                share: shares.share(ledger, member),
+                priority: shares.members[member].priority,
+                slack: first.slack(),
+                group_id: first.group_id,
+                member,
+            }));
+        }
+    }
+}
+
+impl Scheduler {
+    /// Shares of the organisations, if they have an effect on the order of placement.
+    pub(crate) fn shares<'a>(&self, now: Time, config: &'a Config) -> Option<Shares<'a>> {
+        if config.organisations.is_empty() || !self.uses(Mechanism::FairShares) {
+            return None;
+        }
+        let mut capacity = Resources::default();
+        for instance in self.instances.values().filter(|instance| instance.is_usable(now)) {
+            if let Some(announcement) = &instance.announcement {
+                capacity += announcement.capacity;
+            }
+        }
+        Some(Shares::new(config, capacity))
+    }
+}
--- a/crates/model/src/mechanism.rs
+++ b/crates/model/src/mechanism.rs
@@ -7,6 +7,9 @@
     ObjectiveFirst,
     /// Jobs that have begun go before those that have not.
     BegunFirst,
+    /// Organisations with a low share of the capacity, by their weight, go before others; without it,
+    /// only the urgency of their jobs counts.
+    FairShares,
     /// While a pool is overloaded, late jobs wait.
     LateAside,
     /// Run times are estimated from the tasks that have ended; without it, as the caller declares.
@@ -26,9 +29,10 @@
 
 impl Mechanism {
     /// Every mechanism.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::ObjectiveFirst,
         Self::BegunFirst,
+        Self::FairShares,
         Self::LateAside,
         Self::LearnedDurations,
         Self::Packing,
@@ -43,6 +47,7 @@
         match self {
             Self::ObjectiveFirst => "objective-first",
             Self::BegunFirst => "begun-first",
+            Self::FairShares => "fair-shares",
             Self::LateAside => "late-aside",
             Self::LearnedDurations => "learned-durations",
             Self::Packing => "packing",
