--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -42,6 +42,7 @@
 mod job_state;
 mod key_digest;
 mod leader;
+mod ledger;
 mod lending;
 mod machine;
 mod machines;
@@ -59,6 +60,7 @@
 mod reply;
 mod round;
 mod scheduler;
+mod shares;
 mod spec;
 mod table;
 mod task_id;
@@ -71,9 +73,11 @@
     due::DueRound,
     durations::DurationEstimator,
     instance::{Attempt, Instance, Stage},
+    ledger::{Charge, Ledger},
     order_budget::OrderBudget,
     rates::Rates,
     round::Round,
+    shares::Filling,
 };
 pub use {
     admission::{AdmissionPolicy, AdmissionQuery, AdmissionResult, Permit},
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -3,8 +3,8 @@
 //! Demand comes in bursts of about five times its mean, more than a pool can hold. Serving such a
 //! burst in order of arrival would make every job late. Instead, groups are placed by class: first
 //! continuous tasks, then jobs that can still meet their objective, then late jobs, and best-effort
-//! tasks last. Within a class and priority, jobs that have begun are finished first, and then the
-//! most urgent job goes first.
+//! tasks last. Within a class and priority, jobs that have begun are finished first, then
+//! organisations with a low share go first, and then the most urgent job does.
 //!
 //! A job earns its full value when it meets its objective, part of it up to three times the
 //! objective, and nothing after that.
@@ -16,11 +16,14 @@
 #[derive(Debug)]
 pub(crate) struct ReadyGroup<'a> {
     key: PlacementKey,
-    group_id: GroupId,
+    pub(crate) group_id: GroupId,
     record: &'a JobRecord,
     pub(crate) queue: &'a Queue,
 }
 
+/// What comes before the order among organisations; lower ranks go first.
+pub(crate) type Rank = (Class, u8, std::cmp::Reverse<bool>);
+
 impl ReadyGroup<'_> {
     /// Number of tasks that wait to be started.
     fn waiting_tasks(&self) -> usize {
@@ -36,6 +39,31 @@
             * self.record.spec.groups[usize::from(group)].reserved().millicores
     }
 
+    pub(crate) fn rank(&self) -> Rank {
+        (self.key.class, self.key.priority, self.key.begun)
+    }
+
+    pub(crate) fn slack(&self) -> u64 {
+        self.key.slack
+    }
+
+    pub(crate) fn group(&self) -> &Group {
+        &self.record.spec.groups[usize::from(self.group_id.group)]
+    }
+
+    pub(crate) fn organisation_name(&self) -> Option<&Name> {
+        self.record.organisation.as_ref()
+    }
+
+    /// Name and configuration of its organisation, if both are known.
+    pub(crate) fn organisation<'a>(
+        &'a self,
+        config: &'a Config,
+    ) -> Option<(&'a Name, &'a Organisation)> {
+        let name = self.organisation_name()?;
+        Some((name, config.organisation(name)?))
+    }
+
     /// Log entry about tasks of the group that were placed.
     fn placement_note(&self, tasks: usize) -> Effect {
         let PlacementKey { class, slack, .. } = self.key;
@@ -123,7 +151,7 @@
 /// Class of a group by the value that it can still earn, highest first. The variants are printed in
 /// the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Class {
+pub(crate) enum Class {
     /// Runs until cancelled, and earns value all the time.
     Lasting,
     /// Late, and started within the share of late work in an overloaded pool.
@@ -182,18 +210,34 @@
             ready_groups.iter().filter(is_late).map(|group| group.group_id.job).collect();
         let wanted = ready_groups.iter().map(|ready_group| &ready_group.queue.pool).collect();
         let mut hosts = self.hosts(now, &wanted);
+        self.let_large_tasks_start(now, table, config, &ready_groups);
         let mut claims = Vec::new();
         let mut unplaceable = Unplaceable::new();
-        for ready_group in ready_groups {
+        // Most groups have no room while a pool is full; the order among these does not matter.
+        let largest_free = |hosts: &Vec<Host>| {
+            hosts.iter().map(|host| host.free).fold(Resources::default(), Resources::max)
+        };
+        let largest_free: BTreeMap<_, _> =
+            hosts.iter().map(|(pool, hosts)| (pool.clone(), largest_free(hosts))).collect();
+        ready_groups.retain(|ready_group| {
+            let free = largest_free.get(&ready_group.queue.pool);
+            free.is_some_and(|free| ready_group.group().reserved().fits(*free))
+        });
+        let shares = if ready_groups.is_empty() { None } else { self.shares(now, config) };
+        let mut filling = Filling::new(ready_groups, shares);
+        let mut placed = false;
+        while let Some(ready_group) = filling.next(&self.ledger, placed) {
+            placed = false;
             let Some(hosts) = hosts.get_mut(&ready_group.queue.pool) else { continue };
             let before = claims.len();
-            self.place(now, &ready_group, hosts, &mut unplaceable, &mut claims);
-            let placed = claims.len() - before;
-            if placed == ready_group.waiting_tasks() {
+            self.place(now, config, &ready_group, hosts, &mut unplaceable, &mut claims);
+            let started = claims.len() - before;
+            if started == ready_group.waiting_tasks() {
                 self.durations.record_placed(ready_group.group_id, unix);
             }
-            if placed > 0 {
-                effects.push(ready_group.placement_note(placed));
+            placed = started > 0;
+            if placed {
+                effects.push(ready_group.placement_note(started));
             }
         }
         self.open_jobs = &open_jobs - &late;
@@ -229,7 +273,9 @@
         if !self.uses(Mechanism::LateAside) {
             return;
         }
-        for group in ready_groups.iter_mut().filter(|group| group.key.is_late()) {
+        let has_share =
+            |group: &&mut ReadyGroup| group.key.is_late() && group.key.class != Class::Surplus;
+        for group in ready_groups.iter_mut().filter(has_share) {
             let Some(room) = self.late_room.get_mut(&group.queue.pool) else { continue };
             let size = group.waiting_millicores();
             if size <= *room {
@@ -334,6 +380,7 @@
     fn place<'a>(
         &mut self,
         now: Time,
+        config: &Config,
         ready_group: &ReadyGroup<'a>,
         hosts: &mut [Host],
         unplaceable: &mut Unplaceable<'a>,
@@ -363,11 +410,19 @@
             task_states.iter().map(|task_state| task_state.number).max().unwrap_or(0) + 1;
         let first = claims.len();
         let mut rack = None;
+        let mut admitted =
+            ready_group.organisation(config).map_or(u64::MAX, |(name, organisation)| {
+                self.ledger.admitted(name, organisation, ready_group.group_id, group)
+            });
         for (index, task_state) in task_states.iter().enumerate() {
             let task = TaskId { job, round, group: position, index: index as u16 };
             if task_state.phase != Phase::Waiting || self.assigned.contains_key(&task) {
                 continue;
             }
+            if admitted == 0 {
+                break;
+            }
+            admitted -= 1;
             let Some(host) = self.choose(now, ready_group, group, task, rack.as_ref(), hosts)
             else {
                 let unrestricted = group.max_per_instance.is_none() && group.data_rack.is_none();
@@ -384,6 +439,7 @@
                 &incarnation,
                 task,
                 Attempt::new(number, Stage::Proposed, Some(group), now),
+                Some(Charge::new(ready_group.record, group)),
             );
             host.free = host.free.saturating_sub(reserved);
             host.long_lived += usize::from(group.is_long_lived());
@@ -405,6 +461,63 @@
         }
     }
 
+    /// Finds late groups with tasks that exceed the limit of their organisation by themselves, which
+    /// happens after a limit was lowered. They may start only while nothing else of the organisation
+    /// is at work; without further care, a steady stream of small tasks would keep them waiting for
+    /// ever.
+    fn let_large_tasks_start(
+        &mut self,
+        now: Time,
+        table: &Table,
+        config: &Config,
+        ready_groups: &[ReadyGroup],
+    ) {
+        let mut ledger = std::mem::take(&mut self.ledger);
+        let waits_for_room = |queue: &Name| {
+            config.queue(queue).is_none_or(|queue| self.holds_late_work(&queue.pool))
+        };
+        let is_large = |name: &Name, group: &Group| {
+            let organisation = config.organisation(name);
+            organisation.is_some_and(|organisation| organisation.exceeds_limit(group.size))
+        };
+        ledger.retain_alone(|name, GroupId { job, round, group }| {
+            let Some(record) = table.jobs.get(&job) else { return false };
+            let state = record.rounds.get(round as usize);
+            let waits = state.is_some_and(|state| state.waiting[usize::from(group)] > 0);
+            let declared = &record.spec.groups[usize::from(group)];
+            let is_live = !record.state.is_terminal() && waits;
+            is_live && !waits_for_room(&record.queue) && is_large(name, declared)
+        });
+        let smallest = config.smallest_limit();
+        for ready_group in ready_groups {
+            let group = ready_group.group();
+            let is_late = ready_group.key.is_late() && !group.is_long_lived();
+            let waits = self.holds_late_work(&ready_group.queue.pool);
+            if !is_late || waits || group.is_gang() || group.size.fits(smallest) {
+                continue;
+            }
+            let Some((name, organisation)) = ready_group.organisation(config) else { continue };
+            if organisation.exceeds_limit(group.size)
+                && self.fits_an_instance(now, &ready_group.queue.pool, group)
+            {
+                ledger.start_alone(name, ready_group.group_id);
+            }
+        }
+        self.ledger = ledger;
+    }
+
+    /// Whether an instance of a pool could run a task of `group` if it ran nothing else.
+    fn fits_an_instance(&self, now: Time, pool: &Name, group: &Group) -> bool {
+        let fits = |instance: &Instance| {
+            instance.announcement.as_ref().is_some_and(|announcement| {
+                announcement.pool == *pool
+                    && group.reserved().fits(announcement.capacity)
+                    && group.accepts(&announcement.labels)
+            })
+        };
+        self.instances.values().any(|instance| instance.is_usable(now) && fits(instance))
+    }
+
     /// Chooses one of the instances that fit. It prefers, in this order: the wanted rack; for a
     /// best-effort task, an instance whose tasks have no latency target; for a long-lived task, the
     /// instance with the most long-lived tasks; the fullest instance.
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -29,9 +29,11 @@
     /// Work that is ready to start, of jobs that can still meet their objective, in
     /// millicore-milliseconds.
     pub(crate) backlog: u64,
-    /// The same of jobs that can no longer meet their objective or exceed the agreed rate of their
-    /// organisation.
+    /// The same of jobs that can no longer meet their objective.
     pub(crate) late_backlog: u64,
+    /// The same of jobs that exceed the agreed rate of their organisation. They get idle machines and
+    /// no share of a full pool, so that they delay nobody.
+    pub(crate) surplus_backlog: u64,
     /// Rate at which work arrives.
     pub(crate) arriving: u64,
     /// Rate at which work is expected to arrive when a machine ordered now starts to work.
@@ -85,7 +87,8 @@
 
     /// Capacity that late work lacks beside work that can be in time.
     fn late_shortage(&self) -> u64 {
-        let late = self.late + self.late_backlog / LATE_BACKLOG_HORIZON_MS;
+        let backlog = self.late_backlog + self.surplus_backlog;
+        let late = self.late + backlog / LATE_BACKLOG_HORIZON_MS;
         (self.need().max(self.demand()) + late).saturating_sub(self.capacity)
     }
 
@@ -361,7 +364,9 @@
                 let machines = due.waiting_groups().map(|(_, group)| group.machines(largest));
                 pool.min_machines = pool.min_machines.max(machines.max().unwrap_or_default());
                 let ready = round.ready_work(&record.spec, largest);
-                pool.late_backlog = pool.late_backlog.saturating_add(ready);
+                let backlog =
+                    if record.surplus { &mut pool.surplus_backlog } else { &mut pool.late_backlog };
+                *backlog = backlog.saturating_add(ready);
                 continue;
             }
             pool.backlog = pool.backlog.saturating_add(round.ready_work(&record.spec, largest));
