Log why each job waited when it ends

The leader keeps a few counters for each live job and pool, updated when the job starts to wait, runs or loses an attempt, and when pools are rebalanced. A job's end has its own line, `job-summary`, with the times by cause. `pool` lines also have the usable capacity, continuous tasks and number of instances.

--- a/crates/entry/src/log.rs
+++ b/crates/entry/src/log.rs
@@ -7,6 +7,10 @@
 /// Maximum number of lines of one kind per second.
 const MAX_LINES_PER_SECOND: u32 = 40;
 
+/// The same for `job-summary`, several times the number of jobs that end in a second in a fleet of
+/// the largest size.
+const MAX_SUMMARIES_PER_SECOND: u32 = 1000;
+
 /// Maximum number of batches that wait for the reader.
 const MAX_PENDING_BATCHES: usize = 256;
 
@@ -81,7 +85,11 @@
         }
         let count = self.counts.entry(note.what).or_default();
         *count += 1;
-        if *count > MAX_LINES_PER_SECOND {
+        let limit = match note.what {
+            "job-summary" => MAX_SUMMARIES_PER_SECOND,
+            _ => MAX_LINES_PER_SECOND,
+        };
+        if *count > limit {
             self.dropped += 1;
             return;
         }
--- a/crates/job/src/admission.rs
+++ b/crates/job/src/admission.rs
@@ -126,6 +126,19 @@
         }
     }
 
+    /// Whether there is a valid permit for some instance.
+    pub(crate) fn has_ticket(&self, now: Time, group_id: GroupId) -> bool {
+        let decisions = self.decisions.get(&group_id).into_iter().flatten();
+        decisions
+            .map(|(incarnation, _)| incarnation)
+            .any(|incarnation| self.ticket(now, group_id, incarnation).is_some())
+    }
+
+    /// The job that a query in flight is about.
+    pub(crate) fn job_of(&self, query: CallId) -> Option<JobId> {
+        Some(self.queries.get(&query)?.group_id.job)
+    }
+
     /// Drops the decision about an instance that rejected the ticket, so that it is queried again.
     pub(crate) fn forget(&mut self, group_id: GroupId, incarnation: &Incarnation) {
         if let Some(decisions) = self.decisions.get_mut(&group_id) {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -63,6 +63,7 @@
 mod task_id;
 mod task_state;
 mod throttling;
+mod wait_causes;
 mod wave;
 
 use {
@@ -73,6 +74,7 @@
     order_budget::OrderBudget,
     rates::Rates,
     round::Round,
+    wait_causes::WaitCauses,
 };
 pub use {
     admission::{AdmissionPolicy, AdmissionQuery, AdmissionResult, Permit},
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -201,6 +201,12 @@
             && self.retry_at.get(machine).is_none_or(|at| now >= *at)
     }
 
+    /// Whether orders about any machine may be sent now.
+    pub(crate) fn may_send_any(&self, now: Time) -> bool {
+        let Handover { former, any_order_at, .. } = &self.handover;
+        self.recorded && (former.is_empty() || now >= *any_order_at)
+    }
+
     /// Every order that is pending or may still be carried out.
     pub(crate) fn orders(&self) -> impl Iterator<Item = &MachineOrder> {
         let sent = self.in_flight.values().chain(self.unconfirmed.values()).map(|(order, _)| order);
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -187,7 +187,7 @@
     }
 
     /// Whether late jobs wait, because a pool lacks capacity.
-    fn holds_late_jobs(&self) -> bool {
+    pub(crate) fn holds_late_jobs(&self) -> bool {
         self.uses(Mechanism::LateAside) && !self.overloaded_pools.is_empty()
     }
 
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -12,7 +12,8 @@
 /// Supply and demand of a pool, in millicores unless noted.
 #[derive(Debug, Clone, Default, Display)]
 #[display(
-    "capacity {capacity}, used {used}, late {late}, backlog {backlog}, arriving {arriving}, idle {}",
+    "capacity {capacity}, used {used}, late {late}, backlog {backlog}, arriving {arriving}, idle {}, \
+     ready {ready}, continuous {lasting}, instances {instances}",
     idle.len()
 )]
 pub(crate) struct PoolBalance {
@@ -20,6 +21,8 @@
     pub(crate) capacity: u64,
     /// Capacity of its usable instances.
     pub(crate) ready: u64,
+    /// Number of usable instances.
+    pub(crate) instances: u32,
     /// Capacity of the machines that are on their way, times the milliseconds that each has been.
     pub(crate) underway: u64,
     /// Reserved by running tasks of jobs that can still meet their objective.
@@ -68,6 +71,21 @@
         (self.backlog + self.arriving * self.move_ms).saturating_sub(worked_off)
     }
 
+    /// Capacity that is not reserved.
+    pub(crate) fn free(&self) -> u64 {
+        self.ready.saturating_sub(self.used + self.late)
+    }
+
+    /// Capacity of the idle machines.
+    pub(crate) fn idle_capacity(&self) -> u64 {
+        self.idle.iter().map(|(_, size)| size).sum()
+    }
+
+    /// Capacity for the work that is ready to start.
+    pub(crate) fn waiting(&self) -> u64 {
+        self.backlog / BACKLOG_HORIZON_MS
+    }
+
     /// Missing capacity.
     pub(crate) fn shortage(&self) -> u64 {
         self.need().saturating_sub(self.capacity)
@@ -75,7 +93,7 @@
 
     /// Capacity for the work that runs or is ready now.
     fn demand(&self) -> u64 {
-        self.used + self.backlog / BACKLOG_HORIZON_MS
+        self.used + self.waiting()
     }
 
     /// Whether its capacity is too small for the work that can still meet its objective.
@@ -170,6 +188,9 @@
         self.record_rounds(now, unix, table, since);
         let mut pools = self.balances(now, unix, table, config);
         self.set_min_capacities(&mut pools);
+        let may_order = self.machines.may_send_any(now);
+        let holds_late_jobs = self.holds_late_jobs();
+        self.waits.update_pools(now, may_order, holds_late_jobs, &pools);
         if now >= self.last_report + Self::REPORT_INTERVAL {
             self.last_report = now;
             effects.extend(
@@ -240,6 +261,7 @@
             }
             pool.capacity += size;
             pool.ready += size;
+            pool.instances += 1;
             let machine = &announcement.machine;
             let free = instance.attempts.is_empty() && now >= instance.last_busy + MOVE_IDLE_TIME;
             if free
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -69,6 +69,8 @@
     mean_start_time: Duration,
     /// Which instances the admission policies of the queues allow.
     pub(crate) admissions: AdmissionState,
+    /// Why jobs wait.
+    pub(crate) waits: WaitCauses,
 }
 
 /// A call to an instance that has not been answered.
@@ -194,6 +196,7 @@
     /// Handles one event and returns the actions to carry out.
     pub fn reduce(&mut self, now: Time, unix: UnixMs, table: &Table, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.record_waits(now, unix, table, &event, &mut effects);
         match event {
             Event::Lead { epoch, leader } => {
                 self.become_leader(now, table, epoch, &leader, &mut effects);
@@ -217,7 +220,11 @@
                 self.on_command_committed(now, table, &outcomes);
             }
             Event::AdmissionAnswered { id, result } => {
-                self.on_admission_answered(now, id, result, &mut effects)
+                let job = self.admissions.job_of(id);
+                self.on_admission_answered(now, id, result, &mut effects);
+                if let Some(job) = job {
+                    self.update_wait(now, table, job);
+                }
             }
             Event::MaxQueries(max_queries) => self.on_max_queries(max_queries),
             Event::Tick => {
