Report which jobs missed their objective, and why

`sardinevalve report LOG...` reads the log lines of `sardinevalve-entry`, merges them by time, and splits the lateness of each job among causes in proportion to what each cost it. Sums by organisation, queue, second of submission and declared work; instance seconds in pools by use. Text, JSON, or an image over time.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -94,6 +94,15 @@
     /// Manage the certificates and keys of daemons
     #[command(subcommand)]
     Keys(Keys),
+    /// Report which jobs missed their objective, and why, from logs of `sardinevalve-entry`
+    Report {
+        /// Log files of the daemons; `-` for standard input
+        #[arg(required = true, value_name = "LOG")]
+        logs: Vec<PathBuf>,
+        /// File for an image of the report over time
+        #[arg(long, value_name = "FILE")]
+        svg: Option<PathBuf>,
+    },
 }
 
 #[derive(Debug, Subcommand)]
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -21,6 +21,7 @@
 mod job;
 mod keys;
 mod maintain;
+mod report;
 mod run;
 mod show;
 
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -40,5 +40,6 @@
         }
         Command::Job(command) => job::run(&client, command, arguments.json),
         Command::Keys(command) => keys::run(command),
+        Command::Report { logs, svg } => report::run(logs, svg.as_deref(), arguments.json),
     }
 }
