--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -28,6 +28,7 @@
 mod pool_causes;
 mod pool_use;
 mod report;
+mod size_class;
 mod text;
 mod totals;
 
@@ -39,6 +40,7 @@
     plot::svg,
     pool_use::PoolUse,
     report::{Attribution, Report},
+    size_class::SizeClass,
     text::text,
     totals::Totals,
 };
--- a/crates/report/src/report.rs
+++ b/crates/report/src/report.rs
@@ -5,9 +5,6 @@
 /// Time for which the last `pool` line of a log stands.
 const LAST_POOL_INTERVAL_MS: u64 = 1000;
 
-/// Upper bounds of the size classes, in processor seconds of declared work.
-const SIZE_CLASSES: [u64; 5] = [10, 30, 100, 300, 1000];
-
 /// Which jobs missed their objective, and why.
 #[derive(Debug, Default, Serialize)]
 pub struct Report {
@@ -25,9 +22,8 @@
     pub queues: BTreeMap<String, Totals>,
     /// By the second of submission, since 1970.
     pub seconds: BTreeMap<u64, Totals>,
-    /// By declared work, with the upper bound of the class in processor seconds; `u64::MAX` for
-    /// larger ones. Jobs of which the log does not tell are left out.
-    pub sizes: BTreeMap<u64, Totals>,
+    /// By declared work. Jobs of which the log does not tell are left out.
+    pub sizes: BTreeMap<SizeClass, Totals>,
     /// Instance seconds by pool.
     pub pools: BTreeMap<String, PoolUse>,
     /// The same over all pools by second, since 1970.
@@ -130,9 +126,7 @@
         let second = second_of(job.submitted_at());
         self.seconds.entry(second).or_default().add(job, late.as_ref());
         if let Some(work) = job.work {
-            let class = SIZE_CLASSES.into_iter().find(|class| work <= class * 1000);
-            let class = class.unwrap_or(u64::MAX);
-            self.sizes.entry(class).or_default().add(job, late.as_ref());
+            self.sizes.entry(SizeClass::of(work)).or_default().add(job, late.as_ref());
         }
         if let Some(late) = late {
             self.attribution.late += 1;
--- a/crates/report/src/text.rs
+++ b/crates/report/src/text.rs
@@ -29,7 +29,7 @@
     };
     write_totals(text, "organisation", &by_lateness(&report.organisations))?;
     write_totals(text, "queue", &by_lateness(&report.queues))?;
-    let sizes = report.sizes.iter().map(|(class, totals)| (size_class(*class), totals.clone()));
+    let sizes = report.sizes.iter().map(|(class, totals)| (class.to_string(), totals.clone()));
     write_totals(text, "declared work", &sizes.collect::<Vec<_>>())?;
     write_seconds(text, report)?;
     write_pools(text, report)?;
@@ -200,14 +200,6 @@
     write_rest(text, report.late_jobs.len(), MAX_JOBS)
 }
 
-/// Name of a size class.
-fn size_class(class: u64) -> String {
-    match class {
-        u64::MAX => "more".into(),
-        class => format!("up to {class} core s"),
-    }
-}
-
 /// A name, cut to its column.
 fn cut(name: &str) -> String {
     name.chars().take(NAME_WIDTH).collect()
