--- a/crates/job/tests/wait_causes.rs
+++ b/crates/job/tests/wait_causes.rs
@@ -27,6 +27,18 @@
     world.notes.iter().filter(|note| note.what == "job-summary").collect()
 }
 
+/// The report on what the scheduler has logged, under one leader.
+fn report_on(world: &World) -> report::Report {
+    let lines = world.notes.iter().zip(&world.note_times).map(|(note, at_ms)| {
+        let Note { what, about, why } = note;
+        serde_json::json!({ "at_ms": at_ms, "what": what, "about": about, "why": why }).to_string()
+    });
+    let mut log = report::Log::default();
+    let text = lines.collect::<Vec<_>>().join("\n");
+    log.read(text.as_bytes()).expect("reading from memory does not fail");
+    report::Report::new(log)
+}
+
 /// One pool with its machines, and a pool `b` with machines that are not needed there.
 fn pools(here: usize, elsewhere: usize) -> World {
     let mut world = World::new(1, config(&["a", "b"]));
@@ -66,6 +78,23 @@
     assert!(lines.map(|note| field(&note.why, "wait-moving")).max() > Some(0));
 }
 
+/// Guards against log lines and a report that drift apart.
+#[test]
+fn the_report_reads_every_line_about_jobs_and_pools() {
+    for (seed, deployment) in [(2, Deployment::small_machines()), (3, Deployment::large_machines())]
+    {
+        let day = Day::run_day(seed, deployment);
+        let report = report_on(&day.world);
+        let report::LogSummary { not_parsed, unknown_fields, malformed, missing_summaries, .. } =
+            report.log;
+        assert_eq!([not_parsed, unknown_fields, malformed, missing_summaries], [0; 4]);
+        assert_eq!(report.total.jobs, summaries(&day.world).len() as u64);
+        assert!(report.pools.values().all(|used| used.idle > 0.0 && used.in_time > 0.0));
+        let attribution = report.attribution;
+        assert!(attribution.late > 0 && attribution.share() >= 0.95, "{attribution:?}");
+    }
+}
+
 /// Guards against a report that cannot tell whether summaries are missing.
 #[test]
 fn summaries_are_numbered_without_gaps() {
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -92,6 +92,8 @@
     /// When the scheduler saw each job end.
     pub ended_at: BTreeMap<JobId, u64>,
     pub notes: Vec<Note>,
+    /// When each note was written.
+    pub note_times: Vec<UnixMs>,
     events: BinaryHeap<Reverse<(u64, u64, SimEvent)>>,
     sequence: u64,
     sent: Vec<SentCall>,
@@ -147,6 +149,7 @@
             cancelled: BTreeMap::new(),
             ended_at: BTreeMap::new(),
             notes: Vec::new(),
+            note_times: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
             sent: Vec::new(),
@@ -494,7 +497,10 @@
                     self.queries.insert(id, query);
                     self.schedule(after, SimEvent::AdmissionDecision { epoch, id });
                 }
-                Effect::Note(note) => self.notes.push(note),
+                Effect::Note(note) => {
+                    self.notes.push(note);
+                    self.note_times.push(self.unix());
+                }
             }
         }
         for (id, record) in &self.table.jobs {
