--- a/crates/job/tests/wait_causes.rs
+++ b/crates/job/tests/wait_causes.rs
@@ -127,6 +127,31 @@
     assert!(field(why, "wait-capacity") > waited(why) / 2, "{why}");
 }
 
+/// Guards against surplus that is reported as a lack of instances.
+#[test]
+fn a_wait_of_surplus_is_a_wait_for_the_organisation() {
+    let mut config = config(&["a"]);
+    // Without an agreed rate, every job is surplus.
+    config.organisations.insert("o".into(), Organisation::default());
+    let mut world = World::new(3, config);
+    world.add_machine("m0", "a", "r0", 16_000);
+    world.run(300);
+    world.submit(1, "a", chain(&[1], 16_000, 1000));
+    world.run(50);
+    let outcomes = world.table.apply(Command::Submit {
+        id: 2,
+        queue: "a".into(),
+        spec: chain(&[1], 16_000, 1000),
+        organisation: Some("o".into()),
+        at: world.unix(),
+    });
+    world.step(Event::CommandCommitted(outcomes));
+    world.run(8000);
+    let why = &summaries(&world).into_iter().find(|n| n.about.ends_with('2')).unwrap().why;
+    assert!(field(why, "wait-organisation") > waited(why) / 2, "{why}");
+    assert!(why.ends_with("pool a, queue a, organisation o"), "{why}");
+}
+
 #[test]
 fn the_time_before_a_new_leader_is_logged_as_such() {
     let mut world = pools(2, 0);
