--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -66,6 +66,7 @@
 mod task_id;
 mod task_state;
 mod throttling;
+mod wait_causes;
 mod wave;
 
 use {
@@ -78,6 +79,7 @@
     rates::Rates,
     round::Round,
     shares::Filling,
+    wait_causes::WaitCauses,
 };
 pub use {
     admission::{AdmissionPolicy, AdmissionQuery, AdmissionResult, Permit},
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -263,7 +263,7 @@
     }
 
     /// Whether late work of a pool waits, because the pool lacks capacity.
-    fn holds_late_work(&self, pool: &Name) -> bool {
+    pub(crate) fn holds_late_work(&self, pool: &Name) -> bool {
         self.uses(Mechanism::LateAside) && self.late_room.contains_key(pool)
     }
 
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -12,7 +12,8 @@
 /// Supply and demand of a pool, in millicores unless noted.
 #[derive(Debug, Clone, Default, Display)]
 #[display(
-    "capacity {capacity}, used {used}, late {late}, backlog {backlog}, arriving {arriving}, idle {}",
+    "capacity {capacity}, used {used}, late {late}, backlog {backlog}, arriving {arriving}, idle {}, \
+     ready {ready}, continuous {lasting}, instances {instances}",
     idle.len()
 )]
 pub(crate) struct PoolBalance {
@@ -20,6 +21,8 @@
     pub(crate) capacity: u64,
     /// Capacity of its usable instances.
     pub(crate) ready: u64,
+    /// Number of usable instances.
+    pub(crate) instances: u32,
     /// Capacity of the machines that are on their way, times the milliseconds that each has been.
     pub(crate) underway: u64,
     /// Reserved by running tasks of jobs that can still meet their objective.
@@ -80,6 +83,21 @@
         (self.backlog + arriving * self.move_ms).saturating_sub(worked_off)
     }
 
+    /// Capacity that is not reserved.
+    pub(crate) fn free(&self) -> u64 {
+        self.ready.saturating_sub(self.used + self.late)
+    }
+
+    /// Capacity of the idle machines.
+    pub(crate) fn idle_capacity(&self) -> u64 {
+        self.idle.iter().map(|(_, size)| size).sum()
+    }
+
+    /// Capacity for the work that is ready to start.
+    pub(crate) fn waiting(&self) -> u64 {
+        self.backlog / BACKLOG_HORIZON_MS
+    }
+
     /// Missing capacity.
     pub(crate) fn shortage(&self) -> u64 {
         self.need().saturating_sub(self.capacity)
@@ -94,7 +112,7 @@
 
     /// Capacity for the work that runs or is ready now.
     fn demand(&self) -> u64 {
-        self.used + self.backlog / BACKLOG_HORIZON_MS
+        self.used + self.waiting()
     }
 
     /// Whether its usable capacity is too small for the work that can still meet its objective.
@@ -217,11 +235,14 @@
         self.record_rounds(now, unix, table, since);
         let (mut pools, late) = self.balances(now, unix, table, config);
         self.set_min_capacities(&mut pools);
+        let may_order = self.machines.may_send_any(now);
+        let held = pools.keys().filter(|pool| self.holds_late_work(pool)).cloned().collect();
+        self.waits.update_pools(now, may_order, &held, &pools);
         if now >= self.last_report + Self::REPORT_INTERVAL {
             self.last_report = now;
-            effects.extend(
-                pools.iter().map(|(name, pool)| note("pool", name.to_string(), pool.to_string())),
-            );
+            effects.extend(pools.iter().map(|(name, pool)| {
+                note("pool", name.to_string(), format!("{pool}{}", self.waits.shares(name)))
+            }));
         }
         let spare = config.pools.iter().find(|(_, pool)| pool.spare).map(|(name, _)| name.clone());
         let mut parked = self.parked_machines(now, spare.as_ref());
@@ -292,6 +313,7 @@
             }
             pool.capacity += size;
             pool.ready += if instance.lending { 0 } else { size };
+            pool.instances += 1;
             let machine = &announcement.machine;
             let settled = instance.lending || now >= instance.last_busy + MOVE_IDLE_TIME;
             let free = instance.attempts.is_empty() && settled;
