Metrics and log lines by organisation

Cause: nothing told operators which organisation a job belongs to, what an organisation uses, or why its calls are refused.

Change: usage, limit, dominant share, waiting, accepted, surplus, refused by reason and ended jobs by organisation; the 20 largest by weight by name, the rest as `other`. Usage comes from the attempts of the scheduler (`Scheduler::usage_by_organisation`) until the ledger has it. `job-accepted`, `job-over` and `job-refused` name the organisation; `call-refused` is new, for 401 of other calls than submissions.

--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -40,6 +40,10 @@
     CountAttemptEnd(job::EndReason),
     /// Count a job that has ended.
     CountJobEnd { queue: Name, end: job::JobState, took: Duration },
+    /// Count what happened to a job of an organisation.
+    CountOrganisation { label: Name, event: OrganisationEvent },
+    /// Replace the metrics about the state of organisations.
+    ReportOrganisations(Vec<OrganisationReport>),
     /// Try to open the data folder.
     OpenDisk,
     /// The process may end now.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
     serde::{Deserialize, Serialize},
     std::{
         cell::{Cell, RefCell},
+        cmp::Reverse,
         collections::{BTreeMap, BTreeSet, VecDeque},
         net::SocketAddr,
         path::PathBuf,
@@ -42,6 +43,7 @@
 mod membership;
 mod message;
 mod metrics;
+mod organisations;
 mod outbox;
 mod overload;
 mod peer_clock;
@@ -73,6 +75,7 @@
     membership::Membership,
     message::{Message, Origin},
     metrics::Metrics,
+    organisations::{OrganisationEvent, OrganisationLabels, OrganisationReport},
     outbox::Outbox,
     overload::Overload,
     peer_clock::{PeerClocks, Reading},
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     super::*,
+    model::Resources,
     prometheus_client::{
         encoding::{EncodeLabelSet, text},
         metrics::{
@@ -27,6 +28,10 @@
 /// Maximum number of queues with a label of their own; the others share one.
 const MAX_QUEUE_LABELS: usize = 64;
 
+/// Maximum number of organisations with counters: those with labels of their own, `other`, and as many
+/// that were among the largest before a configuration changed.
+const MAX_ORGANISATION_LABELS: usize = 42;
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabel {
     kind: &'static str,
@@ -44,6 +49,72 @@
     end: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrganisationLabel {
+    organisation: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResourceLabels {
+    organisation: String,
+    resource: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    organisation: String,
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    organisation: String,
+    end: &'static str,
+}
+
+/// Metrics by organisation. Only the leader has values of the gauges.
+#[derive(Debug, Default)]
+struct OrganisationMetrics {
+    usage: Family<ResourceLabels, Gauge>,
+    limit: Family<ResourceLabels, Gauge>,
+    dominant_share: Family<OrganisationLabel, Gauge<f64, AtomicU64>>,
+    waiting: Family<OrganisationLabel, Gauge>,
+    accepted: Family<OrganisationLabel, Counter>,
+    surplus: Family<OrganisationLabel, Counter>,
+    refused: Family<ReasonLabels, Counter>,
+    ended: Family<EndLabels, Counter>,
+    /// Labels in use.
+    labels: RefCell<BTreeSet<Name>>,
+}
+
+impl OrganisationMetrics {
+    fn register(&self, registry: &mut Registry) {
+        let help = "Resources of the attempts of an organisation";
+        registry.register("organisation_usage", help, self.usage.clone());
+        let help = "Limit of an organisation; 0 is no limit";
+        registry.register("organisation_limit", help, self.limit.clone());
+        let help = "Largest share of the usable capacity among the resources";
+        registry.register("organisation_dominant_share", help, self.dominant_share.clone());
+        let help = "Jobs without a started task";
+        registry.register("organisation_waiting", help, self.waiting.clone());
+        let help = "Jobs accepted, including those beyond the agreed rate";
+        registry.register("organisation_accepted", help, self.accepted.clone());
+        let help = "Jobs accepted beyond the agreed rate";
+        registry.register("organisation_surplus", help, self.surplus.clone());
+        let help = "Jobs refused, by reason";
+        registry.register("organisation_refused", help, self.refused.clone());
+        let help = "Jobs that ended, by whether they met their objective";
+        registry.register("organisation_ended", help, self.ended.clone());
+    }
+
+    fn clear_counters(&self) {
+        self.accepted.clear();
+        self.surplus.clear();
+        self.refused.clear();
+        self.ended.clear();
+    }
+}
+
 /// All metrics of a daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -61,6 +132,7 @@
     ready: Gauge,
     leads: Gauge,
     queues: RefCell<BTreeSet<Name>>,
+    organisations: OrganisationMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -84,6 +156,7 @@
             ready: Gauge::default(),
             leads: Gauge::default(),
             queues: RefCell::default(),
+            organisations: OrganisationMetrics::default(),
             registry: Registry::default(),
         };
         registry.register("answers", "Calls answered here", metrics.answers.clone());
@@ -104,6 +177,7 @@
         registry.register("process_seconds", help, metrics.process_seconds.clone());
         registry.register("ready", "Whether callers should come here", metrics.ready.clone());
         registry.register("leads", "Whether this daemon leads", metrics.leads.clone());
+        metrics.organisations.register(&mut registry);
         Self { registry, ..metrics }
     }
 
@@ -151,6 +225,63 @@
         self.job_seconds.get_or_create(&labels).observe(took.as_secs_f64());
     }
 
+    pub(crate) fn count_organisation(&self, label: &Name, event: OrganisationEvent) {
+        let metrics = &self.organisations;
+        let mut labels = metrics.labels.borrow_mut();
+        if !labels.contains(label) && labels.len() >= MAX_ORGANISATION_LABELS {
+            // Configurations have changed the largest organisations. Counters may start anew, the
+            // number of time series must not grow.
+            labels.clear();
+            metrics.clear_counters();
+        }
+        labels.insert(label.clone());
+        let organisation = label.to_string();
+        match event {
+            OrganisationEvent::Accepted => {
+                metrics.accepted.get_or_create(&OrganisationLabel { organisation }).inc();
+            }
+            OrganisationEvent::AcceptedSurplus => {
+                let label = OrganisationLabel { organisation };
+                metrics.accepted.get_or_create(&label).inc();
+                metrics.surplus.get_or_create(&label).inc();
+            }
+            OrganisationEvent::Refused(reason) => {
+                metrics.refused.get_or_create(&ReasonLabels { organisation, reason }).inc();
+            }
+            OrganisationEvent::Ended(end) => {
+                metrics.ended.get_or_create(&EndLabels { organisation, end }).inc();
+            }
+        }
+    }
+
+    /// Replaces the gauges of all organisations.
+    pub(crate) fn report_organisations(&self, reports: &[OrganisationReport]) {
+        let OrganisationMetrics { usage, limit, dominant_share, waiting, .. } = &self.organisations;
+        usage.clear();
+        limit.clear();
+        dominant_share.clear();
+        waiting.clear();
+        let set = |family: &Family<ResourceLabels, Gauge>, label: &Name, amounts: Resources| {
+            let Resources { millicores, memory_mb, accelerators } = amounts;
+            let amounts =
+                [("cpu", millicores), ("memory", memory_mb), ("accelerators", accelerators)];
+            for (resource, amount) in amounts {
+                let labels = ResourceLabels { organisation: label.to_string(), resource };
+                family.get_or_create(&labels).set(i64::try_from(amount).unwrap_or(i64::MAX));
+            }
+        };
+        for report in reports {
+            set(usage, &report.label, report.usage);
+            if let Some(amounts) = report.limit {
+                set(limit, &report.label, amounts);
+            }
+            let label = OrganisationLabel { organisation: report.label.to_string() };
+            dominant_share.get_or_create(&label).set(report.dominant_share);
+            let count = i64::try_from(report.waiting).unwrap_or(i64::MAX);
+            waiting.get_or_create(&label).set(count);
+        }
+    }
+
     pub(crate) fn count_processor_time(&self, activity: Activity, spent: Duration) {
         let label = KindLabel { kind: activity.name() };
         self.processor_seconds.get_or_create(&label).inc_by(spent.as_secs_f64());
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -469,6 +469,10 @@
             Effect::Note(note) => self.write(&note),
             Effect::CountAttemptEnd(reason) => self.metrics.count_attempt_end(reason),
             Effect::CountJobEnd { queue, end, took } => self.metrics.observe_job(&queue, end, took),
+            Effect::CountOrganisation { label, event } => {
+                self.metrics.count_organisation(&label, event);
+            }
+            Effect::ReportOrganisations(reports) => self.metrics.report_organisations(&reports),
             Effect::OpenDisk => self.open_disk(),
             Effect::Stopped => self.stopped = true,
         }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -42,8 +42,11 @@
         effects: &mut Vec<Effect>,
     ) {
         let not_run = Answer::NotRun { retry: PendingCalls::RETRY_AFTER };
-        let submitted_path = match &call {
-            Call::Submit { path, .. } => Some(path.clone()),
+        let submits = matches!(call, Call::Submit { .. });
+        let caller = match &call {
+            Call::Submit { path, key, .. }
+            | Call::Show { path, key, .. }
+            | Call::Cancel { path, key, .. } => Some((path.clone(), *key)),
             _ => None,
         };
         let answer = match call {
@@ -117,15 +120,15 @@
                 None => Answer::NoWave,
             },
         };
-        if let Some(path) = submitted_path.filter(|_| answer != Answer::Done) {
-            let why = format!("{answer:?}, configuration {:?}", self.version());
-            effects.push(log::line("job-refused", path.to_string(), &why));
+        let is_refused = (submits && answer != Answer::Done) || answer == Answer::Unauthorized;
+        if let Some((path, key)) = caller.filter(|_| is_refused) {
+            self.record_refusal(submits, &path, key, &answer, effects);
         }
         self.answer(reply_to, answer, effects);
     }
 
     /// Version of the current configuration.
-    fn version(&self) -> Option<u64> {
+    pub(crate) fn version(&self) -> Option<u64> {
         self.table.config.as_ref().map(|config| config.version)
     }
 
@@ -257,7 +260,7 @@
 
     /// Logs what happened to jobs and to the configuration.
     fn log_outcomes(
-        &self,
+        &mut self,
         unix: job::UnixMs,
         outcomes: &[job::Outcome],
         effects: &mut Vec<Effect>,
@@ -273,6 +276,11 @@
                     effects.push(log::line("configured", String::new(), &why));
                     continue;
                 }
+                job::Outcome::Conflict(id) => {
+                    let why = format!("{:?}, configuration {:?}", Answer::Conflict, self.version());
+                    effects.push(log::line("job-refused", format!("{id:016x}"), &why));
+                    continue;
+                }
                 job::Outcome::Accepted(id) | job::Outcome::JobEnded(id) => id,
                 _ => continue,
             };
@@ -281,18 +289,37 @@
             let what = if record.ended_at.is_some() { "job-over" } else { "job-accepted" };
             let config = self.table.config.as_ref();
             let objective = config.and_then(|config| config.queue(&record.queue));
-            let objective = objective.map_or(0, |q| q.objective(record.critical_path).as_millis());
-            let why = format!(
-                "{} in {}, {} ms after submission, objective {objective} ms",
+            let objective = objective.map_or(Duration::ZERO, |q| q.objective(record.critical_path));
+            let mut why = format!(
+                "{} in {}, {} ms after submission, objective {} ms",
                 record.state,
                 record.queue,
-                took.as_millis()
+                took.as_millis(),
+                objective.as_millis()
             );
+            if let Some(name) = &record.organisation {
+                why.push_str(&format!(", organisation `{name}`"));
+            }
+            if record.surplus {
+                why.push_str(", surplus");
+            }
             effects.push(log::line(what, format!("{id:016x}"), &why));
             if record.ended_at.is_some() {
                 let (queue, end) = (record.queue.clone(), record.state);
                 effects.push(Effect::CountJobEnd { queue, end, took });
             }
+            let event = match record.state {
+                job::JobState::Completed if took <= objective => {
+                    OrganisationEvent::Ended("in-time")
+                }
+                job::JobState::Completed => OrganisationEvent::Ended("late"),
+                job::JobState::Failed => OrganisationEvent::Ended("failed"),
+                job::JobState::Cancelled => OrganisationEvent::Ended("cancelled"),
+                _ if record.surplus => OrganisationEvent::AcceptedSurplus,
+                _ => OrganisationEvent::Accepted,
+            };
+            let organisation = record.organisation.clone();
+            self.count_organisation(organisation.as_ref(), event, effects);
         }
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -38,6 +38,7 @@
     pub(crate) carriers: Carriers,
     pub(crate) overload: Overload,
     pub(crate) surplus: Surplus,
+    pub(crate) organisation_labels: OrganisationLabels,
     /// Where to send the answer once a log entry is committed.
     pub(crate) commits: BTreeMap<Index, ReplyTo>,
     /// Whether the load balancer was told to send callers here.
@@ -93,6 +94,7 @@
             carriers: Carriers::default(),
             overload: Overload::default(),
             surplus: Surplus::default(),
+            organisation_labels: OrganisationLabels::default(),
             commits: BTreeMap::new(),
             ready: false,
             stopping: false,
@@ -255,6 +257,7 @@
             self.step_scheduler(now, unix, job::Event::MaxQueries(max_queries), effects);
             self.choose_carriers(now, effects);
         }
+        self.report_organisations(now, effects);
         let ready = self
             .pending_calls
             .last_served
--- a/crates/entry/tests/reducer/access.rs
+++ b/crates/entry/tests/reducer/access.rs
@@ -157,16 +157,19 @@
         let call = submission(JOB, caller, small());
         pending.extend(state.reduce(ms(3100), 0, Event::Call { ticket, call, timeout: ms(1800) }));
     }
-    let mut answered = Vec::new();
+    let (mut answered, mut logged) = (Vec::new(), 0);
     for effect in pending {
         if let Effect::Persist(quorum::Record::Entries { first, entries }) = effect {
             let index = first + entries.len() as Index - 1;
             let term = entries.last().expect("a record has entries").term;
             let effects = state.reduce(ms(3110), 0, Event::Synced { term, index });
             answered.extend(answers(&effects));
+            let refused = |effect: &&Effect| matches!(effect, Effect::Note(note) if note.what == "job-refused");
+            logged += effects.iter().filter(refused).count();
         }
     }
     assert_eq!(answered, [Answer::Done, Answer::Conflict]);
+    assert_eq!(logged, 1, "the refusal has a line");
     assert_eq!(state.table.jobs[&0xaa].organisation.as_deref(), Some("a"));
 }
 
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod forwarding;
 mod load;
+mod organisations;
 mod outbox;
 
 /// A daemon without a disk that has heard from the leader `leader`.
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -63,6 +63,7 @@
 mod task_id;
 mod task_state;
 mod throttling;
+mod usage;
 mod wave;
 
 use {
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -62,6 +62,11 @@
         counts
     }
 
+    /// Number of jobs without a started task, by organisation.
+    pub fn pending_by_organisation(&self) -> BTreeMap<Name, u64> {
+        self.count_pending(|_| true)
+    }
+
     fn configure(&mut self, config: Config) -> Vec<Outcome> {
         let newer = self.config.as_ref().is_none_or(|current| current.version < config.version);
         if newer {
@@ -80,11 +85,18 @@
     /// Number of jobs beyond the agreed rate of their organisation without a started task, by
     /// organisation.
     pub fn pending_surplus(&self) -> BTreeMap<Name, u64> {
+        self.count_pending(|job| job.surplus)
+    }
+
+    fn count_pending(&self, counts: impl Fn(&JobRecord) -> bool) -> BTreeMap<Name, u64> {
         let live = self.live.iter().filter_map(|id| self.jobs.get(id));
-        let pending = live.filter(|job| job.surplus && job.state == JobState::Queued);
+        let pending = live.filter(|job| job.state == JobState::Queued && counts(job));
         let mut counts = BTreeMap::new();
         for name in pending.filter_map(|job| job.organisation.as_ref()) {
-            *counts.entry(name.clone()).or_default() += 1;
+            match counts.get_mut(name) {
+                Some(count) => *count += 1,
+                None => drop(counts.insert(name.clone(), 1)),
+            }
         }
         counts
     }
