--- a/crates/job/src/ledger.rs
+++ b/crates/job/src/ledger.rs
@@ -92,6 +92,12 @@
         self.accounts.get(name).map(|account| account.usage).unwrap_or_default()
     }
 
+    /// Resources at work of each organisation that has any.
+    pub(crate) fn by_organisation(&self) -> BTreeMap<Name, Resources> {
+        let accounts = self.accounts.iter().map(|(name, account)| (name.clone(), account.usage));
+        accounts.filter(|(_, usage)| *usage != Resources::default()).collect()
+    }
+
     /// What an organisation may still start; an amount without a limit is the maximum.
     pub(crate) fn room(&self, name: &Name, organisation: &Organisation) -> Resources {
         let (limit, usage) = (organisation.limit, self.at_work(Some(name)));
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -66,6 +66,7 @@
 mod task_id;
 mod task_state;
 mod throttling;
+mod usage;
 mod wait_causes;
 mod wave;
 
--- a/crates/job/src/shares.rs
+++ b/crates/job/src/shares.rs
@@ -170,12 +170,6 @@
         if config.organisations.is_empty() || !self.uses(Mechanism::FairShares) {
             return None;
         }
-        let mut capacity = Resources::default();
-        for instance in self.instances.values().filter(|instance| instance.is_usable(now)) {
-            if let Some(announcement) = &instance.announcement {
-                capacity += announcement.capacity;
-            }
-        }
-        Some(Shares::new(config, capacity))
+        Some(Shares::new(config, self.usable_capacity(now)))
     }
 }
