Starts held back by limits and shares: log line and reason of a job

Cause: an operator could not tell a job that waits for its organisation's limit or share from one that waits for room.

Change: `starts-held`, at most one line per second and organisation, with the number of tasks that wait for the limit and for the shares of others, the limit, the usage and the version of the configuration; it names a gang that exceeds the limit. `Scheduler::hold_reason` tells the reason of one job.

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -36,6 +36,8 @@
 mod event;
 mod group;
 mod group_id;
+mod hold_reason;
+mod holds;
 mod incarnation;
 mod instance;
 mod job_record;
@@ -71,6 +73,7 @@
     admission::AdmissionState,
     due::DueRound,
     durations::DurationEstimator,
+    holds::Holds,
     instance::{Attempt, Instance, Stage},
     ledger::{Charge, Ledger},
     order_budget::OrderBudget,
@@ -93,6 +96,7 @@
     event::Event,
     group::Group,
     group_id::GroupId,
+    hold_reason::HoldReason,
     incarnation::Incarnation,
     job_record::JobRecord,
     job_state::JobState,
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -17,35 +17,39 @@
 pub(crate) struct ReadyGroup<'a> {
     key: PlacementKey,
     pub(crate) group_id: GroupId,
-    record: &'a JobRecord,
+    pub(crate) record: &'a JobRecord,
     pub(crate) queue: &'a Queue,
 }
 
 /// What comes before the order among organisations; lower ranks go first.
 pub(crate) type Rank = (Class, u8, std::cmp::Reverse<bool>);
 
-impl ReadyGroup<'_> {
+impl<'a> ReadyGroup<'a> {
     pub(crate) fn rank(&self) -> Rank {
         (self.key.class, self.key.priority, self.key.begun)
     }
 
+    /// Number of its tasks that wait, also those that are being claimed.
+    pub(crate) fn waiting(&self) -> u16 {
+        let GroupId { round, group, .. } = self.group_id;
+        let round = self.record.rounds.get(round as usize);
+        round.map_or(0, |round| round.waiting[usize::from(group)])
+    }
+
     pub(crate) fn slack(&self) -> u64 {
         self.key.slack
     }
 
-    pub(crate) fn group(&self) -> &Group {
+    pub(crate) fn group(&self) -> &'a Group {
         &self.record.spec.groups[usize::from(self.group_id.group)]
     }
 
-    pub(crate) fn organisation_name(&self) -> Option<&Name> {
+    pub(crate) fn organisation_name(&self) -> Option<&'a Name> {
         self.record.organisation.as_ref()
     }
 
     /// Name and configuration of its organisation, if both are known.
-    pub(crate) fn organisation<'a>(
-        &'a self,
-        config: &'a Config,
-    ) -> Option<(&'a Name, &'a Organisation)> {
+    pub(crate) fn organisation(&self, config: &'a Config) -> Option<(&'a Name, &'a Organisation)> {
         let name = self.organisation_name()?;
         Some((name, config.organisation(name)?))
     }
@@ -214,6 +218,7 @@
         }
         self.open_jobs = &open_jobs - &late;
         self.late_jobs.extend(late);
+        self.note_holds(now, unix, table, config, effects);
         claims
     }
 
@@ -235,6 +240,11 @@
         self.uses(Mechanism::LateAside) && !self.overloaded_pools.is_empty()
     }
 
+    /// Whether a group waits because its job is late and a pool lacks capacity.
+    pub(crate) fn is_held_as_late(&self, ready_group: &ReadyGroup) -> bool {
+        ready_group.key.is_late() && self.holds_late_jobs()
+    }
+
     /// Instances of the `wanted` pools on which tasks can be placed, by pool.
     fn hosts(&self, now: Time, wanted: &BTreeSet<&Name>) -> BTreeMap<Name, Vec<Host>> {
         let mut hosts: BTreeMap<Name, Vec<Host>> =
@@ -322,7 +332,7 @@
     fn place<'a>(
         &mut self,
         now: Time,
-        config: &Config,
+        config: &'a Config,
         ready_group: &ReadyGroup<'a>,
         hosts: &mut [Host],
         unplaceable: &mut Unplaceable<'a>,
@@ -334,10 +344,9 @@
         let is_unplaceable = |(pool, size): &(&str, Resources)| {
             *pool == &*ready_group.queue.pool && size.fits(reserved) && group.requirement.is_none()
         };
-        let late = ready_group.key.is_late();
         // While a pool lacks machines, late jobs leave its capacity to jobs that can still meet
         // their objective.
-        if late && self.holds_late_jobs() || unplaceable.iter().any(is_unplaceable) {
+        if self.is_held_as_late(ready_group) || unplaceable.iter().any(is_unplaceable) {
             return;
         }
         let Some(state) = ready_group.record.rounds.get(round as usize) else { return };
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -15,6 +15,7 @@
     pub(crate) assigned: BTreeMap<TaskId, Incarnation>,
     /// What these attempts, and those that ended since the last batch, count for.
     pub(crate) ledger: Ledger,
+    pub(crate) holds: Holds,
     /// Latest incarnation heard from on each machine.
     pub(crate) latest_on_machine: BTreeMap<Name, Incarnation>,
     /// Instances whose stops and renewals are checked after the current event.
@@ -317,6 +318,7 @@
         self.current_starts.clear();
         self.assigned.clear();
         self.ledger.clear();
+        self.holds = Holds::default();
         self.latest_on_machine.clear();
         self.touched.clear();
         self.acknowledging.clear();
--- a/crates/job/src/shares.rs
+++ b/crates/job/src/shares.rs
@@ -103,6 +103,11 @@
             .max(share(usage.accelerators, self.capacity.accelerators));
         dominant.checked_div(weight).unwrap_or(u64::MAX)
     }
+
+    /// Weighted dominant share of the organisation of a group.
+    pub(crate) fn share_of(&self, ledger: &Ledger, group: &ReadyGroup) -> u64 {
+        self.share(ledger, self.position(group.organisation_name()))
+    }
 }
 
 impl<'a> Filling<'a> {
