--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -17,14 +17,14 @@
 pub(crate) struct ReadyGroup<'a> {
     key: PlacementKey,
     pub(crate) group_id: GroupId,
-    record: &'a JobRecord,
+    pub(crate) record: &'a JobRecord,
     pub(crate) queue: &'a Queue,
 }
 
 /// What comes before the order among organisations; lower ranks go first.
 pub(crate) type Rank = (Class, u8, std::cmp::Reverse<bool>);
 
-impl ReadyGroup<'_> {
+impl<'a> ReadyGroup<'a> {
     /// Number of tasks that wait to be started.
     fn waiting_tasks(&self) -> usize {
         let GroupId { round, group, .. } = self.group_id;
@@ -43,23 +43,36 @@
         (self.key.class, self.key.priority, self.key.begun)
     }
 
+    /// Whether no instance had enough free resources for a task of this size in this pass.
+    fn has_no_room(&self, unplaceable: &Unplaceable) -> bool {
+        let group = self.group();
+        let is_unplaceable = |(pool, size): &(&str, Resources)| {
+            **pool == *self.queue.pool && size.fits(group.reserved())
+        };
+        group.requirement.is_none() && unplaceable.iter().any(is_unplaceable)
+    }
+
+    /// Number of its tasks that wait, also those that are being claimed.
+    pub(crate) fn waiting(&self) -> u16 {
+        let GroupId { round, group, .. } = self.group_id;
+        let round = self.record.rounds.get(round as usize);
+        round.map_or(0, |round| round.waiting[usize::from(group)])
+    }
+
     pub(crate) fn slack(&self) -> u64 {
         self.key.slack
     }
 
-    pub(crate) fn group(&self) -> &Group {
+    pub(crate) fn group(&self) -> &'a Group {
         &self.record.spec.groups[usize::from(self.group_id.group)]
     }
 
-    pub(crate) fn organisation_name(&self) -> Option<&Name> {
+    pub(crate) fn organisation_name(&self) -> Option<&'a Name> {
         self.record.organisation.as_ref()
     }
 
     /// Name and configuration of its organisation, if both are known.
-    pub(crate) fn organisation<'a>(
-        &'a self,
-        config: &'a Config,
-    ) -> Option<(&'a Name, &'a Organisation)> {
+    pub(crate) fn organisation(&self, config: &'a Config) -> Option<(&'a Name, &'a Organisation)> {
         let name = self.organisation_name()?;
         Some((name, config.organisation(name)?))
     }
@@ -226,7 +239,9 @@
         let shares = if ready_groups.is_empty() { None } else { self.shares(now, config) };
         let mut filling = Filling::new(ready_groups, shares);
         let mut placed = false;
-        while let Some(ready_group) = filling.next(&self.ledger, placed) {
+        loop {
+            let has_no_room = |group: &ReadyGroup| group.has_no_room(&unplaceable);
+            let Some(ready_group) = filling.next(&self.ledger, placed, has_no_room) else { break };
             placed = false;
             let Some(hosts) = hosts.get_mut(&ready_group.queue.pool) else { continue };
             let before = claims.len();
@@ -242,6 +257,7 @@
         }
         self.open_jobs = &open_jobs - &late;
         self.late_jobs.extend(late);
+        self.note_holds(now, unix, table, config, &claims, effects);
         claims
     }
 
@@ -285,6 +301,12 @@
         }
     }
 
+    /// Whether a group waits because its job is late and a pool lacks capacity.
+    pub(crate) fn is_held_as_late(&self, ready_group: &ReadyGroup) -> bool {
+        let late = ready_group.key.is_late() && ready_group.key.class != Class::LateShare;
+        late && self.holds_late_work(&ready_group.queue.pool)
+    }
+
     /// Instances of the `wanted` pools on which tasks can be placed, by pool.
     fn hosts(&self, now: Time, wanted: &BTreeSet<&Name>) -> BTreeMap<Name, Vec<Host>> {
         let mut hosts: BTreeMap<Name, Vec<Host>> =
@@ -380,7 +402,7 @@
     fn place<'a>(
         &mut self,
         now: Time,
-        config: &Config,
+        config: &'a Config,
         ready_group: &ReadyGroup<'a>,
         hosts: &mut [Host],
         unplaceable: &mut Unplaceable<'a>,
@@ -389,15 +411,9 @@
         let GroupId { job, round, group: position } = ready_group.group_id;
         let group = &ready_group.record.spec.groups[usize::from(position)];
         let reserved = group.reserved();
-        let is_unplaceable = |(pool, size): &(&str, Resources)| {
-            *pool == &*ready_group.queue.pool && size.fits(reserved) && group.requirement.is_none()
-        };
-        let late = ready_group.key.is_late() && ready_group.key.class != Class::LateShare;
         // While a pool lacks machines, late jobs leave its capacity to jobs that can still meet
         // their objective.
-        if late && self.holds_late_work(&ready_group.queue.pool)
-            || unplaceable.iter().any(is_unplaceable)
-        {
+        if self.is_held_as_late(ready_group) {
             return;
         }
         let Some(state) = ready_group.record.rounds.get(round as usize) else { return };
