Outlier detection of instances replaces the avoidance after three failed jobs

Evidence per instance: decayed score of failures, slowness against peers of the same group, refusals and departures. Stages healthy, suspect, ejected and probing limit placement; at most a quarter of a pool is limited. Retries go to other instances. Behind the switch `avoidance`, as before.

cargo test -p job: passes.

--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -49,6 +49,7 @@
 mod order_budget;
 mod organisation;
 mod outcome;
+mod outliers;
 mod phase;
 mod planning;
 mod queue;
@@ -71,6 +72,7 @@
     durations::DurationEstimator,
     instance::{Attempt, Instance, Stage},
     order_budget::OrderBudget,
+    outliers::{Limit, Outliers, Run},
     rates::Rates,
     round::Round,
 };
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -128,9 +128,22 @@
     long_lived: usize,
     /// Whether a task with a latency target runs there.
     has_latency_target: bool,
+    /// Number of attempts.
+    attempts: usize,
+    /// How it may be used, if it is in doubt.
+    limit: Option<Limit>,
 }
 
 impl Host {
+    /// Whether it may get another task. An instance that is limited gets no long-lived tasks, since
+    /// they would show nothing about it.
+    fn allows(&self, group: &Group) -> bool {
+        match self.limit {
+            Some(Limit::Tasks(most)) => self.attempts < most && !group.is_long_lived(),
+            Some(Limit::None) | None => true,
+        }
+    }
+
     fn rack(&self) -> Option<&Name> {
         self.labels.get(1)
     }
@@ -205,9 +218,24 @@
                     free: instance.free(),
                     long_lived: instance.long_lived,
                     has_latency_target: instance.with_latency_target > 0,
+                    attempts: instance.attempts.len() - instance.long_lived,
+                    limit: None,
                 });
             }
         }
+        if self.uses(Mechanism::Avoidance) {
+            for hosts in hosts.values_mut() {
+                let incarnations = hosts.iter().map(|host| &host.incarnation);
+                let limits = self.outliers.limits(now, incarnations);
+                if limits.is_empty() {
+                    continue;
+                }
+                for host in hosts.iter_mut() {
+                    host.limit = limits.get(&host.incarnation).copied();
+                }
+                hosts.retain(|host| host.limit != Some(Limit::Tasks(0)));
+            }
+        }
         hosts
     }
 
@@ -329,6 +357,7 @@
             );
             host.free = host.free.saturating_sub(reserved);
             host.long_lived += usize::from(group.is_long_lived());
+            host.attempts += usize::from(!group.is_long_lived());
             host.has_latency_target |= group.latency_target.is_some();
             if group.single_rack {
                 rack = host.rack().cloned();
@@ -342,13 +371,15 @@
                 if let Some(host) = host {
                     host.free += reserved;
                     host.long_lived -= usize::from(group.is_long_lived());
+                    host.attempts -= usize::from(!group.is_long_lived());
                 }
             }
         }
     }
 
-    /// Chooses one of the instances that fit. It prefers, in this order: the wanted rack; for a
-    /// best-effort task, an instance whose tasks have no latency target; for a long-lived task, the
+    /// Chooses one of the instances that fit. It prefers, in this order: the rack that the task
+    /// waits for; an instance where the task has not failed; one that is not in doubt; the wanted
+    /// rack; for a best-effort task, an instance whose tasks have no latency target; for a long-lived task, the
     /// instance with the most long-lived tasks; the fullest instance.
     ///
     /// The wanted rack is `rack`, or else the rack that holds the input data. `rack` is set if all
@@ -375,6 +406,7 @@
         };
         let fits = |host: &Host| {
             reserved.fits(host.free)
+                && host.allows(group)
                 && has_permit(host)
                 && group.accepts(&host.labels)
                 && group
@@ -382,6 +414,7 @@
                     .is_none_or(|limit| self.count_on_instance(&host.incarnation, task) < limit)
         };
         let packs = self.uses(Mechanism::Packing);
+        let is_retry = self.uses(Mechanism::Avoidance) && self.outliers.has_failed(&task);
         let score = |host: &Host| {
             // Long-lived tasks are packed together so that the other machines can move to other
             // pools.
@@ -389,7 +422,10 @@
             let keeps_latency = !group.best_effort || !host.has_latency_target;
             let free = host.free.millicores;
             let fullness = if packs { u64::MAX - free } else { free };
-            (in_wanted_rack(host), keeps_latency, together, fullness)
+            let may_wait = !rack_required || in_wanted_rack(host);
+            let not_failed = !is_retry || !self.outliers.has_failed_on(&task, &host.incarnation);
+            let trusted = (not_failed, host.limit.is_none());
+            (may_wait, trusted, in_wanted_rack(host), keeps_latency, together, fullness)
         };
         let candidates = hosts.iter().enumerate().filter(|(_, host)| fits(host));
         let (best, host) = candidates.max_by_key(|(_, host)| score(host))?;
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -67,6 +67,8 @@
     pub(crate) durations: DurationEstimator,
     /// Moving average of the time from a start request to its answer.
     mean_start_time: Duration,
+    /// Estimates of which instances fail or are slow.
+    pub(crate) outliers: Outliers,
     /// Which instances the admission policies of the queues allow.
     pub(crate) admissions: AdmissionState,
 }
@@ -231,6 +233,10 @@
                 }
             }
         }
+        let outlier_notes = self.outliers.take_notes();
+        if self.uses(Mechanism::Avoidance) {
+            effects.extend(outlier_notes);
+        }
         if self.leads() {
             let touched = std::mem::take(&mut self.touched);
             self.send_due_stops(now, &touched, &mut effects);
@@ -263,6 +269,7 @@
                 self.instances.insert(announcement.incarnation.clone(), instance);
                 let Incarnation { name, born } = announcement.incarnation.clone();
                 record_latest(&mut self.latest_on_machine, announcement);
+                self.outliers.joined(now, announcement);
                 self.current_starts.insert(name, born);
             }
         }
@@ -319,6 +326,7 @@
         self.pending_ends.clear();
         self.batch_in_flight = false;
         self.machines = machines::Machines::default();
+        self.outliers = Outliers::default();
         self.admissions.resign();
     }
 
@@ -369,6 +377,7 @@
         instance.draining |= ordered;
         instance.last_heard = now;
         record_latest(&mut self.latest_on_machine, &announcement);
+        self.outliers.joined(now, &announcement);
         self.touched.insert(incarnation);
         instance.update_clock(announcement.clock, now);
         instance.announcement = Some(announcement);
@@ -399,6 +408,9 @@
     ) {
         let Some(instance) = self.instances.remove(incarnation) else { return };
         self.needs_planning = true;
+        let announced = instance.announcement.as_ref().map(|a| a.condition);
+        let expected = instance.draining || announced == Some(Condition::Draining);
+        self.outliers.departed(now, incarnation, expected);
         let later =
             self.current_starts.get(&incarnation.name).filter(|born| **born > incarnation.born);
         let successor =
--- a/crates/model/src/mechanism.rs
+++ b/crates/model/src/mechanism.rs
@@ -14,7 +14,7 @@
     /// Long-lived tasks are packed on few instances, and others on the fullest instance that fits;
     /// without it, tasks go to the emptiest one.
     Packing,
-    /// Instances on which tasks of several jobs failed in a row are avoided for some time.
+    /// Instances that fail, refuse or run slowly get less work, and retries go to other instances.
     Avoidance,
     /// A pool with continuous tasks keeps one instance more than they need.
     SpareInstance,
