--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -66,6 +66,10 @@
 mod throttling;
 mod wave;
 
+#[cfg(test)]
+#[path = "../tests/evidence/mod.rs"]
+mod evidence;
+
 use {
     admission::AdmissionState,
     due::DueRound,
--- a/crates/job/src/outliers.rs
+++ b/crates/job/src/outliers.rs
@@ -75,10 +75,11 @@
     failed: f64,
     /// Decayed number of successful ends.
     succeeded: f64,
-    /// Mean logarithm of run times relative to those of peers, at least 0.
+    /// Score of slowness.
     slowness: f64,
-    /// Number of tasks, up to [`Self::MAX_SLOWNESS_WEIGHT`], that `slowness` is the mean of.
-    slowness_weight: f64,
+    /// Moving average of the logarithm of run times relative to those of peers, at least 0; for the
+    /// log.
+    mean_slowness: f64,
     health: Health,
     /// Tasks that ended well and at normal speed since the last one that did not.
     good: u32,
@@ -97,7 +98,6 @@
     count: f64,
     failures: f64,
     slowness: f64,
-    slowness_weight: f64,
     ejections: u32,
     last_ejected: Time,
 }
@@ -144,13 +144,14 @@
     /// Score with which an instance returns to normal use, so that it leaves sooner if it fails
     /// again.
     const RETURN_FAILURES: f64 = 0.7;
-    /// Shrunk mean slowness at which an instance is ejected, `ln 2.8`. A fifth of the speed gets
-    /// there within three tasks, or five after a sound past. Declared times that are wrong by 1.9
-    /// stay below half of it.
-    const SLOWNESS_LIMIT: f64 = 1.03;
-    const MAX_SLOWNESS_WEIGHT: f64 = 3.0;
-    /// Weight of the assumption that an instance runs at normal speed, in tasks.
-    const SLOWNESS_PRIOR: f64 = 1.0;
+    /// What each task takes off the score of slowness, and its slowness is added to, `ln 1.5`. An
+    /// instance whose tasks take less than 1.5 times as long as those of its peers gains no score.
+    const SLOWNESS_CREDIT: f64 = 0.405;
+    /// Score of slowness at which an instance is ejected: two tasks at a fifth of the speed.
+    const SLOWNESS_LIMIT: f64 = 2.2;
+    const MAX_SLOWNESS: f64 = 4.0;
+    /// Weight of the latest task in the average for the log.
+    const MEAN_WEIGHT: f64 = 0.3;
     /// Share of the limits at which an instance is suspect.
     const SUSPECT: f64 = 0.5;
     /// Share of the limits below which an instance in doubt is healthy again.
@@ -170,29 +171,20 @@
     }
 
     fn add_slowness(&mut self, slowness: f64, weight: f64) {
-        self.slowness_weight = (self.slowness_weight + weight).min(Self::MAX_SLOWNESS_WEIGHT);
-        self.slowness += (slowness - self.slowness) * weight / self.slowness_weight;
-    }
-
-    /// Mean slowness, shrunk towards normal speed while there are few tasks.
-    fn shrunk_slowness(&self) -> f64 {
-        self.slowness * self.slowness_weight / (self.slowness_weight + Self::SLOWNESS_PRIOR)
+        let gained = weight * (slowness - Self::SLOWNESS_CREDIT);
+        self.slowness = (self.slowness + gained).clamp(0.0, Self::MAX_SLOWNESS);
+        self.mean_slowness += (slowness - self.mean_slowness) * weight * Self::MEAN_WEIGHT;
     }
 
     /// Evidence as a share of that which ejects an instance.
     fn severity(&self) -> f64 {
-        let slowness = self.shrunk_slowness() / Self::SLOWNESS_LIMIT;
-        (self.failures / Self::FAILURE_LIMIT).max(slowness)
+        (self.failures / Self::FAILURE_LIMIT).max(self.slowness / Self::SLOWNESS_LIMIT)
     }
 
     /// Limits the evidence to that of a suspect.
     fn limit_to_suspect(&mut self) {
         self.failures = self.failures.min(Self::FAILURE_LIMIT * Self::SUSPECT);
-        let shrunk = self.shrunk_slowness();
-        let most = Self::SLOWNESS_LIMIT * Self::SUSPECT;
-        if shrunk > most {
-            self.slowness *= most / shrunk;
-        }
+        self.slowness = self.slowness.min(Self::SLOWNESS_LIMIT * Self::SUSPECT);
     }
 
     fn backoff(&self) -> Duration {
@@ -201,13 +193,13 @@
 
     fn evidence(&self, now: Time) -> String {
         format!(
-            "{:.1} failed and {:.1} ended well lately, score {:.1}, {:.1} times the run time of its \
-             peers by {:.1} tasks, up for {:.1} s",
+            "{:.1} failed and {:.1} ended well lately, score {:.1}; {:.1} times the run time of its \
+             peers, score {:.1}; up for {:.1} s",
             self.failed,
             self.succeeded,
             self.failures,
-            self.slowness.exp(),
-            self.slowness_weight,
+            self.mean_slowness.exp(),
+            self.slowness,
             now.saturating_sub(self.joined).as_secs_f64()
         )
     }
@@ -249,6 +241,9 @@
     const REPORT_DELAY: Duration = Duration::from_millis(50);
     /// A running task is not judged earlier than this.
     const MIN_ELAPSED: Duration = Duration::from_millis(300);
+    /// A task that takes less than this many times as long as its peers, or as expected, runs at
+    /// normal speed.
+    const NORMAL_RATIO: f64 = 1.6;
     /// A task that takes this many times as long as its peers is slow.
     const SLOW_RATIO: f64 = 2.0;
     /// A task that takes this many times as long as expected is slow. Declared times alone are wrong
@@ -267,6 +262,9 @@
     const TASK_FAILURES: usize = 2;
     /// Instances on which a job fails that is at fault itself.
     const JOB_FAILURES: usize = 3;
+    /// How long a task waits for another instance than one where it failed. An instance that fails at
+    /// once always has room, and would use up the attempts of a task while the others are full.
+    const RETRY_WAIT: Duration = Duration::from_secs(2);
     /// Maximum number of failures kept for a task, and of tasks looked at for a job.
     const MAX_CHARGES: usize = 8;
     const MAX_TASKS: usize = 64;
@@ -300,7 +298,7 @@
             failed: 0.0,
             succeeded: 0.0,
             slowness: 0.0,
-            slowness_weight: 0.0,
+            mean_slowness: 0.0,
             health: Health::Healthy,
             good: 0,
             ejections: 0,
@@ -315,8 +313,9 @@
             record.failures =
                 carried * Self::CARRIED_SHARE + (count - 1.0).max(0.0) * Self::DEPARTURE_WEIGHT;
             record.failures = record.failures.min(Record::MAX_FAILURES);
-            record.slowness = departure.slowness;
-            record.slowness_weight = departure.slowness_weight * Self::CARRIED_SHARE;
+            record.slowness = departure.slowness
+                * decay_factor(away, Record::SLOWNESS_HALF_LIFE)
+                * Self::CARRIED_SHARE;
             record.ejections = departure.ejections;
             record.last_ejected = departure.last_ejected;
         }
@@ -344,7 +343,6 @@
             count: count + if expected { 0.0 } else { 1.0 },
             failures: record.failures,
             slowness: record.slowness,
-            slowness_weight: record.slowness_weight,
             ejections: record.ejections,
             last_ejected: record.last_ejected,
         };
@@ -383,14 +381,18 @@
         record.decay(now);
         record.succeeded += 1.0;
         record.failures = (record.failures - Record::SUCCESS_CREDIT).max(0.0);
-        let was_slow = run.is_some_and(|run| run.counted > 0.0);
         let slow = slowness.is_some_and(Self::is_slow);
+        // A run that compares with nothing shows nothing about the speed.
+        let good = match slowness {
+            Some((slowness, _)) => slowness < Self::NORMAL_RATIO.ln(),
+            None => run.is_none(),
+        };
         if let Some((slowness, weight)) = slowness {
             record.add_slowness(slowness, weight);
         }
         if slow {
             self.observe_bad(now, incarnation);
-        } else if !was_slow {
+        } else if good {
             self.observe_good(now, incarnation);
         }
         self.judge(now, incarnation);
@@ -502,6 +504,20 @@
         self.charges.contains_key(task)
     }
 
+    /// Whether a task failed, or was refused, on an instance so lately that it waits for another one.
+    pub(crate) fn has_just_failed_on(
+        &self,
+        now: Time,
+        task: &TaskId,
+        incarnation: &Incarnation,
+    ) -> bool {
+        let charges = self.charges.get(task);
+        let is_recent = |charge: &Charge| {
+            charge.incarnation == *incarnation && now < charge.at + Self::RETRY_WAIT
+        };
+        charges.is_some_and(|charges| charges.iter().any(is_recent))
+    }
+
     /// Whether a task failed, or was refused, on an instance.
     pub(crate) fn has_failed_on(&self, task: &TaskId, incarnation: &Incarnation) -> bool {
         let charges = self.charges.get(task);
@@ -585,7 +601,6 @@
         }
         record.failures = record.failures.min(Record::RETURN_FAILURES);
         record.slowness = 0.0;
-        record.slowness_weight = 0.0;
         self.set_health(now, incarnation, Health::Healthy);
     }
 
@@ -768,6 +783,23 @@
         while self.charges.len() > most {
             self.charges.pop_first();
         }
+        while self.jobs.len() > most {
+            self.jobs.pop_first();
+        }
+    }
+
+    /// Stage of an instance.
+    #[cfg(test)]
+    pub(crate) fn health(&self, incarnation: &Incarnation) -> Option<Health> {
+        self.records.get(incarnation).map(|record| record.health)
+    }
+
+    /// Number of entries.
+    #[cfg(test)]
+    pub(crate) fn size(&self) -> usize {
+        let charges = self.charges.values().map(Vec::len).sum::<usize>();
+        let run_times = self.run_times.values().map(Vec::len).sum::<usize>();
+        self.records.len() + self.departures.len() + self.jobs.len() + charges + run_times
     }
 
     /// Log entries about changes of stage since the last call.
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -340,6 +340,11 @@
             }
             let Some(host) = self.choose(now, ready_group, group, task, rack.as_ref(), hosts)
             else {
+                let has_room = || hosts.iter().any(|host| reserved.fits(host.free));
+                if self.is_retry(&task) && !group.gang && has_room() {
+                    // Other tasks may go where this one failed.
+                    continue;
+                }
                 let unrestricted = group.max_per_instance.is_none() && group.data_rack.is_none();
                 let unrestricted = unrestricted && ready_group.queue.admission.is_none();
                 if unrestricted && group.requirement.is_none() && rack.is_none() {
@@ -414,7 +419,16 @@
                     .is_none_or(|limit| self.count_on_instance(&host.incarnation, task) < limit)
         };
         let packs = self.uses(Mechanism::Packing);
-        let is_retry = self.uses(Mechanism::Avoidance) && self.outliers.has_failed(&task);
+        let is_retry = self.is_retry(&task);
+        let waits_for_other = is_retry
+            && hosts.iter().any(|host| {
+                group.accepts(&host.labels)
+                    && has_permit(host)
+                    && !self.outliers.has_failed_on(&task, &host.incarnation)
+            });
+        let has_just_failed = |host: &Host| {
+            waits_for_other && self.outliers.has_just_failed_on(now, &task, &host.incarnation)
+        };
         let score = |host: &Host| {
             // Long-lived tasks are packed together so that the other machines can move to other
             // pools.
@@ -427,7 +441,8 @@
             let trusted = (not_failed, host.limit.is_none());
             (may_wait, trusted, in_wanted_rack(host), keeps_latency, together, fullness)
         };
-        let candidates = hosts.iter().enumerate().filter(|(_, host)| fits(host));
+        let candidates =
+            hosts.iter().enumerate().filter(|(_, host)| fits(host) && !has_just_failed(host));
         let (best, host) = candidates.max_by_key(|(_, host)| score(host))?;
         if !in_wanted_rack(host)
             && rack_required
@@ -438,6 +453,11 @@
         Some(best)
     }
 
+    /// Whether a task has failed somewhere, and is to run elsewhere now.
+    fn is_retry(&self, task: &TaskId) -> bool {
+        self.uses(Mechanism::Avoidance) && self.outliers.has_failed(task)
+    }
+
     /// Number of tasks of the same group and round on an instance.
     fn count_on_instance(&self, incarnation: &Incarnation, task: TaskId) -> u16 {
         let Some(instance) = self.instances.get(incarnation) else { return 0 };
