Rebalancing leaves ejected instances out: no capacity, and not moved to another pool

An ejected instance is idle, so it was the first to be moved to the pool with a burst. an_ejected_instance_is_not_given_to_another_pool fails without the change.

--- a/crates/job/src/outliers.rs
+++ b/crates/job/src/outliers.rs
@@ -808,6 +808,27 @@
     }
 }
 
+impl Scheduler {
+    /// Instances that get nothing, since they are ejected and within the cap of their pool.
+    pub(crate) fn ejected(&self, now: Time) -> BTreeSet<Incarnation> {
+        if !self.uses(Mechanism::Avoidance) || self.outliers.in_doubt.is_empty() {
+            return BTreeSet::new();
+        }
+        let mut pools = BTreeMap::<&Name, Vec<&Incarnation>>::new();
+        for (incarnation, instance) in &self.instances {
+            let announcement = instance.announcement.as_ref().filter(|_| instance.is_usable(now));
+            if let Some(announcement) = announcement {
+                pools.entry(&announcement.pool).or_default().push(incarnation);
+            }
+        }
+        let limits = pools.into_values().flat_map(|usable| {
+            let limits = self.outliers.limits(now, usable.into_iter());
+            limits.into_iter().filter(|(_, limit)| *limit == Limit::Tasks(0))
+        });
+        limits.map(|(incarnation, _)| incarnation).collect()
+    }
+}
+
 /// Number of instances on which the charges happened that are evidence against the job.
 fn count_instances<'a>(charges: impl Iterator<Item = &'a Charge>) -> usize {
     let against_job = charges.filter(|charge| charge.against_job);
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -225,7 +225,8 @@
             pool.arriving = arrivals.map_or(0, |arrivals| arrivals.rate(now));
         }
         let mut idle = Vec::new();
-        for instance in self.instances.values() {
+        let ejected = self.ejected(now);
+        for (incarnation, instance) in &self.instances {
             let Some(announcement) = &instance.announcement else { continue };
             let Some(pool) = pools.get_mut(&announcement.pool) else { continue };
             let size = announcement.capacity.millicores;
@@ -235,7 +236,7 @@
             let lasting = instance.attempts.values().filter(|attempt| attempt.long_lived);
             pool.lasting += lasting.map(|attempt| attempt.reserved.millicores).sum::<u64>();
             pool.late += instance.used.millicores.saturating_sub(in_time);
-            if !instance.is_usable(now) {
+            if !instance.is_usable(now) || ejected.contains(incarnation) {
                 continue;
             }
             pool.capacity += size;
--- a/crates/job/tests/outliers.rs
+++ b/crates/job/tests/outliers.rs
@@ -397,3 +397,33 @@
     assert_eq!(ejected.collect::<Vec<_>>(), Vec::<&Note>::new());
     assert!(world.notes.iter().any(|note| note.what == "rack-failed"), "one event of the rack");
 }
+
+/// Guards against an ejected instance being moved to the pool with the burst because it is idle, and
+/// against it being counted as capacity there or in its pool.
+#[test]
+fn an_ejected_instance_is_not_given_to_another_pool() {
+    let bounds = Bounds::default();
+    let mut world = World::with_mechanisms(4, config(&["a", "b"]), bounds, mechanisms(true));
+    for i in 0..8 {
+        world.add_machine(&format!("m{i}"), "a", &format!("r{i}"), MILLICORES);
+    }
+    world.add_machine("n0", "b", "r8", MILLICORES);
+    world.run(1000);
+    let bad = world.instances.keys().next().expect("there are instances").clone();
+    let machine = world.instances[&bad].machine().clone();
+    let instance = world.instances.get_mut(&bad).expect("it was added");
+    instance.fault.fail_permille = 1000;
+    instance.fault.fail_after_ms = 50;
+    let mut jobs = 0;
+    while !was_ejected(&world, &bad) {
+        assert!(world.now < 20_000, "the instance is not ejected");
+        submit_small(&mut world, &mut jobs, 100);
+    }
+    (1..=jobs).for_each(|id| world.cancel(id));
+    for id in 1..=40 {
+        world.submit(1000 + id, "b", chain(&[8], 6_000, 1000));
+    }
+    world.run(800);
+    assert!(world.moves > 0, "machines are moved to the burst");
+    assert_eq!(&*world.machines[&machine].pool, "a", "the ejected machine was moved");
+}
