--- a/crates/job/src/outliers.rs
+++ b/crates/job/src/outliers.rs
@@ -178,7 +178,15 @@
 
     /// Evidence as a share of that which ejects an instance.
     fn severity(&self) -> f64 {
-        (self.failures / Self::FAILURE_LIMIT).max(self.slowness / Self::SLOWNESS_LIMIT)
+        self.severity_at(self.at)
+    }
+
+    /// Severity after the decay until `now`.
+    fn severity_at(&self, now: Time) -> f64 {
+        let elapsed = now.saturating_sub(self.at);
+        let failures = self.failures * decay_factor(elapsed, Self::HALF_LIFE);
+        let slowness = self.slowness * decay_factor(elapsed, Self::SLOWNESS_HALF_LIFE);
+        (failures / Self::FAILURE_LIMIT).max(slowness / Self::SLOWNESS_LIMIT)
     }
 
     /// Limits the evidence to that of a suspect.
@@ -741,10 +749,9 @@
         let in_doubt = usable.filter(|incarnation| self.in_doubt.contains(*incarnation));
         let mut in_doubt: Vec<_> = in_doubt
             .filter_map(|incarnation| {
-                let mut record = self.records.get(incarnation)?.clone();
-                record.decay(now);
+                let record = self.records.get(incarnation)?;
                 let is_ejected = record.health == Health::Ejected;
-                Some((is_ejected, record.severity(), incarnation, record.health))
+                Some((is_ejected, record.severity_at(now), incarnation, record.health))
             })
             .collect();
         in_doubt.sort_by(|a, b| (b.0.cmp(&a.0)).then(b.1.total_cmp(&a.1)).then(a.2.cmp(b.2)));
