Slow tasks on instances in doubt are started anew elsewhere, once

Most jobs still late under slow instances had a task there before the first report showed it. Such a task is stopped if it still needs more than twice the time of its peers, not while the pool is overloaded.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -232,6 +232,10 @@
                 checkpoint,
             });
         }
+        let pool = instance.announcement.as_ref().map(|announcement| &announcement.pool);
+        // In an overloaded pool, a task that is started anew would wait for long.
+        let may_restart = self.mechanisms.is_on(Mechanism::Avoidance)
+            && pool.is_some_and(|pool| !self.overloaded_pools.contains(pool));
         let mut unclaimed = Vec::new();
         let mut reported = BTreeSet::new();
         for run in running {
@@ -255,6 +259,17 @@
                 let group_id = run.task.group_id();
                 attempt.slowness_counted =
                     self.outliers.progressed(now, incarnation, group_id, progress, run.percent);
+                let restart = may_restart
+                    && !group.gang
+                    && self.outliers.should_restart(incarnation, &run.task, progress, run.percent);
+                if restart {
+                    self.outliers.restarted(now, incarnation, run.task);
+                    attempt.stop_requested = true;
+                    instance.may_need_stops = true;
+                    let about = format!("{} {} {incarnation}", run.task, run.number);
+                    let why = format!("{}% after {took:?}, slower than its peers", run.percent);
+                    effects.push(note("attempt-restarted", about, why));
+                }
             }
             attempt.gauge = run.gauge;
             attempt.checkpoint = run.checkpoint.or(attempt.checkpoint.take());
--- a/crates/job/src/outliers.rs
+++ b/crates/job/src/outliers.rs
@@ -437,6 +437,29 @@
         run.counted + weight
     }
 
+    /// Whether a running task would end sooner if it were started anew elsewhere: its instance is in
+    /// doubt, and by its progress it needs twice as long again as its peers needed in all.
+    pub(crate) fn should_restart(
+        &self,
+        incarnation: &Incarnation,
+        task: &TaskId,
+        run: Run,
+        percent: u8,
+    ) -> bool {
+        let median = self.peers_median(incarnation, task.group_id());
+        let Some(median) = median.filter(|_| percent > 0 && !self.has_failed(task)) else {
+            return false;
+        };
+        let left = (run.took * 100 / u32::from(percent)).saturating_sub(run.took);
+        self.in_doubt.contains(incarnation) && left > median * 2
+    }
+
+    /// Records that a task is stopped on an instance, to be started elsewhere.
+    pub(crate) fn restarted(&mut self, now: Time, incarnation: &Incarnation, task: TaskId) {
+        let incarnation = incarnation.clone();
+        self.add_charge(task, Charge { incarnation, at: now, weight: 0.0, against_job: false });
+    }
+
     /// Whether a run was slow, by its slowness and the weight of the comparison.
     fn is_slow((slowness, weight): (f64, f64)) -> bool {
         let by_peers = weight > Self::ESTIMATE_WEIGHT;
@@ -512,18 +535,11 @@
         self.charges.contains_key(task)
     }
 
-    /// Whether a task failed, or was refused, on an instance so lately that it waits for another one.
-    pub(crate) fn has_just_failed_on(
-        &self,
-        now: Time,
-        task: &TaskId,
-        incarnation: &Incarnation,
-    ) -> bool {
-        let charges = self.charges.get(task);
-        let is_recent = |charge: &Charge| {
-            charge.incarnation == *incarnation && now < charge.at + Self::RETRY_WAIT
-        };
-        charges.is_some_and(|charges| charges.iter().any(is_recent))
+    /// Whether a task failed, or was refused, so lately that it waits for an instance where it did not
+    /// and that is not limited.
+    pub(crate) fn has_just_failed(&self, now: Time, task: &TaskId) -> bool {
+        let last = self.charges.get(task).and_then(|charges| charges.last());
+        last.is_some_and(|charge| now < charge.at + Self::RETRY_WAIT)
     }
 
     /// Whether a task failed, or was refused, on an instance.
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -426,8 +426,11 @@
                     && has_permit(host)
                     && !self.outliers.has_failed_on(&task, &host.incarnation)
             });
+        let just_failed = waits_for_other && self.outliers.has_just_failed(now, &task);
         let has_just_failed = |host: &Host| {
-            waits_for_other && self.outliers.has_just_failed_on(now, &task, &host.incarnation)
+            just_failed
+                && (matches!(host.limit, Some(Limit::Tasks(_)))
+                    || self.outliers.has_failed_on(&task, &host.incarnation))
         };
         let score = |host: &Host| {
             // Long-lived tasks are packed together so that the other machines can move to other
--- a/crates/job/tests/evidence/mod.rs
+++ b/crates/job/tests/evidence/mod.rs
@@ -329,13 +329,37 @@
     pool.fail_task(3, task);
     assert!(pool.outliers.has_failed_on(&task, &pool.incarnations[3]));
     assert!(!pool.outliers.has_failed_on(&task, &pool.incarnations[4]));
-    assert!(pool.outliers.has_just_failed_on(pool.now, &task, &pool.incarnations[3]));
+    assert!(pool.outliers.has_just_failed(pool.now, &task));
     pool.wait(2100);
-    assert!(!pool.outliers.has_just_failed_on(pool.now, &task, &pool.incarnations[3]));
+    assert!(!pool.outliers.has_just_failed(pool.now, &task));
     pool.outliers.forget(pool.now, &BTreeSet::new(), |_| true);
     assert!(!pool.outliers.has_failed(&task), "the job has ended");
 }
 
+/// A task on a slow instance must be started anew once, if that ends it sooner; never on an instance
+/// that is not in doubt, and never for a wrong estimate alone.
+#[test]
+fn a_slow_task_is_restarted_once() {
+    let mut pool = Pool::new(8);
+    let slow = Run { took: EXPECTED, expected: EXPECTED, counted: 1.0 };
+    let task = pool.new_task();
+    let incarnation = pool.incarnations[0].clone();
+    let should =
+        |pool: &Pool, percent| pool.outliers.should_restart(&incarnation, &task, slow, percent);
+    pool.fail(0);
+    pool.fail(0);
+    assert_eq!(pool.limit(0), SUSPECT);
+    assert!(!should(&pool, 20), "no peer has ended");
+    pool.run_task(1, TaskId { index: 1, ..task }, 100);
+    assert!(should(&pool, 20));
+    assert!(!should(&pool, 40), "the rest takes less than twice the time of its peers");
+    assert!(!should(&pool, 0), "no progress is known");
+    let sound = pool.incarnations[2].clone();
+    assert!(!pool.outliers.should_restart(&sound, &task, slow, 20), "not in doubt");
+    pool.outliers.restarted(pool.now, &incarnation, task);
+    assert!(!should(&pool, 20), "restarted before");
+}
+
 /// An instance that goes down and up must get little work, though no incarnation lives long enough
 /// to fail.
 #[test]
--- a/crates/job/tests/outliers.rs
+++ b/crates/job/tests/outliers.rs
@@ -250,11 +250,12 @@
     assert_gain("8% fail all", Load { percent: 8, fault, ..Load::NONE }, 0.06, 40);
 }
 
-/// Guards against slowness going unnoticed because nothing fails.
+/// Guards against slowness going unnoticed because nothing fails, and against the tasks that started
+/// before it was noticed staying there.
 #[test]
 fn slow_instances_get_little_work() {
     let fault = InstanceFault { run_time_percent: 500, ..InstanceFault::NONE };
-    assert_gain("16% slow", Load { percent: 16, fault, ..Load::NONE }, 0.08, 50);
+    assert_gain("16% slow", Load { percent: 16, fault, ..Load::NONE }, 0.15, 50);
 }
 
 /// Guards against each incarnation of an unstable machine being trusted anew.
@@ -281,7 +282,7 @@
 #[test]
 fn half_a_slow_rack_gets_little_work() {
     let fault = InstanceFault { run_time_percent: 500, ..InstanceFault::NONE };
-    assert_gain("half a rack slow", Load { half_rack: true, fault, ..Load::NONE }, 0.05, 50);
+    assert_gain("half a rack slow", Load { half_rack: true, fault, ..Load::NONE }, 0.1, 50);
 }
 
 /// Guards against jobs whose tasks fail everywhere taking instances away from the others.
