Cheaper planning passes with organisations

Cause: the search for held starts took several times a planning pass and ran with each pass while thousands of jobs waited; groups without room went through the order of shares one by one.

Change: holds are looked for at most every 250 ms, and less often the more jobs wait, at intervals of up to 3 s. A group that is known to have no room is skipped before the order is made.

--- a/crates/job/src/holds.rs
+++ b/crates/job/src/holds.rs
@@ -35,7 +35,19 @@
 /// Time between two log lines about the same organisation.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which holds are looked for while there are none.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two checks for each waiting job, so that the checks take a small part of the time of
+/// the planning passes in between, which are less frequent the more jobs wait.
+const JOB_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(3);
+
+fn count_by_group(tasks: impl Iterator<Item = TaskId>) -> BTreeMap<GroupId, u64> {
+    let mut counts = BTreeMap::new();
+    for task in tasks {
+        *counts.entry(task.group_id()).or_default() += 1;
+    }
+    counts
+}
 
 impl Scheduler {
     /// Why a job with ready tasks does not start them; the reason that is hardest to overcome if
@@ -44,7 +56,9 @@
     pub fn hold_reason(&self, table: &Table, job: JobId) -> Option<HoldReason> {
         let config = table.config.as_ref().filter(|_| self.leads())?;
         let jobs = self.open_jobs.iter().chain(&self.late_jobs).chain([&job]).copied().collect();
-        let holds = self.holds(self.last_planned, self.holds.unix, &jobs, table, config);
+        let proposed = count_by_group(self.claiming.iter().map(|(task, _)| *task));
+        let (now, unix) = (self.last_planned, self.holds.unix);
+        let holds = self.holds(now, unix, &jobs, &proposed, table, config);
         let own = holds.iter().filter(|hold| hold.group.group_id.job == job);
         own.map(|hold| hold.reason).max()
     }
@@ -56,6 +70,7 @@
         unix: UnixMs,
         table: &Table,
         config: &Config,
+        claims: &[Claim],
         effects: &mut Vec<Effect>,
     ) {
         self.holds.unix = unix;
@@ -63,8 +78,10 @@
             return;
         }
         let jobs = self.open_jobs.union(&self.late_jobs).copied().collect();
+        let proposed = count_by_group(claims.iter().map(|claim| claim.task));
         let mut held = BTreeMap::<&Name, Held>::new();
-        for Hold { group, reason, tasks } in self.holds(now, unix, &jobs, table, config) {
+        for Hold { group, reason, tasks } in self.holds(now, unix, &jobs, &proposed, table, config)
+        {
             let Some((name, _)) = group.organisation(config) else { continue };
             match reason {
                 HoldReason::Room => {}
@@ -77,8 +94,9 @@
                 }
             }
         }
+        let by_jobs = JOB_CHECK_INTERVAL * jobs.len() as u32;
         let interval = if held.is_empty() { CHECK_INTERVAL } else { LINE_INTERVAL };
-        self.holds.next = now + interval;
+        self.holds.next = now + interval.max(by_jobs.min(MAX_CHECK_INTERVAL));
         for (name, Held { by_limit, by_share, gang }) in held {
             let limit = config.organisation(name).map(|each| each.limit).unwrap_or_default();
             let usage = self.ledger.at_work(Some(name));
@@ -94,53 +112,51 @@
         }
     }
 
-    /// The groups of the given jobs with ready tasks that do not start.
+    /// The groups of the given jobs with ready tasks that do not start. `proposed` is the number of
+    /// tasks that are being claimed, by group.
     fn holds<'a>(
         &self,
         now: Time,
         unix: UnixMs,
         jobs: &'a BTreeSet<JobId>,
+        proposed: &BTreeMap<GroupId, u64>,
         table: &'a Table,
         config: &'a Config,
     ) -> Vec<Hold<'a>> {
-        let mut ready: Vec<_> = self.ready_groups(unix, jobs, table, config);
-        ready.retain(|group| self.ready_tasks(group) > 0);
-        let pools = ready.iter().map(|group| &group.queue.pool).collect();
-        let free = self.free_by_pool(now, &pools);
-        let shares = self.shares(now, config);
-        let share = |group: &ReadyGroup| {
-            shares.as_ref().map_or(0, |shares| shares.share_of(&self.ledger, group))
-        };
+        let mut ready = Vec::new();
         let mut lowest = BTreeMap::<(&Name, Rank), u64>::new();
-        for group in &ready {
-            if self.limit_hold(config, group).is_none() {
+        let shares = self.shares(now, config);
+        for group in self.ready_groups(unix, jobs, table, config) {
+            let being_claimed = proposed.get(&group.group_id).copied().unwrap_or_default();
+            let tasks = u64::from(group.waiting()).saturating_sub(being_claimed);
+            if tasks == 0 {
+                continue;
+            }
+            let limit = self.limit_hold(config, &group);
+            let share = shares.as_ref().map_or(0, |shares| shares.share_of(&self.ledger, &group));
+            if limit.is_none() {
                 let lowest = lowest.entry((&group.queue.pool, group.rank())).or_insert(u64::MAX);
-                *lowest = share(group).min(*lowest);
+                *lowest = share.min(*lowest);
             }
+            ready.push((group, tasks, limit, share));
         }
-        let reason = |group: &ReadyGroup| {
-            let limit = self.limit_hold(config, group);
-            if limit.is_some() {
-                return limit;
-            }
-            let reserved = group.group().reserved();
-            let free = free.get(&group.queue.pool).map_or(&[][..], Vec::as_slice);
-            let has_room = free
-                .iter()
-                .any(|(labels, free)| reserved.fits(*free) && group.group().accepts(labels));
-            if has_room && !self.is_held_as_late(group) {
+        let pools = ready.iter().map(|(group, ..)| &group.queue.pool).collect();
+        let free = self.free_by_pool(now, &pools);
+        let reason = |group: &ReadyGroup, share: u64| {
+            if !self.is_held_as_late(group)
+                && free.get(&group.queue.pool).is_some_and(|free| free.has_room(group.group()))
+            {
                 return None;
             }
             let lowest = lowest.get(&(&group.queue.pool, group.rank()));
-            let is_lowest = lowest.is_none_or(|lowest| share(group) <= *lowest);
+            let is_lowest = lowest.is_none_or(|lowest| share <= *lowest);
             Some(if is_lowest { HoldReason::Room } else { HoldReason::Share })
         };
-        let reasons: Vec<_> = ready.iter().map(reason).collect();
-        let held = ready.into_iter().zip(reasons);
-        held.filter_map(|(group, reason)| {
-            Some(Hold { reason: reason?, tasks: self.ready_tasks(&group), group })
-        })
-        .collect()
+        let held = ready.into_iter().filter_map(|(group, tasks, limit, share)| {
+            let reason = limit.or_else(|| reason(&group, share))?;
+            Some(Hold { group, reason, tasks })
+        });
+        held.collect()
     }
 
     /// Whether the limit of its organisation holds a group back.
@@ -154,34 +170,40 @@
         (admitted == 0).then_some(HoldReason::Limit)
     }
 
-    /// Number of tasks of a group that are ready and not assigned to an instance.
-    fn ready_tasks(&self, ready_group: &ReadyGroup) -> u64 {
-        let GroupId { job, round, group } = ready_group.group_id;
-        let first = TaskId { job, round, group, index: 0 };
-        let last = TaskId { index: u16::MAX, ..first };
-        let assigned = self.assigned.range(first..=last);
-        let is_waiting = |task: &TaskId| {
-            let state = ready_group.record.task_state(*task);
-            state.is_some_and(|state| state.phase == Phase::Waiting)
-        };
-        let proposed = assigned.filter(|(task, _)| is_waiting(task)).count() as u64;
-        u64::from(ready_group.waiting()).saturating_sub(proposed)
-    }
-
-    /// Labels and free resources of the usable instances of the given pools.
+    /// Free resources of the usable instances of the given pools.
     fn free_by_pool<'a>(
         &'a self,
         now: Time,
         pools: &BTreeSet<&Name>,
-    ) -> BTreeMap<&'a Name, Vec<(&'a [Name], Resources)>> {
-        let mut free = BTreeMap::<_, Vec<_>>::new();
+    ) -> BTreeMap<&'a Name, FreeInstances<'a>> {
+        let mut free = BTreeMap::<_, FreeInstances>::new();
         for instance in self.instances.values().filter(|instance| instance.is_usable(now)) {
             let Some(announcement) = &instance.announcement else { continue };
             if pools.contains(&announcement.pool) {
-                let labels = &announcement.labels[..];
-                free.entry(&announcement.pool).or_default().push((labels, instance.free()));
+                let pool = free.entry(&announcement.pool).or_default();
+                pool.largest = pool.largest.max(instance.free());
+                pool.instances.push((&announcement.labels, instance.free()));
             }
         }
         free
     }
 }
+
+/// Usable instances of a pool.
+#[derive(Default)]
+struct FreeInstances<'a> {
+    /// The most that any of them has free, by resource.
+    largest: Resources,
+    /// Their labels and free resources.
+    instances: Vec<(&'a [Name], Resources)>,
+}
+
+impl FreeInstances<'_> {
+    /// Whether an instance has room for a task of `group`.
+    fn has_room(&self, group: &Group) -> bool {
+        let reserved = group.reserved();
+        let fits =
+            |(labels, free): &(&[Name], Resources)| reserved.fits(*free) && group.accepts(labels);
+        reserved.fits(self.largest) && self.instances.iter().any(fits)
+    }
+}
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -29,6 +29,15 @@
         (self.key.class, self.key.priority, self.key.begun)
     }
 
+    /// Whether no instance had enough free resources for a task of this size in this pass.
+    fn has_no_room(&self, unplaceable: &Unplaceable) -> bool {
+        let group = self.group();
+        let is_unplaceable = |(pool, size): &(&str, Resources)| {
+            **pool == *self.queue.pool && size.fits(group.reserved())
+        };
+        group.requirement.is_none() && unplaceable.iter().any(is_unplaceable)
+    }
+
     /// Number of its tasks that wait, also those that are being claimed.
     pub(crate) fn waiting(&self) -> u16 {
         let GroupId { round, group, .. } = self.group_id;
@@ -206,7 +215,9 @@
         let shares = if ready_groups.is_empty() { None } else { self.shares(now, config) };
         let mut filling = Filling::new(ready_groups, shares);
         let mut placed = false;
-        while let Some(ready_group) = filling.next(&self.ledger, placed) {
+        loop {
+            let has_no_room = |group: &ReadyGroup| group.has_no_room(&unplaceable);
+            let Some(ready_group) = filling.next(&self.ledger, placed, has_no_room) else { break };
             placed = false;
             let Some(hosts) = hosts.get_mut(&ready_group.queue.pool) else { continue };
             let before = claims.len();
@@ -218,7 +229,7 @@
         }
         self.open_jobs = &open_jobs - &late;
         self.late_jobs.extend(late);
-        self.note_holds(now, unix, table, config, effects);
+        self.note_holds(now, unix, table, config, &claims, effects);
         claims
     }
 
@@ -341,12 +352,9 @@
         let GroupId { job, round, group: position } = ready_group.group_id;
         let group = &ready_group.record.spec.groups[usize::from(position)];
         let reserved = group.reserved();
-        let is_unplaceable = |(pool, size): &(&str, Resources)| {
-            *pool == &*ready_group.queue.pool && size.fits(reserved) && group.requirement.is_none()
-        };
         // While a pool lacks machines, late jobs leave its capacity to jobs that can still meet
         // their objective.
-        if self.is_held_as_late(ready_group) || unplaceable.iter().any(is_unplaceable) {
+        if self.is_held_as_late(ready_group) {
             return;
         }
         let Some(state) = ready_group.record.rounds.get(round as usize) else { return };
--- a/crates/job/src/shares.rs
+++ b/crates/job/src/shares.rs
@@ -35,8 +35,6 @@
     waiting: Vec<VecDeque<ReadyGroup<'a>>>,
     /// Members with waiting groups; that of the group returned last stays at the top.
     next: BinaryHeap<Reverse<Turn>>,
-    /// Whether a group of the member at the top has been returned.
-    is_open: bool,
 }
 
 /// Shares of the organisations in a planning pass. The members are the configured organisations in
@@ -119,40 +117,48 @@
             shares,
             waiting: (0..members).map(|_| VecDeque::new()).collect(),
             next: BinaryHeap::new(),
-            is_open: false,
         }
     }
 
-    /// The next group to place. `placed` tells whether tasks of the last one were placed, so that the
-    /// share of its organisation has changed.
-    pub(crate) fn next(&mut self, ledger: &Ledger, placed: bool) -> Option<ReadyGroup<'a>> {
-        let Some(shares) = &self.shares else { return self.rest.next() };
-        if std::mem::take(&mut self.is_open)
-            && let Some(mut top) = self.next.peek_mut()
-        {
+    /// The next group to place, of those that `skip` is not true for. `placed` tells whether tasks of
+    /// the last one were placed, so that the share of its organisation has changed.
+    pub(crate) fn next(
+        &mut self,
+        ledger: &Ledger,
+        placed: bool,
+        skip: impl Fn(&ReadyGroup) -> bool,
+    ) -> Option<ReadyGroup<'a>> {
+        let Some(shares) = &self.shares else { return self.rest.find(|group| !skip(group)) };
+        if placed && let Some(mut top) = self.next.peek_mut() {
+            top.0.share = shares.share(ledger, top.0.member);
+        }
+        loop {
+            if self.next.is_empty() {
+                self.begin_rank(ledger, &skip);
+            }
+            let mut top = self.next.peek_mut()?;
             let Reverse(turn) = &mut *top;
-            if let Some(first) = self.waiting[turn.member].front() {
-                (turn.slack, turn.group_id) = (first.slack(), first.group_id);
-                if placed {
-                    turn.share = shares.share(ledger, turn.member);
-                }
-            } else {
-                PeekMut::pop(top);
+            let waiting = &mut self.waiting[turn.member];
+            while waiting.front().is_some_and(&skip) {
+                waiting.pop_front();
+            }
+            match waiting.front() {
+                Some(first) if first.group_id == turn.group_id => return waiting.pop_front(),
+                Some(first) => (turn.slack, turn.group_id) = (first.slack(), first.group_id),
+                None => drop(PeekMut::pop(top)),
             }
         }
-        if self.next.is_empty() {
-            self.begin_rank(ledger);
-        }
-        let Reverse(turn) = self.next.peek()?;
-        self.is_open = true;
-        self.waiting[turn.member].pop_front()
     }
 
     /// Takes the groups of the next rank.
-    fn begin_rank(&mut self, ledger: &Ledger) {
+    fn begin_rank(&mut self, ledger: &Ledger, skip: impl Fn(&ReadyGroup) -> bool) {
+        while self.rest.next_if(&skip).is_some() {}
         let (Some(shares), Some(first)) = (&self.shares, self.rest.peek()) else { return };
         let rank: Rank = first.rank();
         while let Some(group) = self.rest.next_if(|group| group.rank() == rank) {
+            if skip(&group) {
+                continue;
+            }
             let position = shares.position(group.organisation_name());
             self.waiting[position].push_back(group);
         }
