--- a/crates/demand/tests/arrivals.rs
+++ b/crates/demand/tests/arrivals.rs
@@ -51,3 +51,25 @@
 fn nothing_is_estimated_from_nothing() {
     assert_eq!(Arrivals::default().rate(ms(1000)), 0);
 }
+
+/// Guards against capacity ordered for the present rate while a burst still rises.
+#[test]
+fn a_rise_is_expected_to_go_on_at_most_twice_as_high() {
+    let mut arrivals = Arrivals::default();
+    steady(&mut arrivals, 0, 9000, 100, 1000);
+    steady(&mut arrivals, 9000, 9500, 25, 1000);
+    steady(&mut arrivals, 9500, 10_000, 5, 1000);
+    let (rate, expected) =
+        (arrivals.rate(ms(10_000)), arrivals.expected_rate(ms(10_000), ms(1700)));
+    assert!(expected > rate * 5 / 4, "expected {expected} after {rate}");
+    assert!(expected <= rate * 2, "expected {expected} after {rate}");
+}
+
+/// Guards against moves for a rise that is chance.
+#[test]
+fn a_steady_rate_is_expected_to_stay() {
+    let mut arrivals = Arrivals::default();
+    steady(&mut arrivals, 0, 5000, 25, 1000);
+    let (rate, expected) = (arrivals.rate(ms(5000)), arrivals.expected_rate(ms(5000), ms(1700)));
+    assert_eq!(expected, rate);
+}
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -114,7 +114,7 @@
 
     /// Whether the objective has been missed.
     fn is_late(self) -> bool {
-        matches!(self.class, Class::LateShare | Class::Late | Class::Owed | Class::Surplus)
+        self.class.is_late() || self.class == Class::Surplus
     }
 }
 
@@ -181,6 +181,13 @@
     Filler,
 }
 
+impl Class {
+    /// Whether the objective can no longer be met.
+    pub(crate) fn is_late(self) -> bool {
+        matches!(self, Self::LateShare | Self::Late | Self::Owed)
+    }
+}
+
 /// An instance on which tasks can be placed.
 #[derive(Debug)]
 struct Host {
--- a/crates/job/src/shares.rs
+++ b/crates/job/src/shares.rs
@@ -6,7 +6,8 @@
 //! (begun or not), the next group placed is one of the organisation whose share divided by its
 //! weight is lowest, and then of the one with the best priority. The group is its most urgent one.
 //! The shares are updated after each group, so that a pass cannot give all room to one organisation.
-//! An organisation with weight 0 comes after those with a weight.
+//! An organisation with weight 0 comes after those with a weight. Groups that can no longer meet their
+//! objective are not ordered by shares, but by the time left until nobody waits for them any more.
 //!
 //! Jobs without an organisation are taken together as one more organisation, with the mean weight of
 //! the configured ones and the middle priority. They are ordered by urgency among themselves. They
@@ -159,7 +160,9 @@
             if skip(&group) {
                 continue;
             }
-            let position = shares.position(group.organisation_name());
+            // Among late groups, the time left until they are of no use decides.
+            let name = group.organisation_name().filter(|_| !rank.0.is_late());
+            let position = shares.position(name);
             self.waiting[position].push_back(group);
         }
         for (member, groups) in self.waiting.iter().enumerate() {
