--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -156,7 +156,7 @@
             moves.push((machine, receiver.clone()));
         }
     }
-    moves.extend(move_for_late_work(pools, parked));
+    moves.extend(move_for_late_work(pools));
     let Some(spare) = spare else { return moves };
     for pool in pools.values_mut() {
         while let Some(position) = pool.idle.iter().position(|(machine, _)| park(machine)) {
@@ -170,19 +170,16 @@
     moves
 }
 
-/// Moves idle machines that no pool needs for work in time to pools with late work.
-fn move_for_late_work(
-    pools: &mut BTreeMap<Name, PoolBalance>,
-    parked: &mut Vec<(Name, u64)>,
-) -> Vec<(Name, Name)> {
+/// Moves idle machines that no pool needs for work in time to pools with late work. Machines of the
+/// spare pool stay there: late work is done with what the pools have.
+fn move_for_late_work(pools: &mut BTreeMap<Name, PoolBalance>) -> Vec<(Name, Name)> {
     let mut moves = Vec::new();
     let mut by_shortage: Vec<_> =
         pools.iter().map(|(name, pool)| (pool.late_shortage(), name.clone())).collect();
     by_shortage.sort_by(|a, b| b.cmp(a));
     for (_, receiver) in by_shortage {
         while pools[&receiver].late_shortage() > 0 {
-            let machine = take_surplus_machine(pools, &receiver).or_else(|| parked.pop());
-            let Some((machine, size)) = machine else { break };
+            let Some((machine, size)) = take_surplus_machine(pools, &receiver) else { break };
             if let Some(pool) = pools.get_mut(&receiver) {
                 pool.capacity += size;
             }
