Take outlier detection out again

Declared times that are off by a factor of 1.9 are a suspected cause, not traced: slow tasks are judged by them and restarted.

The fix for ejected machines goes with it.

--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -260,10 +260,7 @@
         if now >= self.last_forgotten_durations + Self::FORGET_DURATIONS_INTERVAL {
             self.last_forgotten_durations = now;
             self.durations.forget(&table.live);
-            let is_known = |incarnation: &Incarnation| self.instances.contains_key(incarnation);
-            self.outliers.forget(now, &table.live, is_known);
         }
-        self.outliers.advance(now);
         let ends = std::mem::take(&mut self.pending_ends);
         let claims = self.plan(now, unix, table, effects);
         let mut batch = Batch { ends, claims, ..Batch::default() };
--- a/crates/job/src/durations.rs
+++ b/crates/job/src/durations.rs
@@ -107,11 +107,6 @@
         if let Some(took) = self.observed.get(&group_id) {
             return *took;
         }
-        self.predict(queue, group)
-    }
-
-    /// Expected run time of a task of the group, without the tasks of the group that have ended.
-    pub(crate) fn predict(&self, queue: &Name, group: &Group) -> Duration {
         let Some(fit) = self.queues.get(queue) else { return group.estimate };
         Duration::from_secs_f64(fit.predict(ln_ms(group.estimate)).exp() / 1000.0)
     }
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -42,6 +42,10 @@
     pub(crate) may_need_stops: bool,
     /// No new attempts are placed here before this time.
     pub(crate) avoided_until: Time,
+    /// Jobs with a failed task here since the last task that succeeded.
+    pub(crate) failed_jobs: BTreeSet<JobId>,
+    /// How often it was avoided because of failing tasks.
+    pub(crate) avoid_count: u32,
     /// When it last had an attempt.
     pub(crate) last_busy: Time,
     /// Whether its machine is being drained; no new attempts are placed here.
@@ -91,8 +95,6 @@
     /// Whether it was started by this leader and from the beginning, so that its run time is
     /// meaningful.
     pub(crate) full_run: bool,
-    /// Weight with which its slowness has been counted; see [`Outliers::progressed`].
-    pub(crate) slowness_counted: f64,
 }
 
 /// Progress of an attempt.
@@ -140,6 +142,8 @@
             with_latency_target: 0,
             may_need_stops: false,
             avoided_until: Time::ZERO,
+            failed_jobs: BTreeSet::new(),
+            avoid_count: 0,
             last_busy: now,
             draining: false,
             lending: false,
@@ -266,7 +270,6 @@
             throttle_set_at: now,
             started: now,
             full_run: false,
-            slowness_counted: 0.0,
         }
     }
 
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -108,13 +108,12 @@
         pools: &BTreeMap<Name, PoolBalance>,
     ) -> Vec<BusyMachine> {
         let max_wait = self.machines.move_time() * MAX_WAIT_IN_MOVES;
-        let busy = self.instances.iter().filter_map(|(incarnation, instance)| {
+        let busy = self.instances.values().filter_map(|instance| {
             let announcement = instance.announcement.as_ref()?;
             let size = announcement.capacity.millicores;
             let spares = pools.get(&announcement.pool).is_some_and(|pool| pool.can_spare(size));
             let is_busy = !instance.attempts.is_empty() && instance.long_lived == 0;
             let movable = instance.is_sound(now)
-                && !self.avoids(incarnation)
                 && self.machines.may_order(now, &announcement.machine)
                 && !self.machines.away.contains_key(&announcement.machine);
             if !spares || !is_busy || !movable {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -53,7 +53,6 @@
 mod order_budget;
 mod organisation;
 mod outcome;
-mod outliers;
 mod phase;
 mod planning;
 mod queue;
@@ -73,10 +72,6 @@
 mod wait_causes;
 mod wave;
 
-#[cfg(test)]
-#[path = "../tests/evidence/mod.rs"]
-mod evidence;
-
 use {
     admission::AdmissionState,
     due::DueRound,
@@ -85,7 +80,6 @@
     instance::{Attempt, Instance, Stage},
     ledger::{Charge, Ledger},
     order_budget::OrderBudget,
-    outliers::{Limit, Outliers, Run},
     rates::Rates,
     round::Round,
     shares::Filling,
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -198,22 +198,9 @@
     long_lived: usize,
     /// Whether a task with a latency target runs there.
     has_latency_target: bool,
-    /// Number of attempts.
-    attempts: usize,
-    /// How it may be used, if it is in doubt.
-    limit: Option<Limit>,
 }
 
 impl Host {
-    /// Whether it may get another task. An instance that is limited gets no long-lived tasks, since
-    /// they would show nothing about it.
-    fn allows(&self, group: &Group) -> bool {
-        match self.limit {
-            Some(Limit::Tasks(most)) => self.attempts < most && !group.is_long_lived(),
-            Some(Limit::None) | None => true,
-        }
-    }
-
     fn rack(&self) -> Option<&Name> {
         self.labels.get(1)
     }
@@ -341,24 +328,9 @@
                     free: instance.free(),
                     long_lived: instance.long_lived,
                     has_latency_target: instance.with_latency_target > 0,
-                    attempts: instance.attempts.len() - instance.long_lived,
-                    limit: None,
                 });
             }
         }
-        if self.uses(Mechanism::Avoidance) {
-            for hosts in hosts.values_mut() {
-                let incarnations = hosts.iter().map(|host| &host.incarnation);
-                let limits = self.outliers.limits(now, incarnations);
-                if limits.is_empty() {
-                    continue;
-                }
-                for host in hosts.iter_mut() {
-                    host.limit = limits.get(&host.incarnation).copied();
-                }
-                hosts.retain(|host| host.limit != Some(Limit::Tasks(0)));
-            }
-        }
         hosts
     }
 
@@ -476,11 +448,6 @@
             admitted -= 1;
             let Some(host) = self.choose(now, ready_group, group, task, rack.as_ref(), hosts)
             else {
-                let has_room = || hosts.iter().any(|host| reserved.fits(host.free));
-                if self.is_retry(&task) && !group.gang && has_room() {
-                    // Other tasks may go where this one failed.
-                    continue;
-                }
                 let unrestricted = group.max_per_instance.is_none() && group.data_rack.is_none();
                 let unrestricted = unrestricted && ready_group.queue.admission.is_none();
                 if unrestricted && group.requirement.is_none() && rack.is_none() {
@@ -499,7 +466,6 @@
             );
             host.free = host.free.saturating_sub(reserved);
             host.long_lived += usize::from(group.is_long_lived());
-            host.attempts += usize::from(!group.is_long_lived());
             host.has_latency_target |= group.latency_target.is_some();
             if group.single_rack {
                 rack = host.rack().cloned();
@@ -513,7 +479,6 @@
                 if let Some(host) = host {
                     host.free += reserved;
                     host.long_lived -= usize::from(group.is_long_lived());
-                    host.attempts -= usize::from(!group.is_long_lived());
                 }
             }
         }
@@ -576,10 +541,8 @@
         self.instances.values().any(|instance| instance.is_usable(now) && fits(instance))
     }
 
-    /// Chooses one of the instances that fit. It prefers, in this order: the rack that the task
-    /// waits for; an instance where the task has not failed; one that is not in doubt; the wanted
-    /// rack; for a best-effort task, an instance whose tasks have no latency target; for a
-    /// long-lived task, the
+    /// Chooses one of the instances that fit. It prefers, in this order: the wanted rack; for a
+    /// best-effort task, an instance whose tasks have no latency target; for a long-lived task, the
     /// instance with the most long-lived tasks; the fullest instance.
     ///
     /// The wanted rack is `rack`, or else the rack that holds the input data. `rack` is set if all
@@ -606,7 +569,6 @@
         };
         let fits = |host: &Host| {
             reserved.fits(host.free)
-                && host.allows(group)
                 && has_permit(host)
                 && group.accepts(&host.labels)
                 && group
@@ -614,19 +576,6 @@
                     .is_none_or(|limit| self.count_on_instance(&host.incarnation, task) < limit)
         };
         let packs = self.uses(Mechanism::Packing);
-        let is_retry = self.is_retry(&task);
-        let waits_for_other = is_retry
-            && hosts.iter().any(|host| {
-                group.accepts(&host.labels)
-                    && has_permit(host)
-                    && !self.outliers.has_failed_on(&task, &host.incarnation)
-            });
-        let just_failed = waits_for_other && self.outliers.has_just_failed(now, &task);
-        let has_just_failed = |host: &Host| {
-            just_failed
-                && (matches!(host.limit, Some(Limit::Tasks(_)))
-                    || self.outliers.has_failed_on(&task, &host.incarnation))
-        };
         let score = |host: &Host| {
             // Long-lived tasks are packed together so that the other machines can move to other
             // pools.
@@ -634,13 +583,9 @@
             let keeps_latency = !group.best_effort || !host.has_latency_target;
             let free = host.free.millicores;
             let fullness = if packs { u64::MAX - free } else { free };
-            let may_wait = !rack_required || in_wanted_rack(host);
-            let not_failed = !is_retry || !self.outliers.has_failed_on(&task, &host.incarnation);
-            let trusted = (not_failed, host.limit.is_none());
-            (may_wait, trusted, in_wanted_rack(host), keeps_latency, together, fullness)
+            (in_wanted_rack(host), keeps_latency, together, fullness)
         };
-        let candidates =
-            hosts.iter().enumerate().filter(|(_, host)| fits(host) && !has_just_failed(host));
+        let candidates = hosts.iter().enumerate().filter(|(_, host)| fits(host));
         let (best, host) = candidates.max_by_key(|(_, host)| score(host))?;
         if !in_wanted_rack(host)
             && rack_required
@@ -651,11 +596,6 @@
         Some(best)
     }
 
-    /// Whether a task has failed somewhere, and is to run elsewhere now.
-    fn is_retry(&self, task: &TaskId) -> bool {
-        self.uses(Mechanism::Avoidance) && self.outliers.has_failed(task)
-    }
-
     /// Number of tasks of the same group and round on an instance.
     fn count_on_instance(&self, incarnation: &Incarnation, task: TaskId) -> u16 {
         let Some(instance) = self.instances.get(incarnation) else { return 0 };
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -295,8 +295,7 @@
             pool.expected = arrivals.map_or(0, |arrivals| arrivals.expected_rate(now, ahead));
         }
         let mut idle = Vec::new();
-        let ejected = self.ejected(now);
-        for (incarnation, instance) in &self.instances {
+        for instance in self.instances.values() {
             let Some(announcement) = &instance.announcement else { continue };
             let Some(pool) = pools.get_mut(&announcement.pool) else { continue };
             let size = announcement.capacity.millicores;
@@ -306,7 +305,7 @@
             let lasting = instance.attempts.values().filter(|attempt| attempt.long_lived);
             pool.lasting += lasting.map(|attempt| attempt.reserved.millicores).sum::<u64>();
             pool.late += instance.used.millicores.saturating_sub(in_time);
-            if !instance.is_sound(now) || ejected.contains(incarnation) {
+            if !instance.is_sound(now) {
                 continue;
             }
             pool.capacity += size;
@@ -316,7 +315,6 @@
             let settled = instance.lending || now >= instance.last_busy + MOVE_IDLE_TIME;
             let free = instance.attempts.is_empty() && settled;
             if free
-                && !self.avoids(incarnation)
                 && self.machines.may_order(now, machine)
                 && !self.machines.away.contains_key(machine)
             {
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -75,8 +75,6 @@
     mean_commit_time: Duration,
     /// When the batch that is being committed was proposed.
     pub(crate) batch_proposed_at: Time,
-    /// Estimates of which instances fail or are slow.
-    pub(crate) outliers: Outliers,
     /// Which instances the admission policies of the queues allow.
     pub(crate) admissions: AdmissionState,
     /// Why jobs wait.
@@ -256,10 +254,6 @@
                 }
             }
         }
-        let outlier_notes = self.outliers.take_notes();
-        if self.uses(Mechanism::Avoidance) {
-            effects.extend(outlier_notes);
-        }
         if self.leads() {
             let touched = std::mem::take(&mut self.touched);
             self.send_due_stops(now, &touched, &mut effects);
@@ -292,7 +286,6 @@
                 self.instances.insert(announcement.incarnation.clone(), instance);
                 let Incarnation { name, born } = announcement.incarnation.clone();
                 record_latest(&mut self.latest_on_machine, announcement);
-                self.outliers.joined(now, announcement);
                 self.current_starts.insert(name, born);
             }
         }
@@ -353,7 +346,6 @@
         self.pending_ends.clear();
         self.batch_in_flight = false;
         self.machines = machines::Machines::default();
-        self.outliers = Outliers::default();
         self.admissions.resign();
     }
 
@@ -404,7 +396,6 @@
         instance.draining |= ordered;
         instance.last_heard = now;
         record_latest(&mut self.latest_on_machine, &announcement);
-        self.outliers.joined(now, &announcement);
         self.touched.insert(incarnation);
         instance.update_clock(announcement.clock, now);
         instance.announcement = Some(announcement);
@@ -436,9 +427,6 @@
     ) {
         let Some(instance) = self.instances.remove(incarnation) else { return };
         self.needs_planning = true;
-        let announced = instance.announcement.as_ref().map(|a| a.condition);
-        let expected = instance.draining || announced == Some(Condition::Draining);
-        self.outliers.departed(now, incarnation, expected);
         let later =
             self.current_starts.get(&incarnation.name).filter(|born| **born > incarnation.born);
         let successor =
--- a/crates/model/src/mechanism.rs
+++ b/crates/model/src/mechanism.rs
@@ -17,7 +17,7 @@
     /// Long-lived tasks are packed on few instances, and others on the fullest instance that fits;
     /// without it, tasks go to the emptiest one.
     Packing,
-    /// Instances that fail, refuse or run slowly get less work, and retries go to other instances.
+    /// Instances on which tasks of several jobs failed in a row are avoided for some time.
     Avoidance,
     /// A pool with continuous tasks keeps one instance more than they need.
     SpareInstance,
