--- a/crates/cli/tests/report.rs
+++ b/crates/cli/tests/report.rs
@@ -2,8 +2,8 @@
 
 use std::process::{Command, Output};
 
-const SAPPORO: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../report/tests/logs/sapporo.txt");
-const OBIHIRO: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../report/tests/logs/obihiro.txt");
+const CENTRAL: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../report/tests/logs/central.txt");
+const WESTERN: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../report/tests/logs/western.txt");
 
 fn report(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_sardinevalve"));
@@ -12,7 +12,7 @@
 
 #[test]
 fn logs_of_several_daemons_make_one_report() {
-    let output = report(&[SAPPORO, OBIHIRO]);
+    let output = report(&[CENTRAL, WESTERN]);
     assert!(output.status.success());
     let text = String::from_utf8(output.stdout).expect("the report is UTF-8");
     assert!(text.starts_with("14 jobs ended; 12 missed their objective"), "{text}");
@@ -21,7 +21,7 @@
 #[test]
 fn a_report_can_be_had_as_json_and_as_an_image() {
     let image = std::env::temp_dir().join(format!("report-{}.svg", std::process::id()));
-    let output = report(&["--json", "--svg", image.to_str().expect("the path is UTF-8"), OBIHIRO]);
+    let output = report(&["--json", "--svg", image.to_str().expect("the path is UTF-8"), WESTERN]);
     assert!(output.status.success());
     let json: serde_json::Value = serde_json::from_slice(&output.stdout).expect("valid JSON");
     assert_eq!(json["total"]["late"], 4);
--- a/crates/report/tests/rendering.rs
+++ b/crates/report/tests/rendering.rs
@@ -4,7 +4,7 @@
 
 fn report() -> Report {
     let mut log = Log::default();
-    for text in [include_str!("logs/obihiro.txt"), include_str!("logs/sapporo.txt")] {
+    for text in [include_str!("logs/western.txt"), include_str!("logs/central.txt")] {
         log.read(text.as_bytes()).expect("reading from memory does not fail");
     }
     Report::new(log)
