--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -112,7 +112,7 @@
         self
     }
 
-    /// Whether the objective has been missed.
+    /// Whether the objective can no longer be met, or the job exceeds the agreed rate.
     fn is_late(self) -> bool {
         self.class.is_late() || self.class == Class::Surplus
     }
@@ -210,6 +210,20 @@
 /// of at least that size are skipped.
 type Unplaceable<'a> = Vec<(&'a str, Resources)>;
 
+/// Drops the groups that fit into the free resources of no instance. These are most groups while a
+/// pool is full, and the order among them does not matter.
+fn retain_with_room(ready_groups: &mut Vec<ReadyGroup>, hosts: &BTreeMap<Name, Vec<Host>>) {
+    let largest_free = |hosts: &Vec<Host>| {
+        hosts.iter().map(|host| host.free).fold(Resources::default(), Resources::max)
+    };
+    let largest_free: BTreeMap<_, _> =
+        hosts.iter().map(|(pool, hosts)| (pool, largest_free(hosts))).collect();
+    ready_groups.retain(|ready_group| {
+        let free = largest_free.get(&ready_group.queue.pool);
+        free.is_some_and(|free| ready_group.group().reserved().fits(*free))
+    });
+}
+
 impl Scheduler {
     /// Places ready tasks on instances, and returns the claims to commit.
     pub(crate) fn plan(
@@ -233,16 +247,7 @@
         self.let_large_tasks_start(now, table, config, &ready_groups);
         let mut claims = Vec::new();
         let mut unplaceable = Unplaceable::new();
-        // Most groups have no room while a pool is full; the order among these does not matter.
-        let largest_free = |hosts: &Vec<Host>| {
-            hosts.iter().map(|host| host.free).fold(Resources::default(), Resources::max)
-        };
-        let largest_free: BTreeMap<_, _> =
-            hosts.iter().map(|(pool, hosts)| (pool.clone(), largest_free(hosts))).collect();
-        ready_groups.retain(|ready_group| {
-            let free = largest_free.get(&ready_group.queue.pool);
-            free.is_some_and(|free| ready_group.group().reserved().fits(*free))
-        });
+        retain_with_room(&mut ready_groups, &hosts);
         let shares = if ready_groups.is_empty() { None } else { self.shares(now, config) };
         let mut filling = Filling::new(ready_groups, shares);
         let mut placed = false;
