Account of the main thread's time that adds up; reasons for the end of a term

Cause: processor-time read the clock of the process, which advances with elapsed time where the process is scheduled in turns, so that it always showed 5000 ms in 5 s. Planning was charged to the event that caused it, and daemons that do not lead reported nothing. Change: the account uses elapsed time and the busy time of the runtime. Voters that do not lead write the same as standby-time, and a leader that resigns at once. New lines lease-lapsed and lease-renewed say how long ago a majority answered; resigned says why. Result: no decision changes. crates/entry/tests/reducer/account.rs.

--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -1,22 +1,30 @@
-//! Processor time by activity. Reading the clock of a thread costs a system call, so only some of the
-//! events are measured and count for the others. What is left of the time of the process is spent on
-//! connections: HTTP, QUIC and the runtime.
+//! Where the time of the main thread goes, by activity. Times are elapsed times, so that they include
+//! those in which the process had something to do but no processor; what keeps the thread busy and
+//! is no activity of the main loop is spent on connections: HTTP, QUIC and the runtime.
 
 use super::*;
 
-/// What the main loop spends processor time on.
+/// What the main loop spends time on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Activity {
     /// Consensus and membership.
     Agreement,
-    /// Answers and announcements of instances, with the planning that they cause.
+    /// Beginning or ending a term as leader.
+    Takeover,
+    /// Snapshots of the replicated state.
+    Snapshots,
+    /// Answers and announcements of instances.
     Instances,
+    /// Planning passes, with the event that caused each.
+    Planning,
     /// Calls about what was accepted earlier.
     Calls,
     /// Jobs that are handed in.
     Jobs,
-    /// Checks that are due by time: renewals, waves, moves of machines, planning.
+    /// Checks that are due by time: renewals, waves, moves of machines.
     Checks,
+    /// Decoding of messages.
+    Decoding,
     /// Encoding of messages.
     Encoding,
 }
@@ -26,75 +34,103 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Agreement => "agreement",
+            Self::Takeover => "takeover",
+            Self::Snapshots => "snapshots",
             Self::Instances => "instances",
+            Self::Planning => "planning",
             Self::Calls => "calls",
             Self::Jobs => "jobs",
             Self::Checks => "checks",
+            Self::Decoding => "decoding",
             Self::Encoding => "encoding",
         }
     }
 }
 
-/// Processor time by activity since the last report.
+/// Time spent on an activity.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Spent {
+    total: Duration,
+    /// Longest step.
+    longest: Duration,
+    steps: u32,
+}
+
+/// Time by activity since the last report.
 #[derive(Debug, Default)]
 pub(crate) struct Account {
-    spent: BTreeMap<Activity, Duration>,
-    events: u32,
-    process_at_report: Duration,
-    next_report: Time,
+    spent: BTreeMap<Activity, Spent>,
+    /// When the current step began.
+    step_began: Time,
+    began: Time,
+    /// Time for which the thread had been busy when the last report was made.
+    busy: Duration,
 }
 
 impl Account {
-    /// One of this many events is measured.
-    const SAMPLING: u32 = 16;
     const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
-    /// Starts to measure, if it is the turn of this event.
-    pub(crate) fn start(&mut self) -> Option<Duration> {
-        self.events = self.events.wrapping_add(1);
-        self.events.is_multiple_of(Self::SAMPLING).then(thread_time)
+    /// Begins a step.
+    pub(crate) fn begin(&mut self, now: Time) {
+        self.step_began = now;
     }
 
-    /// Ends the measurement of an event, and returns the time that it stands for.
-    pub(crate) fn stop(
-        &mut self,
-        activity: Activity,
-        started: Option<Duration>,
-    ) -> Option<Duration> {
-        let spent = thread_time().saturating_sub(started?) * Self::SAMPLING;
-        *self.spent.entry(activity).or_default() += spent;
-        Some(spent)
+    /// Charges the time since the last step to an activity, and begins the next step.
+    pub(crate) fn charge(&mut self, now: Time, activity: Activity) {
+        let took = now.saturating_sub(self.step_began);
+        self.step_began = now;
+        let spent = self.spent.entry(activity).or_default();
+        spent.total += took;
+        spent.longest = spent.longest.max(took);
+        spent.steps += 1;
     }
 
-    /// The time spent since the last report, if a report is due.
-    pub(crate) fn report(&mut self, now: Time) -> Option<String> {
-        if now < self.next_report {
-            return None;
-        }
-        let first = self.next_report.is_zero();
-        self.next_report = now + Self::REPORT_INTERVAL;
-        let process = process_time();
-        let total = process.saturating_sub(self.process_at_report);
-        self.process_at_report = process;
-        let spent = std::mem::take(&mut self.spent);
-        let part = |(activity, spent): (&Activity, &Duration)| {
-            format!("{} {} ms, ", activity.name(), spent.as_millis())
+    pub(crate) fn report_is_due(&self, now: Time) -> bool {
+        now >= self.began + Self::REPORT_INTERVAL
+    }
+
+    /// The time spent since the last report. `busy` is the total time for which the thread has been
+    /// busy.
+    pub(crate) fn report(&mut self, now: Time, busy: Duration) -> Report {
+        let report = Report {
+            elapsed: now.saturating_sub(self.began),
+            busy: busy.saturating_sub(self.busy),
+            spent: std::mem::take(&mut self.spent),
         };
-        let parts: String = spent.iter().map(part).collect();
-        (!first).then(|| format!("{parts}process {} ms in 5 s", total.as_millis()))
+        self.began = now;
+        self.busy = busy;
+        report
     }
 }
 
-fn thread_time() -> Duration {
-    time(rustix::time::ClockId::ThreadCPUTime)
+/// Time by activity in an interval.
+#[derive(Debug)]
+pub(crate) struct Report {
+    elapsed: Duration,
+    busy: Duration,
+    spent: BTreeMap<Activity, Spent>,
 }
 
-/// Processor time of the process since its start.
-pub(crate) fn process_time() -> Duration {
-    time(rustix::time::ClockId::ProcessCPUTime)
+impl Report {
+    /// Time by the names of activities, with that spent on connections.
+    pub(crate) fn parts(&self) -> impl Iterator<Item = (&'static str, Duration)> {
+        let spent = self.spent.iter().map(|(activity, spent)| (activity.name(), spent.total));
+        let accounted = self.spent.values().map(|spent| spent.total).sum();
+        spent.chain([("connections", self.busy.saturating_sub(accounted))])
+    }
 }
 
-fn time(clock: rustix::time::ClockId) -> Duration {
-    let time = rustix::time::clock_gettime(clock);
-    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+impl std::fmt::Display for Report {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let Self { elapsed, busy, spent } = self;
+        write!(f, "busy {} of {} ms", busy.as_millis(), elapsed.as_millis())?;
+        for (part, total) in self.parts() {
+            write!(f, ", {part} {} ms", total.as_millis())?;
+            let of_part = spent.iter().find(|(activity, _)| activity.name() == part);
+            if let Some((_, Spent { longest, steps, .. })) = of_part {
+                write!(f, " in {steps}, longest {}", longest.as_millis())?;
+            }
+        }
+        Ok(())
+    }
 }
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -62,6 +62,7 @@
 impl From<&Event> for Activity {
     fn from(event: &Event) -> Self {
         match Class::of(event) {
+            _ if matches!(event, Event::Timer(Timer::Tick)) => Self::Checks,
             Class::Agreement => Self::Agreement,
             Class::Instances => Self::Instances,
             Class::Calls => Self::Calls,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -171,7 +171,7 @@
         registry.register("job_seconds", help, metrics.job_seconds.clone());
         let help = "Messages to daemons that did not keep up";
         registry.register("frames_dropped", help, metrics.frames_dropped.clone());
-        let help = "Processor time of the main loop, by activity";
+        let help = "Time for which the main thread was busy, by activity";
         registry.register("processor_seconds", help, metrics.processor_seconds.clone());
         let help = "Processor time of the process";
         registry.register("process_seconds", help, metrics.process_seconds.clone());
@@ -282,8 +282,9 @@
         }
     }
 
-    pub(crate) fn count_processor_time(&self, activity: Activity, spent: Duration) {
-        let label = KindLabel { kind: activity.name() };
+    /// Counts time that the main thread was busy with an activity.
+    pub(crate) fn count_time(&self, activity: &'static str, spent: Duration) {
+        let label = KindLabel { kind: activity };
         self.processor_seconds.get_or_create(&label).inc_by(spent.as_secs_f64());
     }
 
@@ -301,7 +302,8 @@
 
     /// Encodes all metrics as text.
     pub(crate) fn text(&self) -> String {
-        let process = account::process_time().as_secs_f64();
+        let process = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+        let process = process.tv_sec as f64 + process.tv_nsec as f64 / 1e9;
         self.process_seconds.inc_by(process - self.process_seconds.get());
         let mut body = String::new();
         text::encode(&mut body, &self.registry).expect("writing to a string cannot fail");
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -288,6 +288,7 @@
             } else {
                 tokio::task::yield_now().await;
             }
+            self.account.begin(self.clock.now());
             while let Ok(result) = durable.try_recv() {
                 self.on_synced(result);
             }
@@ -303,13 +304,10 @@
             for _ in 0..Self::EVENTS_PER_ROUND {
                 let Some((waited, event)) = self.inbox.pop(self.clock.now()) else { break };
                 self.state.overload.record(waited);
-                let activity = Activity::from(&event);
-                self.account(activity, |event_loop| event_loop.step(event));
+                self.step(event);
             }
             while let Some(timer) = self.timers.pop(self.clock.now()) {
-                let activity =
-                    if timer == Timer::Tick { Activity::Checks } else { Activity::Agreement };
-                self.account(activity, |event_loop| event_loop.step(Event::Timer(timer)));
+                self.step(Event::Timer(timer));
             }
             if self.clock.now() >= self.settings_file.next_check {
                 self.reload_settings();
@@ -317,22 +315,27 @@
             if let Some(disk) = &mut self.disk {
                 disk.flush();
             }
-            self.account(Activity::Encoding, Self::send_due);
-            if let Some(report) = self.account.report(self.clock.now())
-                && self.state.leads()
-            {
-                self.note("processor-time", "", &report);
+            self.send_due();
+            if self.account.report_is_due(self.clock.now()) {
+                self.report_time(if self.state.leads() {
+                    "processor-time"
+                } else {
+                    "standby-time"
+                });
             }
             self.log.flush();
         }
     }
 
-    /// Does `work` and records the processor time that it takes.
-    fn account(&mut self, activity: Activity, work: impl FnOnce(&mut Self)) {
-        let started = self.account.start();
-        work(self);
-        if let Some(spent) = self.account.stop(activity, started) {
-            self.metrics.count_processor_time(activity, spent);
+    /// Reports where the time of this thread went since the last report.
+    fn report_time(&mut self, what: &'static str) {
+        let runtime = tokio::runtime::Handle::current().metrics();
+        let report = self.account.report(self.clock.now(), runtime.worker_total_busy_duration(0));
+        for (activity, spent) in report.parts() {
+            self.metrics.count_time(activity, spent);
+        }
+        if self.state.is_member() {
+            self.note(what, "", &report.to_string());
         }
     }
 
@@ -365,6 +368,7 @@
             }
             Err(error) => self.note("message-dropped", &from, &error.to_string()),
         }
+        self.account.charge(self.clock.now(), Activity::Decoding);
     }
 
     fn push(&mut self, event: Event) {
@@ -406,9 +410,24 @@
 
     fn step(&mut self, event: Event) {
         let now = self.clock.now();
-        for effect in self.state.reduce(now, Clock::unix(), event) {
+        let mut activity = Activity::from(&event);
+        let before = (self.state.leads(), self.state.scheduler.planning_passes());
+        let effects = self.state.reduce(now, Clock::unix(), event);
+        if before.0 != self.state.leads() {
+            activity = Activity::Takeover;
+        } else if before.1 != self.state.scheduler.planning_passes() {
+            activity = Activity::Planning;
+        }
+        for effect in effects {
+            if let Effect::Persist(quorum::Record::Snapshot { .. }) = effect {
+                activity = Activity::Snapshots;
+            }
             self.carry_out(now, effect);
         }
+        self.account.charge(self.clock.now(), activity);
+        if before.0 && !self.state.leads() {
+            self.report_time("processor-time");
+        }
     }
 
     fn carry_out(&mut self, now: Time, effect: Effect) {
@@ -510,6 +529,7 @@
     fn send_due(&mut self) {
         for (to, messages) in self.outbox.take_due(self.clock.now()) {
             self.send_frame(&to, &messages);
+            self.account.charge(self.clock.now(), Activity::Encoding);
         }
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -47,6 +47,8 @@
     pub(crate) stopping: bool,
     /// How long callers are still served after the process was asked to stop.
     pub(crate) grace: Duration,
+    /// Since when this leader has had no lease; `None` while it has one.
+    lease_lapsed: Option<Time>,
     last_ping: Time,
     last_introduction: Time,
 }
@@ -99,6 +101,7 @@
             ready: false,
             stopping: false,
             grace,
+            lease_lapsed: None,
             last_ping: Time::ZERO,
             last_introduction: Time::ZERO,
         }
@@ -169,6 +172,11 @@
         self.leader_term.is_some()
     }
 
+    /// Whether this daemon takes part in the agreement.
+    pub(crate) fn is_member(&self) -> bool {
+        self.quorum.is_some()
+    }
+
     /// Whether this daemon is the confirmed leader of a fleet that accepts commands.
     pub(crate) fn can_serve(&self, now: Time) -> bool {
         self.settled && self.quorum.as_ref().is_some_and(|quorum| quorum.has_leader_lease(now))
@@ -628,15 +636,25 @@
         let leads = quorum.is_some_and(|quorum| quorum.is_leader());
         let has_lease = quorum.is_some_and(|quorum| quorum.has_leader_lease(now));
         let term = quorum.map_or(0, |quorum| quorum.term());
-        if self.leader_term.is_some() && (!leads || self.leader_term != Some(term)) {
+        if let Some(led) = self.leader_term
+            && (!leads || led != term)
+        {
+            let why = if term > led {
+                format!("epoch {term} has begun")
+            } else if self.stopping {
+                "handed over".into()
+            } else {
+                "no majority has answered in time".into()
+            };
             self.leader_term = None;
+            self.lease_lapsed = None;
             self.batch = None;
             self.carriers.resign();
             self.step_scheduler(now, unix, job::Event::Resign, effects);
             for (_, reply_to) in std::mem::take(&mut self.commits) {
                 self.answer(reply_to, Answer::Unknown, effects);
             }
-            effects.push(log::line("resigned", self.id.to_string(), "no longer leads"));
+            effects.push(log::line("resigned", self.id.to_string(), &why));
         }
         if self.leader_term.is_none() && leads && has_lease && self.settled {
             self.leader_term = Some(term);
@@ -648,5 +666,28 @@
             self.step_scheduler(now, unix, event, effects);
             self.propose(now, unix, Command::TakeOver(leader), None, effects);
         }
+        if self.leads() {
+            self.log_lease(now, has_lease, effects);
+        }
+    }
+
+    /// Logs when this leader loses its lease, without which it answers nothing, and when it has it
+    /// again.
+    fn log_lease(&mut self, now: Time, has_lease: bool, effects: &mut Vec<Effect>) {
+        match self.lease_lapsed {
+            None if !has_lease => {
+                self.lease_lapsed = Some(now);
+                let contact = self.quorum.as_ref().and_then(|q| q.last_majority_contact(now));
+                let age = now.saturating_sub(contact.unwrap_or_default()).as_millis();
+                let why = format!("a majority last answered what was sent {age} ms ago");
+                effects.push(log::line("lease-lapsed", self.id.to_string(), &why));
+            }
+            Some(since) if has_lease => {
+                self.lease_lapsed = None;
+                let why = format!("after {} ms", now.saturating_sub(since).as_millis());
+                effects.push(log::line("lease-renewed", self.id.to_string(), &why));
+            }
+            _ => {}
+        }
     }
 }
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -3,6 +3,7 @@
 use super::*;
 
 mod access;
+mod account;
 mod carriers;
 mod fleet;
 mod forwarding;
@@ -94,6 +95,46 @@
     state
 }
 
+/// The voter beside [`leader_of_two`].
+const OTHER: &str = "10.0.0.2:1";
+
+/// A leader of two voters since `now`.
+fn leader_of_two(now: Time) -> State {
+    let own = identity("10.0.0.1:1", 7);
+    let scheduler = Scheduler::new(job::Bounds::default());
+    let mut state = State::new(own, Vec::new(), false, scheduler, Duration::from_secs(2));
+    let voter = |disk| quorum::Member { role: quorum::Role::Voter, disk: Some(disk) };
+    let members = [("10.0.0.1:1".into(), voter(5)), (OTHER.into(), voter(6))];
+    let members = Some(members.into_iter().collect());
+    let entries = vec![quorum::Entry { term: 1, command: Vec::new(), members }];
+    let disk = Some(5);
+    let restored = quorum::PersistentState { disk, term: 1, entries, ..Default::default() };
+    let restored = Box::new(restored);
+    run(&mut state, now, Event::DiskOpened { restored, boot: 1 });
+    run(&mut state, now, Event::Timer(Timer::Quorum(quorum::Timer::Election)));
+    for pre in [true, false] {
+        let vote = quorum::Message::Vote { term: 2, pre, granted: true, disk: 6 };
+        run(&mut state, now, from_other(vote));
+    }
+    answer_append(&mut state, now, now);
+    assert!(state.leads());
+    state
+}
+
+fn from_other(message: quorum::Message) -> Event {
+    Event::Peer { from: OTHER.into(), message: Message::Quorum(message) }
+}
+
+/// The other voter follows what [`leader_of_two`] sent at `sent`.
+fn answer_append(state: &mut State, now: Time, sent: Time) -> Vec<Effect> {
+    let index = state.quorum.as_ref().expect("the state has a log").last_index();
+    let stamp = quorum::Stamp { boot: 9, at: now };
+    let (matched, applied, disk) = (true, index, Some(6));
+    let appended =
+        quorum::Message::Appended { term: 2, matched, index, applied, sent, stamp, disk };
+    run(state, now, from_other(appended))
+}
+
 /// Puts a configuration in force.
 fn configure(state: &mut State, config: job::Config) {
     let call = Call::Configure(Box::new(config));
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -257,6 +257,7 @@
         }
         self.needs_planning = false;
         self.last_planned = now;
+        self.planning_passes += 1;
         if now >= self.last_forgotten_durations + Self::FORGET_DURATIONS_INTERVAL {
             self.last_forgotten_durations = now;
             self.durations.forget(&table.live);
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -51,6 +51,7 @@
     /// Whether something changed since the last planning pass.
     pub(crate) needs_planning: bool,
     pub(crate) last_planned: Time,
+    pub(crate) planning_passes: u64,
     /// When the maintenance waves were last checked.
     pub(crate) last_wave_check: Time,
     /// When the pools were last rebalanced.
@@ -152,6 +153,11 @@
         self.epoch.is_some()
     }
 
+    /// Number of planning passes so far.
+    pub fn planning_passes(&self) -> u64 {
+        self.planning_passes
+    }
+
     /// Data centre of an incarnation, if it has announced itself.
     pub fn data_center_of(&self, incarnation: &Incarnation) -> Option<&Name> {
         Some(&self.instances.get(incarnation)?.announcement.as_ref()?.data_center)
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -56,7 +56,7 @@
 
     /// The latest time as of which a majority is known to have followed this leader: the send time
     /// of the last messages that a majority has answered.
-    pub(crate) fn last_majority_contact(&self, now: Time) -> Option<Time> {
+    pub fn last_majority_contact(&self, now: Time) -> Option<Time> {
         self.majority_value(now, |progress| progress.last_acked_send)
     }
 
