Account: longest wait of events; waiting for a frame is not charged to decoding

And the account said how long steps take, not how long events wait for theirs. Change: decoding begins its own step; each class of events shows its longest wait. Result: no decision changes. crates/entry/tests/reducer/account.rs.

--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -54,6 +54,8 @@
     /// Longest step.
     longest: Duration,
     steps: u32,
+    /// Longest time that an event waited for its turn.
+    longest_wait: Duration,
 }
 
 /// Time by activity since the last report.
@@ -85,6 +87,12 @@
         spent.steps += 1;
     }
 
+    /// Records for how long an event waited for its turn.
+    pub(crate) fn record_wait(&mut self, activity: Activity, waited: Duration) {
+        let spent = self.spent.entry(activity).or_default();
+        spent.longest_wait = spent.longest_wait.max(waited);
+    }
+
     pub(crate) fn report_is_due(&self, now: Time) -> bool {
         now >= self.began + Self::REPORT_INTERVAL
     }
@@ -127,8 +135,9 @@
         for (part, total) in self.parts() {
             write!(f, ", {part} {} ms", total.as_millis())?;
             let of_part = spent.iter().find(|(activity, _)| activity.name() == part);
-            if let Some((_, Spent { longest, steps, .. })) = of_part {
+            if let Some((_, Spent { longest, steps, longest_wait, .. })) = of_part {
                 write!(f, " in {steps}, longest {}", longest.as_millis())?;
+                write!(f, ", wait {}", longest_wait.as_millis())?;
             }
         }
         Ok(())
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -304,6 +304,7 @@
             for _ in 0..Self::EVENTS_PER_ROUND {
                 let Some((waited, event)) = self.inbox.pop(self.clock.now()) else { break };
                 self.state.overload.record(waited);
+                self.account.record_wait(Activity::from(&event), waited);
                 self.step(event);
             }
             while let Some(timer) = self.timers.pop(self.clock.now()) {
@@ -359,6 +360,7 @@
     }
 
     fn on_frame(&mut self, from: SocketAddr, body: &[u8]) {
+        self.account.begin(self.clock.now());
         let from: Name = from.to_string().into();
         match wire::Codec::decode::<Vec<Message>>(body) {
             Ok(messages) => {
--- a/crates/entry/tests/reducer/account.rs
+++ b/crates/entry/tests/reducer/account.rs
@@ -11,11 +11,13 @@
     account.charge(ms(2031), Activity::Agreement);
     account.begin(ms(2500));
     account.charge(ms(2510), Activity::Planning);
+    account.record_wait(Activity::Agreement, ms(7));
+    account.record_wait(Activity::Agreement, ms(3));
     assert!(!account.report_is_due(ms(5999)));
     assert!(account.report_is_due(ms(6000)));
     let report = account.report(ms(6000), ms(1000));
-    let text = "busy 600 of 5000 ms, agreement 1 ms in 1, longest 1, \
-                planning 40 ms in 2, longest 30, connections 559 ms";
+    let text = "busy 600 of 5000 ms, agreement 1 ms in 1, longest 1, wait 7, \
+                planning 40 ms in 2, longest 30, wait 0, connections 559 ms";
     assert_eq!(report.to_string(), text);
     assert_eq!(report.parts().map(|(_, spent)| spent).sum::<Duration>(), ms(600));
 }
