--- a/crates/entry/tests/reducer/forwarding.rs
+++ b/crates/entry/tests/reducer/forwarding.rs
@@ -65,3 +65,25 @@
     let sent = forwarded(&peer(&mut state, ms(210), &leader, unknown));
     assert_eq!(sent, [(leader, Some(Reading { boot: 8, at: ms(1830) }))]);
 }
+
+/// Guards against gateways that multiply the load of a leader that is late.
+#[test]
+fn a_leader_that_is_slow_and_alive_gets_a_call_at_most_twice_and_stays_the_leader() {
+    let (leader, other): (Name, Name) = ("10.0.0.1:1".into(), "10.0.0.2:1".into());
+    let mut state = gateway(&leader);
+    state.pending_calls.members = BTreeSet::from([leader.clone(), other.clone()]);
+    let mut sent = forwarded(&submit(&mut state, ms(20), 1));
+    for at in (40..1800).step_by(20) {
+        if at % 500 == 0 {
+            let clock = Reading { boot: 7, at: ms(5000 + at) };
+            let members = vec![leader.clone(), other.clone()];
+            let (leader, serves) = (Some(leader.clone()), true);
+            let pong = Message::Pong { leader, members, serves, large_fleet: true, clock };
+            peer(&mut state, ms(at), &"10.0.0.1:1".into(), pong);
+        }
+        sent.extend(forwarded(&state.reduce(ms(at), 0, Event::Timer(Timer::Tick))));
+        assert_eq!(state.pending_calls.leader.as_ref(), Some(&leader), "at {at} ms");
+    }
+    assert!(sent.len() <= 2, "sent {} times", sent.len());
+    assert!(sent.iter().all(|(to, _)| *to == leader), "{sent:?}");
+}
--- a/crates/entry/tests/reducer/load.rs
+++ b/crates/entry/tests/reducer/load.rs
@@ -63,3 +63,24 @@
     assert!(matches!(third, Event::Peer { message: Message::Forward { ticket: 0, .. }, .. }));
     assert_eq!(waited, ms(2010));
 }
+
+/// Guards against jobs that wait behind instances until their callers have given up.
+#[test]
+fn a_job_is_answered_soon_while_instances_keep_the_leader_busy() {
+    let mut state = leader();
+    let mut inbox = Inbox::default();
+    inbox.push(ms(3000), forward(1, DEADLINE));
+    for at in 3000..4800 {
+        for id in 0..2 {
+            let result = Err(job::CallError::Timeout);
+            inbox.push(ms(at), Event::InstanceAnswered { id, result, origin: None });
+        }
+        let (waited, event) = inbox.pop(ms(at)).expect("events wait");
+        state.overload.record(waited);
+        if !returned(&run(&mut state, ms(at), event)).is_empty() {
+            assert!(at <= 3350, "the caller waited for {} ms", at - 3000);
+            return;
+        }
+    }
+    panic!("the caller had no answer within 1.8 s");
+}
