No class of events waits for all of the classes before it

Cause: the inbox took classes strictly in order and looked at the wait of a job only when its turn came. While instances kept the leader busy, jobs were neither taken nor refused for 3 s. Change: a class other than agreement gets a turn after 32 events of earlier classes, and every second turn once its first event has waited for longer than jobs may, so that jobs are refused in time.

--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -1,5 +1,9 @@
 //! Events that wait for the state machine, taken by class: agreement first, new jobs last. Under
 //! load, the work that keeps promises already given goes before work that would add new ones.
+//!
+//! A class other than agreement never waits for all of the classes before it. It gets a turn after a
+//! number of their events, and every second turn once it has waited too long: a job that is to be
+//! refused for its wait has to be refused while its caller still listens.
 
 use super::*;
 
@@ -71,24 +75,59 @@
     }
 }
 
+/// Events of one class.
+#[derive(Debug, Default)]
+struct Queue {
+    events: VecDeque<(Time, Event)>,
+    /// Number of events of earlier classes that were taken since the last of this one, while one
+    /// waited.
+    passed_over: u32,
+}
+
+impl Queue {
+    /// Number of events of earlier classes after which an event is taken.
+    const MAX_PASSED_OVER: u32 = 32;
+
+    fn is_due(&self, now: Time) -> bool {
+        let overdue =
+            |(since, _): &(Time, Event)| Overload::is_too_long(now.saturating_sub(*since));
+        self.passed_over >= Self::MAX_PASSED_OVER || self.events.front().is_some_and(overdue)
+    }
+}
+
 /// Queues of events, by class.
 #[derive(Debug, Default)]
 pub(crate) struct Inbox {
-    queues: BTreeMap<Class, VecDeque<(Time, Event)>>,
+    queues: BTreeMap<Class, Queue>,
+    /// Whether the last event was one of the first class that waited, other than agreement; the next
+    /// may then be of a later class.
+    in_order: bool,
 }
 
 impl Inbox {
     pub(crate) fn push(&mut self, now: Time, event: Event) {
-        self.queues.entry(Class::of(&event)).or_default().push_back((now, event));
+        self.queues.entry(Class::of(&event)).or_default().events.push_back((now, event));
     }
 
     /// Takes the next event, with the time for which it has waited.
     pub(crate) fn pop(&mut self, now: Time) -> Option<(Duration, Event)> {
-        let (since, event) = self.queues.values_mut().find_map(VecDeque::pop_front)?;
+        let mut waiting = self.queues.iter().filter(|(_, queue)| !queue.events.is_empty());
+        let (first, _) = waiting.next()?;
+        let due = waiting.find(|(_, queue)| queue.is_due(now)).map(|(class, _)| class);
+        let may_precede = *first != Class::Agreement && self.in_order;
+        let due = due.filter(|_| may_precede);
+        let class = *due.unwrap_or(first);
+        self.in_order = due.is_none() && class != Class::Agreement;
+        for (_, queue) in self.queues.range_mut(class..).skip(1) {
+            queue.passed_over += u32::from(!queue.events.is_empty());
+        }
+        let queue = self.queues.get_mut(&class)?;
+        queue.passed_over = 0;
+        let (since, event) = queue.events.pop_front()?;
         Some((now.saturating_sub(since), event))
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        self.queues.values().all(VecDeque::is_empty)
+        self.queues.values().all(|queue| queue.events.is_empty())
     }
 }
--- a/crates/entry/src/overload.rs
+++ b/crates/entry/src/overload.rs
@@ -17,6 +17,11 @@
     /// After how long callers are told to return, beyond the time that their job waited.
     const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+    /// Whether an event has waited for so long that a job would be refused.
+    pub(crate) fn is_too_long(waited: Duration) -> bool {
+        waited > Self::MAX_WAIT
+    }
+
     /// Records for how long the event that is handled next has waited.
     pub(crate) fn record(&mut self, waited: Duration) {
         self.waited = waited;
@@ -24,6 +29,6 @@
 
     /// When the caller of the job that is being handled should return, if the job is refused.
     pub(crate) fn retry_after(&self) -> Option<Duration> {
-        (self.waited > Self::MAX_WAIT).then(|| Self::RETRY_AFTER + self.waited)
+        Self::is_too_long(self.waited).then(|| Self::RETRY_AFTER + self.waited)
     }
 }
--- a/crates/entry/tests/reducer/load.rs
+++ b/crates/entry/tests/reducer/load.rs
@@ -84,3 +84,40 @@
     }
     panic!("the caller had no answer within 1.8 s");
 }
+
+#[test]
+fn no_class_waits_for_all_events_of_the_classes_before_it() {
+    let mut inbox = Inbox::default();
+    let answered =
+        |id| Event::InstanceAnswered { id, result: Err(job::CallError::Timeout), origin: None };
+    for id in 0..1000 {
+        inbox.push(ms(0), answered(id));
+    }
+    inbox.push(ms(0), forward(1, DEADLINE));
+    let call = Call::Config;
+    inbox.push(ms(0), Event::Call { ticket: 2, call, timeout: ms(900) });
+    let taken: Vec<_> = (0..70).filter_map(|_| inbox.pop(ms(1))).map(|(_, event)| event).collect();
+    let jobs = taken.iter().filter(|event| matches!(event, Event::Peer { .. })).count();
+    let calls = taken.iter().filter(|event| matches!(event, Event::Call { .. })).count();
+    assert_eq!((jobs, calls), (1, 1));
+}
+
+#[test]
+fn agreement_goes_first_however_long_others_have_waited() {
+    let mut inbox = Inbox::default();
+    for ticket in 0..10 {
+        inbox.push(ms(0), forward(ticket, DEADLINE));
+        inbox.push(
+            ms(0),
+            Event::InstanceAnswered {
+                id: ticket,
+                result: Err(job::CallError::Timeout),
+                origin: None,
+            },
+        );
+    }
+    inbox.pop(ms(900));
+    inbox.push(ms(900), Event::Peer { from: "10.0.0.2:1".into(), message: ping() });
+    let (_, event) = inbox.pop(ms(900)).expect("events wait");
+    assert!(matches!(event, Event::Peer { message: Message::Ping { .. }, .. }));
+}
