A leader that is behind refuses jobs at once, and gives late work its share of a pool only

Cause: work was started as far as there was room on instances, without regard to the leader's own time.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -303,8 +303,9 @@
             }
             for _ in 0..Self::EVENTS_PER_ROUND {
                 let Some((waited, event)) = self.inbox.pop(self.clock.now()) else { break };
-                self.state.overload.record(waited);
-                self.account.record_wait(Activity::from(&event), waited);
+                let activity = Activity::from(&event);
+                self.state.overload.record(activity, waited);
+                self.account.record_wait(activity, waited);
                 self.step(event);
             }
             while let Some(timer) = self.timers.pop(self.clock.now()) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -226,6 +226,7 @@
         }
         if self.can_serve(now) {
             self.check_former_leaders(now, unix, effects);
+            self.scheduler.set_lag(self.overload.lag());
             self.step_scheduler(now, unix, job::Event::Tick, effects);
         }
         for ticket in self.pending_calls.tickets() {
--- a/crates/entry/tests/reducer/load.rs
+++ b/crates/entry/tests/reducer/load.rs
@@ -37,11 +37,11 @@
 #[test]
 fn a_job_that_waited_for_long_is_refused_before_it_is_proposed() {
     let mut state = leader();
-    state.overload.record(ms(700));
+    state.overload.record(Activity::Jobs, ms(700));
     let effects = run(&mut state, ms(4000), forward(1, DEADLINE));
     assert_eq!(returned(&effects), [Answer::NotRun { retry: ms(1700) }]);
     assert!(state.table.jobs.is_empty());
-    state.overload.record(ms(20));
+    state.overload.record(Activity::Jobs, ms(20));
     let effects = run(&mut state, ms(4010), forward(1, DEADLINE));
     assert_eq!(returned(&effects), [Answer::Done], "it takes jobs again at once");
 }
@@ -76,7 +76,7 @@
             inbox.push(ms(at), Event::InstanceAnswered { id, result, origin: None });
         }
         let (waited, event) = inbox.pop(ms(at)).expect("events wait");
-        state.overload.record(waited);
+        state.overload.record(Activity::from(&event), waited);
         if !returned(&run(&mut state, ms(at), event)).is_empty() {
             assert!(at <= 3350, "the caller waited for {} ms", at - 3000);
             return;
@@ -121,3 +121,33 @@
     let (_, event) = inbox.pop(ms(900)).expect("events wait");
     assert!(matches!(event, Event::Peer { message: Message::Ping { .. }, .. }));
 }
+
+#[test]
+fn only_events_of_instances_count_for_the_lag() {
+    let mut overload = Overload::default();
+    for _ in 0..100 {
+        overload.record(Activity::Instances, ms(80));
+        overload.record(Activity::Jobs, ms(900));
+    }
+    assert!(overload.lag() > ms(75) && overload.lag() <= ms(80), "{:?}", overload.lag());
+}
+
+/// Guards against a leader that takes jobs faster than it can start their tasks.
+#[test]
+fn a_leader_that_is_behind_with_instances_refuses_jobs_at_once() {
+    let mut state = leader();
+    for _ in 0..200 {
+        state.overload.record(Activity::Instances, ms(400));
+    }
+    state.overload.record(Activity::Jobs, ms(10));
+    let effects = run(&mut state, ms(4000), forward(1, DEADLINE));
+    let [Answer::NotRun { retry }] = returned(&effects)[..] else { panic!("{effects:?}") };
+    assert!(retry > ms(1390) && retry <= ms(1400), "{retry:?}");
+    assert!(state.table.jobs.is_empty());
+    for _ in 0..200 {
+        state.overload.record(Activity::Instances, ms(5));
+    }
+    state.overload.record(Activity::Jobs, ms(10));
+    let effects = run(&mut state, ms(4010), forward(1, DEADLINE));
+    assert_eq!(returned(&effects), [Answer::Done], "it takes jobs again at once");
+}
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -207,6 +207,10 @@
     /// Interval between passes of [`Self::rebalance`].
     const REBALANCE_INTERVAL: Duration = Duration::from_millis(100);
 
+    /// Lag of the leader from which on late work has only its share of every pool. A short task can lose
+    /// this much at its start and at its end and still be in time.
+    const MAX_LAG: Duration = Duration::from_millis(50);
+
     /// Interval between log entries about each pool.
     const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -259,7 +263,8 @@
         let mut moves = plan_moves(&mut pools, &mut parked, spare.as_ref(), park);
         let rate = self.bounds.machine_orders_per_second;
         moves.truncate(self.order_budget.take(now, rate, moves.len()));
-        let overloaded = pools.iter().filter(|(_, pool)| pool.is_overloaded());
+        let is_behind = self.lag > Self::MAX_LAG;
+        let overloaded = pools.iter().filter(|(_, pool)| is_behind || pool.is_overloaded());
         self.late_room =
             overloaded.map(|(name, pool)| (name.clone(), pool.room_for_late_work())).collect();
         self.lend_machines(now, table, config, &mut pools, &late, effects);
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -52,6 +52,8 @@
     pub(crate) needs_planning: bool,
     pub(crate) last_planned: Time,
     pub(crate) planning_passes: u64,
+    /// For how long events of instances wait until this leader handles them.
+    pub(crate) lag: Duration,
     /// When the maintenance waves were last checked.
     pub(crate) last_wave_check: Time,
     /// When the pools were last rebalanced.
@@ -60,8 +62,9 @@
     pub(crate) recurring_jobs: BTreeSet<JobId>,
     /// Work that has arrived lately, by pool.
     pub(crate) arrivals: BTreeMap<Name, Arrivals>,
-    /// Pools whose capacity is too small for the work that can still meet its objective, with the
-    /// capacity that late work may still take there, in millicores.
+    /// Pools whose capacity is too small for the work that can still meet its objective, or all pools
+    /// while the leader is behind, with the capacity that late work may still take there, in
+    /// millicores.
     pub(crate) late_room: BTreeMap<Name, u64>,
     /// When the balance of each pool was last logged.
     pub(crate) last_report: Time,
@@ -153,6 +156,11 @@
         self.epoch.is_some()
     }
 
+    /// Sets for how long events of instances wait until this leader handles them.
+    pub fn set_lag(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
     /// Number of planning passes so far.
     pub fn planning_passes(&self) -> u64 {
         self.planning_passes
--- a/crates/job/tests/load.rs
+++ b/crates/job/tests/load.rs
@@ -119,6 +119,39 @@
     assert!(world.table.live.is_empty());
 }
 
+/// Guards against late work that takes the leader's time from work that can still be in time.
+#[test]
+fn late_work_has_only_a_share_of_the_pool_while_the_leader_is_behind() {
+    let parking_idle_time = Duration::from_secs(60);
+    let bounds = Bounds { parking_idle_time, ..Bounds::default() };
+    let mut world = World::with_bounds(9, config(&["a"]), bounds);
+    for i in 0..20 {
+        world.add_machine(&format!("m{i}"), "a", "r0", 16_000);
+    }
+    world.run(400);
+    let cores_in_use = |world: &World| {
+        let tasks = world.instances.values().map(|instance| instance.running.len());
+        4 * tasks.sum::<usize>()
+    };
+    world.scheduler.set_lag(Duration::from_millis(80));
+    world.run(200);
+    // The objectives of these jobs are over before they arrive.
+    for id in 1..=30 {
+        world.submit_at(world.unix() - 4000, None, id, "a", chain(&[8], 4000, 1000));
+    }
+    let mut most = 0;
+    for _ in 0..60 {
+        world.run(20);
+        most = most.max(cores_in_use(&world));
+    }
+    assert!(most >= 4, "late work has a share");
+    assert!(most <= 320 / 10 + 4, "{most} of 320 cores are in late use");
+    world.scheduler.set_lag(Duration::ZERO);
+    world.run(600);
+    let used = cores_in_use(&world);
+    assert!(used > 160, "{used} of 320 cores are in late use");
+}
+
 #[test]
 fn jobs_started_under_overload_finish_in_time() {
     let mut world = World::new(6, config(&["a"]));
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -335,9 +335,20 @@
 
     /// Submits a job of an organisation.
     pub fn submit_for(&mut self, name: Option<&str>, id: JobId, queue: &str, spec: Spec) {
+        self.submit_at(self.unix(), name, id, queue, spec);
+    }
+
+    /// Submits a job that was accepted at `at`.
+    pub fn submit_at(
+        &mut self,
+        at: UnixMs,
+        name: Option<&str>,
+        id: JobId,
+        queue: &str,
+        spec: Spec,
+    ) {
         let organisation = name.map(Into::into);
-        let command =
-            Command::Submit { id, queue: queue.into(), spec, organisation, at: self.unix() };
+        let command = Command::Submit { id, queue: queue.into(), spec, organisation, at };
         let outcomes = self.table.apply(command);
         self.step(Event::CommandCommitted(outcomes));
     }
