A proposal is repeated to a late leader with growing delays

A leader that is late got every proposal up to 49 times, and each copy became an entry of the log. Change: 400 ms, then twice as long each time; a new leader gets all at once.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -38,6 +38,10 @@
 mod timer;
 pub mod upstream;
 
+#[cfg(test)]
+#[path = "../tests/unit/mod.rs"]
+mod unit;
+
 pub use {
     command::Command, effect::Effect, event::Event, message::Message, outcome::Outcome,
     overview::Overview, proposal::Proposal, replica::Replica, state::State, summary::Summary,
--- a/crates/node/src/pending_proposal.rs
+++ b/crates/node/src/pending_proposal.rs
@@ -8,6 +8,10 @@
     pub(crate) waiter: Option<Waiter>,
     /// When the proposal was made.
     pub(crate) proposed: Time,
+    /// When it is sent to the leader again.
+    pub(crate) retry_at: Time,
+    /// Delay from then until it is sent once more.
+    pub(crate) retry_delay: Duration,
 }
 
 /// The call that waits for the result of a proposal.
--- a/crates/node/src/proposals.rs
+++ b/crates/node/src/proposals.rs
@@ -13,8 +13,9 @@
 }
 
 impl Proposals {
-    /// Age after which a proposal is sent to the leader again.
-    pub(crate) const RETRY_INTERVAL: Duration = Duration::from_millis(400);
+    /// Delay before a proposal is sent to the leader again. It doubles each time, since the leader may
+    /// have the proposal and be late, and every copy becomes an entry of the log.
+    const RETRY_DELAY: Duration = Duration::from_millis(400);
     /// Age after which the waiting call is told that the outcome is unknown.
     const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -36,7 +37,13 @@
         self.sequence += 1;
         let (origin, boot, sequence) = (self.origin.clone(), self.boot, self.sequence);
         let proposal = Proposal { origin, boot, sequence, command };
-        let pending = PendingProposal { proposal: proposal.clone(), waiter, proposed: now };
+        let pending = PendingProposal {
+            proposal: proposal.clone(),
+            waiter,
+            proposed: now,
+            retry_at: now + Self::RETRY_DELAY,
+            retry_delay: Self::RETRY_DELAY * 2,
+        };
         self.pending.insert(sequence, pending);
         proposal
     }
@@ -56,10 +63,24 @@
         })
     }
 
-    /// Proposals of age `age` or more.
-    pub(crate) fn older_than(&self, now: Time, age: Duration) -> Vec<Proposal> {
-        let due = self.pending.values().filter(|pending| pending.proposed + age <= now);
-        due.map(|pending| pending.proposal.clone()).collect()
+    /// Proposals that are due to be sent to the leader again.
+    pub(crate) fn take_due(&mut self, now: Time) -> Vec<Proposal> {
+        let due = self.pending.values_mut().filter(|pending| pending.retry_at <= now);
+        let due = due.map(|pending| {
+            pending.retry_at = now + pending.retry_delay;
+            pending.retry_delay *= 2;
+            pending.proposal.clone()
+        });
+        due.collect()
+    }
+
+    /// All proposals, to be sent to a new leader.
+    pub(crate) fn restart(&mut self, now: Time) -> Vec<Proposal> {
+        for pending in self.pending.values_mut() {
+            pending.retry_at = now;
+            pending.retry_delay = Self::RETRY_DELAY;
+        }
+        self.take_due(now)
     }
 
     /// Removes proposals that have timed out, and returns the calls that wait for them.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -329,7 +329,9 @@
             self.renew_leases(now, instances);
         }
         effects.push(Effect::Leader(leader));
-        self.resend_proposals(now, Duration::ZERO, effects);
+        for proposal in self.proposals.restart(now) {
+            self.forward_proposal(now, &proposal, effects);
+        }
     }
 
     fn apply_entry(
@@ -462,7 +464,9 @@
         self.advance_log_clock(now, effects);
         self.update_roster(now, effects);
         self.time_out_proposals(now, effects);
-        self.resend_proposals(now, Proposals::RETRY_INTERVAL, effects);
+        for proposal in self.proposals.take_due(now) {
+            self.forward_proposal(now, &proposal, effects);
+        }
     }
 
     /// Reports to the leader the instances that have renewed their lease at this daemon.
@@ -582,11 +586,4 @@
             });
         }
     }
-
-    /// Sends proposals of age `age` or more to the leader again.
-    fn resend_proposals(&mut self, now: Time, age: Duration, effects: &mut Vec<Effect>) {
-        for proposal in self.proposals.older_than(now, age) {
-            self.forward_proposal(now, &proposal, effects);
-        }
-    }
 }
--- /dev/null
+++ b/crates/node/tests/unit/mod.rs
@@ -0,0 +1,5 @@
+//! Parts of the state machine by themselves.
+
+use super::*;
+
+mod proposals;
