Confirmations of orders go along with other results

Change: a carrier holds a result that only confirms an order for up to 40 ms, in place of 8; a result that reports ends takes it along. Nothing waits for a confirmation: the task runs. Test: a_confirmation_waits_for_other_results_but_not_for_long.

--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -21,6 +21,8 @@
 impl Outbox {
     /// How long orders to instances and their results are held.
     const ORDER_HOLD: Duration = Duration::from_millis(8);
+    /// The same for results that only confirm an order: the task runs, and nothing waits for them.
+    const CONFIRMATION_HOLD: Duration = Duration::from_millis(40);
     /// How long announcements of instances are held on their way to the leader; the instance waits
     /// for the answer, but does nothing else meanwhile.
     const ANNOUNCEMENT_HOLD: Duration = Duration::from_millis(60);
@@ -31,6 +33,9 @@
 
     fn hold(message: &Message) -> Duration {
         match message {
+            Message::OrderResult { result: Ok(job::Reply::Done { .. }), .. } => {
+                Self::CONFIRMATION_HOLD
+            }
             Message::Order { .. } | Message::OrderResult { .. } => Self::ORDER_HOLD,
             Message::Forward { call: Call::Announce(_), .. } => Self::ANNOUNCEMENT_HOLD,
             Message::Announced(_) => Self::COPY_HOLD,
--- a/crates/entry/tests/reducer/outbox.rs
+++ b/crates/entry/tests/reducer/outbox.rs
@@ -44,3 +44,18 @@
     }
     assert_eq!(outbox.take_due(ms(0))[0].1.len(), 300);
 }
+
+#[test]
+fn a_confirmation_waits_for_other_results_but_not_for_long() {
+    let mut outbox = Outbox::default();
+    let leader: Name = "10.0.0.1:1".into();
+    let result = Ok(job::Reply::Done { clock: 5 });
+    let confirmation = Message::OrderResult { id: 1, boot: 7, result };
+    outbox.push(ms(0), &leader, confirmation.clone());
+    assert_eq!(outbox.next_due(), Some(ms(40)));
+    outbox.push(ms(20), &leader, order_result(2));
+    let sent = outbox.take_due(ms(28));
+    assert_eq!(sent[0].1.len(), 2, "it goes along with the next result");
+    outbox.push(ms(50), &leader, confirmation);
+    assert_eq!(outbox.take_due(ms(90)).len(), 1);
+}
