The lag falls as soon as no event of instances waits

Cause: the lag followed events of instances only. In a small fleet these are few when nothing runs, so that a leader which was behind once would have refused jobs for seconds after it had caught up. Change: each event counts, with the wait of the first event of instances, zero if there is none.

--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -127,6 +127,12 @@
         Some((now.saturating_sub(since), event))
     }
 
+    /// For how long the first event of instances has waited; zero if none waits.
+    pub(crate) fn lag(&self, now: Time) -> Duration {
+        let first = self.queues.get(&Class::Instances).and_then(|queue| queue.events.front());
+        first.map_or(Duration::ZERO, |(since, _)| now.saturating_sub(*since))
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.queues.values().all(|queue| queue.events.is_empty())
     }
--- a/crates/entry/src/overload.rs
+++ b/crates/entry/src/overload.rs
@@ -23,7 +23,7 @@
     const MAX_LAG: Duration = Duration::from_millis(150);
     /// After how long callers are told to return, beyond the time that their job waited.
     const RETRY_AFTER: Duration = Duration::from_secs(1);
-    /// Weight of the latest event in the moving average, as a divisor.
+    /// Weight of the latest value in the moving average, as a divisor.
     const LAG_WEIGHT_DIVISOR: u32 = 16;
 
     /// Whether an event has waited for so long that a job would be refused.
@@ -31,13 +31,12 @@
         waited > Self::MAX_WAIT
     }
 
-    /// Records for how long the event that is handled next has waited.
-    pub(crate) fn record(&mut self, activity: Activity, waited: Duration) {
+    /// Records for how long the event that is handled next has waited, and for how long the first
+    /// event of instances.
+    pub(crate) fn record(&mut self, waited: Duration, lag: Duration) {
         self.waited = waited;
-        if activity == Activity::Instances {
-            let divisor = Self::LAG_WEIGHT_DIVISOR;
-            self.lag = self.lag * (divisor - 1) / divisor + waited / divisor;
-        }
+        let divisor = Self::LAG_WEIGHT_DIVISOR;
+        self.lag = self.lag * (divisor - 1) / divisor + lag / divisor;
     }
 
     /// For how long events of instances wait at present.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -302,10 +302,11 @@
                 self.on_call(call);
             }
             for _ in 0..Self::EVENTS_PER_ROUND {
-                let Some((waited, event)) = self.inbox.pop(self.clock.now()) else { break };
-                let activity = Activity::from(&event);
-                self.state.overload.record(activity, waited);
-                self.account.record_wait(activity, waited);
+                let now = self.clock.now();
+                let lag = self.inbox.lag(now);
+                let Some((waited, event)) = self.inbox.pop(now) else { break };
+                self.state.overload.record(waited, lag);
+                self.account.record_wait(Activity::from(&event), waited);
                 self.step(event);
             }
             while let Some(timer) = self.timers.pop(self.clock.now()) {
