instance-lost says whether the instance crashed and which attempts were on board

The log could not tell a crash from an instance that was taken away, nor which tasks lost their instance how often, so the hypotheses of the incident could not be told apart. The line now has the kind of the end, the time of silence, and each attempt with number, stage and age. Owed and surplus groups print when they were due instead of a clock reading as time to spare.

--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -117,6 +117,8 @@
 impl Instance {
     /// How much slower than the clock of this process that of an instance may run, in thousandths.
     const DRIFT_PERMILLE: u32 = 25;
+    /// Maximum number of attempts that a log line names.
+    const MAX_ATTEMPTS_IN_LOG: usize = 64;
     /// Time added to every lease expiry for rounding and timer delays.
     const EXPIRY_MARGIN: Duration = Duration::from_millis(100);
 
@@ -233,6 +235,20 @@
         ready && self.fenced && !self.unresponsive && !self.draining && now >= self.avoided_until
     }
 
+    /// The attempts on board, and how long each had run when the instance was last heard, for the
+    /// log.
+    pub(crate) fn on_board(&self, now: Time) -> String {
+        let silent = now.saturating_sub(self.last_heard).as_millis();
+        let mut text = format!("silent for {silent} ms, {} attempts", self.attempts.len());
+        for (task, attempt) in self.attempts.iter().take(Self::MAX_ATTEMPTS_IN_LOG) {
+            let age = self.last_heard.saturating_sub(attempt.started).as_millis();
+            let Attempt { number, stage, confirmed, .. } = attempt;
+            let confirmed = if *confirmed { "" } else { " not confirmed" };
+            text += &format!(", {task} {number} {stage:?}{confirmed} {age} ms");
+        }
+        text
+    }
+
     /// Resources that are not reserved.
     pub(crate) fn free(&self) -> Resources {
         self.announcement
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -29,6 +29,7 @@
 mod command;
 mod commit;
 mod config;
+mod departure;
 mod due;
 mod durations;
 mod effect;
@@ -74,6 +75,7 @@
 
 use {
     admission::AdmissionState,
+    departure::Departure,
     due::DueRound,
     durations::DurationEstimator,
     holds::Holds,
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -453,8 +453,11 @@
                 let down = machine.state != MachineState::Up;
                 if (other || down) && instance.last_heard < sent {
                     let incarnation = incarnation.clone();
-                    let why = "the platform no longer lists it on its machine";
-                    self.end_incarnation(now, &incarnation, why, effects);
+                    let departure = match machine.state {
+                        MachineState::Up => Departure::OtherListed,
+                        state => Departure::MachineListed(state),
+                    };
+                    self.end_incarnation(now, &incarnation, departure, effects);
                 }
             }
             self.machines.listed.insert(machine.name.clone(), machine);
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -80,7 +80,11 @@
     /// Log entry about tasks of the group that were placed.
     fn placement_note(&self, tasks: usize) -> Effect {
         let PlacementKey { class, slack, .. } = self.key;
-        let why = format!("{tasks} tasks, {class:?}, {slack} ms to spare");
+        let order = match class {
+            Class::Owed | Class::Surplus => format!("due at {slack}"),
+            _ => format!("{slack} ms to spare"),
+        };
+        let why = format!("{tasks} tasks, {class:?}, {order}");
         note("group-placed", self.group_id.to_string(), why)
     }
 }
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -321,12 +321,7 @@
         }
         let replaced: Vec<_> = self.replaced().collect();
         for incarnation in replaced {
-            self.end_incarnation(
-                now,
-                &incarnation,
-                "a later incarnation has announced itself",
-                effects,
-            );
+            self.end_incarnation(now, &incarnation, Departure::Replaced, effects);
         }
         self.needs_planning = true;
     }
@@ -377,18 +372,13 @@
         }
         let incarnation = announcement.incarnation.clone();
         if announcement.condition == Condition::Gone {
-            return self.end_incarnation(now, &incarnation, "the instance has ended", effects);
+            return self.end_incarnation(now, &incarnation, Departure::Reported, effects);
         }
         if self.current_starts.insert(name.clone(), incarnation.born) != Some(incarnation.born) {
             let earlier = |other: &&Incarnation| other.name == name && **other < incarnation;
             let earlier: Vec<_> = self.instances.keys().filter(earlier).cloned().collect();
             for earlier in earlier {
-                self.end_incarnation(
-                    now,
-                    &earlier,
-                    "a later incarnation has announced itself",
-                    effects,
-                );
+                self.end_incarnation(now, &earlier, Departure::Replaced, effects);
             }
         }
         let lease_expires = now;
@@ -436,11 +426,15 @@
         &mut self,
         now: Time,
         incarnation: &Incarnation,
-        why: &'static str,
+        departure: Departure,
         effects: &mut Vec<Effect>,
     ) {
         let Some(instance) = self.instances.remove(incarnation) else { return };
         self.needs_planning = true;
+        let planned = departure.is_planned(self.is_leaving(&instance));
+        let kind = if planned { "planned" } else { "crash" };
+        let why = format!("{kind}: {departure}; {}", instance.on_board(now));
+        effects.push(note("instance-lost", incarnation.to_string(), why));
         let later =
             self.current_starts.get(&incarnation.name).filter(|born| **born > incarnation.born);
         let successor =
@@ -472,7 +466,15 @@
                 }
             }
         }
-        effects.push(note("instance-lost", incarnation.to_string(), why.into()));
+    }
+
+    /// Whether an instance was about to end: it drains, or its machine was ordered away.
+    fn is_leaving(&self, instance: &Instance) -> bool {
+        let Some(announcement) = &instance.announcement else { return instance.draining };
+        let heard_before = |ordered: Time| instance.last_heard <= ordered;
+        instance.draining
+            || announcement.condition == Condition::Draining
+            || self.machines.away.get(&announcement.machine).is_some_and(|at| heard_before(*at))
     }
 
     /// Assigns an attempt to an instance. `charge` is what it counts for, unless it is counted
