Failing test: a task that crashes its instances is started without limit

The simulated world has tasks that crash each instance that starts them, machines that are back after 3 s, and checks that a task is started at most twice after the third crash under it. On this code it is started on: a lost attempt counts towards no limit.

--- a/crates/job/tests/world/calls.rs
+++ b/crates/job/tests/world/calls.rs
@@ -145,6 +145,10 @@
         };
         instance.running.insert(task, run);
         self.starts.push((at, task, number, receiver.clone()));
+        self.note_start_after_crashes(task);
+        if let Some(after) = self.deadly.get(&task).copied() {
+            self.schedule(after, SimEvent::Crash { incarnation: receiver.clone() });
+        }
         Reply::Done { clock: now }
     }
 }
--- /dev/null
+++ b/crates/job/tests/world/crashes.rs
@@ -0,0 +1,60 @@
+//! Instances that crash: by themselves, with their rack, or because of a task.
+
+use super::*;
+
+/// Time until the machine of a crashed instance is in operation again.
+const REPAIR_MS: u64 = 3000;
+
+impl World {
+    /// Ends an incarnation at once, with everything that runs there.
+    pub(super) fn end_by_crash(&mut self, incarnation: &Incarnation) {
+        let Some(instance) = self.instances.get_mut(incarnation) else { return };
+        if !std::mem::replace(&mut instance.alive, false) {
+            return;
+        }
+        for task in std::mem::take(&mut instance.running).into_keys() {
+            self.starts_after_crashes.entry(task).or_default().push(0);
+        }
+    }
+
+    /// Crashes an instance; its machine starts another one some seconds later.
+    pub fn lose_power(&mut self, incarnation: &Incarnation) {
+        if !self.instances.get(incarnation).is_some_and(|instance| instance.alive) {
+            return;
+        }
+        self.trace(|| format!("{incarnation} loses power"));
+        self.end_by_crash(incarnation);
+        let name = self.instances[incarnation].machine().clone();
+        let machine = self.machines.get_mut(&name).expect("the machine is in the world");
+        machine.state = MachineState::Down;
+        machine.instance = None;
+        self.schedule(REPAIR_MS, SimEvent::MachineJoins { machine: name });
+    }
+
+    /// Crashes every instance of a rack.
+    pub fn lose_rack(&mut self, rack: &str) {
+        let on_rack = |instance: &Instance| {
+            instance.announcement.rack().is_some_and(|other| **other == *rack)
+        };
+        let lost = self.instances.iter().filter(|(_, instance)| on_rack(instance));
+        for incarnation in lost.map(|(incarnation, _)| incarnation.clone()).collect::<Vec<_>>() {
+            self.lose_power(&incarnation);
+        }
+    }
+
+    /// Counts a start, and checks that there are at most two after the third crash under a task.
+    pub(super) fn note_start_after_crashes(&mut self, task: TaskId) {
+        let Some(crashes) = self.starts_after_crashes.get_mut(&task) else { return };
+        crashes.iter_mut().for_each(|starts| *starts += 1);
+        let excess = crashes.get(2).is_some_and(|starts| *starts > 2);
+        assert!(
+            !excess || !self.deadly.contains_key(&task),
+            "{task} starts a third time after three instances have crashed under it"
+        );
+    }
+
+    /// Number of instances that crashed under a task.
+    pub fn crashes_under(&self, task: TaskId) -> usize {
+        self.starts_after_crashes.get(&task).map_or(0, Vec::len)
+    }
+}
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod checks;
+mod crashes;
 pub mod day;
 mod instance;
 mod limits;
@@ -46,6 +47,7 @@
     PlatformCall { epoch: Epoch, id: CallId },
     PlatformAnswer { epoch: Epoch, id: CallId },
     MachineJoins { machine: Name },
+    Crash { incarnation: Incarnation },
     AdmissionDecision { epoch: Epoch, id: CallId },
 }
 
@@ -124,6 +126,10 @@
     pub rejected_tickets: usize,
     /// Actual run time of the tasks of a group, if it differs from the estimate.
     pub run_times: BTreeMap<GroupId, u64>,
+    /// Tasks that crash every instance that starts them, and after how many milliseconds.
+    pub deadly: BTreeMap<TaskId, u64>,
+    /// Number of starts of each task after each crash of an instance that ran it, by crash.
+    pub starts_after_crashes: BTreeMap<TaskId, Vec<u32>>,
     /// Tasks whose successful end was committed.
     done: BTreeSet<TaskId>,
     /// Organisations of each configuration that has been in force.
@@ -172,6 +178,8 @@
             tickets: BTreeMap::new(),
             rejected_tickets: 0,
             run_times: BTreeMap::new(),
+            deadly: BTreeMap::new(),
+            starts_after_crashes: BTreeMap::new(),
             done: BTreeSet::new(),
             organisations: vec![config.organisations.clone()],
             claimed_under: BTreeMap::new(),
@@ -238,9 +246,7 @@
     /// Ends an incarnation. With `restart`, the instance restarts under the same name.
     pub fn crash(&mut self, incarnation: &Incarnation, restart: bool) {
         self.trace(|| format!("crash of {incarnation}, restart: {restart}"));
-        let Some(instance) = self.instances.get_mut(incarnation) else { return };
-        instance.alive = false;
-        instance.running.clear();
+        self.end_by_crash(incarnation);
         if restart && let Some(later) = self.restart(incarnation) {
             self.announce(&later);
         }
@@ -249,9 +255,8 @@
     /// Ends an incarnation and starts a later one of the same name, which has not announced itself
     /// yet. Returns the later one, unless it would start at the same time.
     pub fn restart(&mut self, incarnation: &Incarnation) -> Option<Incarnation> {
+        self.end_by_crash(incarnation);
         let instance = self.instances.get_mut(incarnation)?;
-        instance.alive = false;
-        instance.running.clear();
         let mut announcement = instance.announcement.clone();
         announcement.incarnation.born = EPOCH_MS + self.now;
         announcement.sequence = 0;
@@ -412,6 +417,7 @@
                 }
             }
             SimEvent::MachineJoins { machine } => self.join(&machine),
+            SimEvent::Crash { incarnation } => self.lose_power(&incarnation),
             SimEvent::AdmissionDecision { epoch, id } => self.decide(epoch, id),
         }
     }
