A task that crashes its instances is run apart and given up

Cause: an attempt that is lost with its instance counted towards no limit. Nothing told a crash from an instance that was taken away.

Ends of attempts now tell a crash under the task (Crashed, Vanished) from a start that never ran or an instance that was to leave (Lost). The counts are part of the replicated record of the task. A suspect runs without other jobs on board, on at most a quarter of a pool; the job fails after a second crash without others on board, a third proven one, or five proven and possible ones.

The fuzz test accepted no failed job; by the new contract one under which two instances have crashed may be given up. It now wants exactly that cause, counted by the simulated instances.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -199,6 +199,8 @@
             job::EndReason::Broken => "broken",
             job::EndReason::Alone => "alone",
             job::EndReason::Lost => "lost",
+            job::EndReason::Crashed { .. } => "crashed",
+            job::EndReason::Vanished => "vanished",
         };
         self.ends.get_or_create(&KindLabel { kind }).inc();
     }
--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -38,12 +38,15 @@
         let Some(instance) = self.instances.get_mut(&incarnation) else { return };
         let mut is_own_clock = false;
         if let Ok(reply) = &result {
-            instance.last_heard = now;
+            instance.record_contact(now);
             if let Some(clock) = reply.clock() {
                 is_own_clock = instance.is_own_clock(clock, now);
                 instance.update_clock(clock, now);
             }
         }
+        if result == Err(CallError::Broken) {
+            instance.broken_since.get_or_insert(now);
+        }
         match pending {
             PendingCall::Start(task, number) => {
                 let attempt = instance.attempts.get_mut(&task).filter(|a| a.number == number);
@@ -269,12 +272,9 @@
             if absent && !matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
                 attempt.stage = Stage::Ending;
                 let (number, checkpoint) = (attempt.number, attempt.checkpoint.clone());
-                self.pending_ends.push(AttemptEnd {
-                    task: *task,
-                    number,
-                    reason: EndReason::Lost,
-                    checkpoint,
-                });
+                let reason =
+                    if attempt.crash_possible { EndReason::Vanished } else { EndReason::Lost };
+                self.pending_ends.push(AttemptEnd { task: *task, number, reason, checkpoint });
                 let about = format!("{task} {number} {incarnation}");
                 effects.push(note(
                     "attempt-absent",
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -77,7 +77,13 @@
         self.call_instance(incarnation, PendingCall::Start(task, number), order, timeout, effects);
     }
 
-    pub(crate) fn on_command_committed(&mut self, now: Time, table: &Table, outcomes: &[Outcome]) {
+    pub(crate) fn on_command_committed(
+        &mut self,
+        now: Time,
+        table: &Table,
+        outcomes: &[Outcome],
+        effects: &mut Vec<Effect>,
+    ) {
         if !self.leads() {
             return;
         }
@@ -87,6 +93,7 @@
                 Outcome::AttemptEnded(end) => {
                     self.unassign(&end.task, end.number);
                     self.open_jobs.insert(end.task.job);
+                    effects.extend(isolation::crash_note(table, end));
                 }
                 Outcome::Accepted(job) => {
                     let record = table.jobs.get(job);
@@ -211,22 +218,23 @@
 
     /// Ends every attempt on instances whose leases have expired for certain.
     pub(crate) fn expire_leases(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        for (incarnation, instance) in &mut self.instances {
-            if now < instance.lease_expires || instance.attempts.is_empty() {
-                continue;
-            }
+        let is_over = |(_, instance): &(&Incarnation, &Instance)| {
+            now >= instance.lease_expires && !instance.attempts.is_empty()
+        };
+        let over = self.instances.iter().filter(is_over).map(|(incarnation, instance)| {
+            let leaving = self.is_leaving(instance);
+            (incarnation.clone(), if leaving { EndReason::Lost } else { EndReason::Vanished })
+        });
+        for (incarnation, reason) in over.collect::<Vec<_>>() {
+            let Some(instance) = self.instances.get_mut(&incarnation) else { continue };
             for (task, attempt) in &mut instance.attempts {
                 if matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
                     continue;
                 }
                 attempt.stage = Stage::Ending;
-                let (number, checkpoint) = (attempt.number, attempt.checkpoint.clone());
-                self.pending_ends.push(AttemptEnd {
-                    task: *task,
-                    number,
-                    reason: EndReason::Lost,
-                    checkpoint,
-                });
+                let (task, number) = (*task, attempt.number);
+                let checkpoint = attempt.checkpoint.clone();
+                self.pending_ends.push(AttemptEnd { task, number, reason, checkpoint });
                 let about = format!("{task} {number} {incarnation}");
                 effects.push(note("lease-over", about, "the instance did not answer".into()));
             }
--- a/crates/job/src/end_reason.rs
+++ b/crates/job/src/end_reason.rs
@@ -16,6 +16,21 @@
     Broken,
     /// The rest of its gang did not start in time.
     Alone,
-    /// It never ran, or its instance is gone.
+    /// It never ran, or its instance was taken away.
     Lost,
+    /// Its instance crashed soon after it had started.
+    #[display("crashed")]
+    Crashed {
+        /// Whether no attempt of another job ran there.
+        alone: bool,
+    },
+    /// Its instance crashed or fell silent, and it may have run there, or had run for long.
+    Vanished,
+}
+
+impl EndReason {
+    /// Whether the attempt may never have run.
+    pub(crate) fn may_not_have_run(self) -> bool {
+        matches!(self, Self::Lost | Self::Vanished)
+    }
 }
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -7,6 +7,8 @@
     pub(crate) announcement: Option<Announcement>,
     /// When the last announcement or answer arrived.
     pub(crate) last_heard: Time,
+    /// Since when connections to it break, if nothing has been heard from it since.
+    pub(crate) broken_since: Option<Time>,
     /// When the last report of its attempts arrived.
     pub(crate) last_report: Time,
     /// Latest reading of its clock, and the local time at which it arrived. The clock may have
@@ -38,6 +40,8 @@
     pub(crate) long_lived: usize,
     /// Number of attempts with a latency target.
     pub(crate) with_latency_target: usize,
+    /// Number of attempts of suspect jobs that were placed without others.
+    pub(crate) isolated: usize,
     /// Whether an attempt may have to be stopped.
     pub(crate) may_need_stops: bool,
     /// No new attempts are placed here before this time.
@@ -72,6 +76,10 @@
     /// Whether it has run on the incarnation that it is assigned to. A start request is addressed
     /// by instance name, so its answer alone may have come from a later incarnation.
     pub(crate) confirmed: bool,
+    /// Whether it belongs to a suspect job and was placed where nothing else runs.
+    pub(crate) isolated: bool,
+    /// Whether an instance has crashed that may have run it, before it was assigned to this one.
+    pub(crate) crash_possible: bool,
     /// Whether it is to be stopped.
     pub(crate) stop_requested: bool,
     /// Whether its start request was not answered and has to be made impossible, by a stop, before
@@ -127,6 +135,7 @@
         Self {
             announcement,
             last_heard: now,
+            broken_since: None,
             last_report: Time::ZERO,
             clock,
             lease: 0,
@@ -142,6 +151,7 @@
             used: Resources::default(),
             long_lived: 0,
             with_latency_target: 0,
+            isolated: 0,
             may_need_stops: false,
             avoided_until: Time::ZERO,
             failed_jobs: BTreeSet::new(),
@@ -157,6 +167,12 @@
         now + length * (1000 + Self::DRIFT_PERMILLE) / 1000 + Self::EXPIRY_MARGIN
     }
 
+    /// Records that something arrived from it at `now`.
+    pub(crate) fn record_contact(&mut self, now: Time) {
+        self.last_heard = now;
+        self.broken_since = None;
+    }
+
     /// Records a clock reading of the instance that arrived at `now`.
     pub(crate) fn update_clock(&mut self, clock: InstanceMs, now: Time) {
         if self.clock.is_none_or(|(known, _)| known <= clock) {
@@ -201,6 +217,7 @@
         self.used += attempt.reserved;
         self.long_lived += usize::from(attempt.long_lived);
         self.with_latency_target += usize::from(attempt.has_latency_target);
+        self.isolated += usize::from(attempt.isolated);
         self.may_need_stops |= attempt.needs_stop();
         self.attempts.insert(task, attempt);
     }
@@ -221,6 +238,7 @@
         self.used = self.used.saturating_sub(attempt.reserved);
         self.long_lived -= usize::from(attempt.long_lived);
         self.with_latency_target -= usize::from(attempt.has_latency_target);
+        self.isolated -= usize::from(attempt.isolated);
         Some(attempt)
     }
 
@@ -275,6 +293,8 @@
             has_latency_target: group.is_some_and(|group| group.latency_target.is_some()),
             conclusive_from: None,
             confirmed: false,
+            isolated: false,
+            crash_possible: false,
             stop_requested: false,
             start_in_doubt: false,
             adopted_at: None,
--- a/crates/job/src/job_record.rs
+++ b/crates/job/src/job_record.rs
@@ -22,6 +22,10 @@
     pub ended_at: Option<UnixMs>,
     /// Number of attempts without an end.
     pub open_attempts: u32,
+    /// Number of tasks that are not done and may crash the instances that run them.
+    pub(crate) suspects: u32,
+    /// When an instance last crashed that ran, or may have run, one of its tasks; 0 before.
+    pub(crate) crashed_at: UnixMs,
     pub(crate) rounds: Vec<Round>,
 }
 
@@ -38,6 +42,8 @@
             state: JobState::Queued,
             ended_at: None,
             open_attempts: 0,
+            suspects: 0,
+            crashed_at: 0,
             rounds,
         }
     }
@@ -57,6 +63,16 @@
         self.spec.recurrence.is_some()
     }
 
+    /// Whether its tasks must not run beside those of other jobs.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.suspects > 0
+    }
+
+    fn count_suspects(&self) -> u32 {
+        let tasks = self.rounds.iter().flat_map(|round| round.groups.iter().flatten());
+        tasks.filter(|task| task.phase != Phase::Done && task.crashes.is_suspect()).count() as u32
+    }
+
     /// Whether a task waits to be started, now or in a later round.
     pub(crate) fn has_waiting_tasks(&self) -> bool {
         let waits = |round: &Round| round.waiting.iter().any(|waiting| *waiting > 0);
@@ -108,8 +124,8 @@
         true
     }
 
-    /// Records the end of an attempt; `None` if it is not the current attempt of its task.
-    pub(crate) fn end(&mut self, end: &AttemptEnd, max_attempts: u32) -> Option<()> {
+    /// Records the end of an attempt at `at`; `None` if it is not the current attempt of its task.
+    pub(crate) fn end(&mut self, end: &AttemptEnd, max_attempts: u32, at: UnixMs) -> Option<()> {
         let TaskId { round: number, group, index, .. } = end.task;
         let spec = self.spec.clone();
         let declared_group = spec.groups.get(usize::from(group))?;
@@ -132,18 +148,27 @@
         let task_state = &mut round.groups[usize::from(group)][usize::from(index)];
         task_state.checkpoint = end.checkpoint.clone().or(task_state.checkpoint.take());
         task_state.failed += u32::from(end.reason == EndReason::Failed);
-        task_state.ended |= end.reason != EndReason::Lost;
-        let exhausted = task_state.failed >= max_attempts && !declared_group.continuous;
+        task_state.ended |= !end.reason.may_not_have_run();
+        let since_crash = declared_group.continuous.then(|| at.saturating_sub(self.crashed_at));
+        task_state.crashes.record(end.reason, since_crash);
+        let exhausted = task_state.failed >= max_attempts && !declared_group.continuous
+            || task_state.crashes.is_given_up(end.reason);
         if declared_group.gang && task_state.checkpoint.is_some() {
             let checkpoint = task_state.checkpoint.clone();
             for task_state in &mut round.groups[usize::from(group)] {
                 task_state.checkpoint = checkpoint.clone();
             }
         }
+        if matches!(end.reason, EndReason::Crashed { .. } | EndReason::Vanished) {
+            self.crashed_at = at;
+            self.suspects = self.count_suspects();
+        } else if self.is_suspect() {
+            self.suspects = self.count_suspects();
+        }
         if !self.state.is_terminal() {
             // A lost attempt may never have started. A job with no other attempts is queued again.
             let untouched = self.open_attempts == 0 && self.rounds.iter().all(Round::is_untouched);
-            if untouched && end.reason == EndReason::Lost {
+            if untouched && end.reason.may_not_have_run() {
                 self.state = JobState::Queued;
             }
             if exhausted {
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -29,6 +29,7 @@
 mod command;
 mod commit;
 mod config;
+mod crashes;
 mod departure;
 mod due;
 mod durations;
@@ -41,6 +42,7 @@
 mod holds;
 mod incarnation;
 mod instance;
+mod isolation;
 mod job_record;
 mod job_state;
 mod key_digest;
@@ -97,6 +99,7 @@
     claim::Claim,
     command::Command,
     config::{Config, Limits, Pool},
+    crashes::Crashes,
     effect::{Effect, Note},
     end_reason::EndReason,
     event::Event,
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -19,6 +19,8 @@
     pub(crate) group_id: GroupId,
     pub(crate) record: &'a JobRecord,
     pub(crate) queue: &'a Queue,
+    /// Whether its tasks start only where no other job runs.
+    pub(crate) apart: bool,
 }
 
 /// What comes before the order among organisations; lower ranks go first.
@@ -45,6 +47,9 @@
 
     /// Whether no instance had enough free resources for a task of this size in this pass.
     fn has_no_room(&self, unplaceable: &Unplaceable) -> bool {
+        if self.apart {
+            return false;
+        }
         let group = self.group();
         let is_unplaceable = |(pool, size): &(&str, Resources)| {
             **pool == *self.queue.pool && size.fits(group.reserved())
@@ -84,7 +89,8 @@
             Class::Owed | Class::Surplus => format!("due at {slack}"),
             _ => format!("{slack} ms to spare"),
         };
-        let why = format!("{tasks} tasks, {class:?}, {order}");
+        let apart = if self.apart { ", apart" } else { "" };
+        let why = format!("{tasks} tasks, {class:?}, {order}{apart}");
         note("group-placed", self.group_id.to_string(), why)
     }
 }
@@ -194,12 +200,18 @@
 
 /// An instance on which tasks can be placed.
 #[derive(Debug)]
-struct Host {
+pub(crate) struct Host {
     incarnation: Incarnation,
     labels: Arc<[Name]>,
     free: Resources,
+    /// Number of attempts.
+    pub(crate) attempts: usize,
     /// Number of long-lived attempts.
-    long_lived: usize,
+    pub(crate) long_lived: usize,
+    /// The suspect job that has it to itself.
+    pub(crate) isolated_for: Option<JobId>,
+    /// Whether only suspects may be placed here.
+    pub(crate) kept_free: bool,
     /// Whether a task with a latency target runs there.
     has_latency_target: bool,
 }
@@ -249,6 +261,9 @@
         let wanted = ready_groups.iter().map(|ready_group| &ready_group.queue.pool).collect();
         let mut hosts = self.hosts(now, &wanted);
         self.let_large_tasks_start(now, table, config, &ready_groups);
+        let suspects = ready_groups.iter().filter(|group| group.apart);
+        let suspects = suspects.filter(|group| !self.is_held_as_late(group));
+        isolation::keep_hosts_free(suspects, &mut hosts);
         let mut claims = Vec::new();
         let mut unplaceable = Unplaceable::new();
         retain_with_room(&mut ready_groups, &hosts);
@@ -335,7 +350,10 @@
                     incarnation: incarnation.clone(),
                     labels: announcement.labels.clone(),
                     free: instance.free(),
+                    attempts: instance.attempts.len(),
                     long_lived: instance.long_lived,
+                    isolated_for: instance.isolated_for(now),
+                    kept_free: false,
                     has_latency_target: instance.with_latency_target > 0,
                 });
             }
@@ -360,12 +378,9 @@
                 let forecast = *forecast.get_or_insert_with(|| self.forecast(unix, due));
                 let key = forecast.key(unix, due, group).with(&self.mechanisms, due.at);
                 let group_id = due.group_id(position);
-                ready_groups.push(ReadyGroup {
-                    key,
-                    group_id,
-                    record: due.record,
-                    queue: due.queue,
-                });
+                let DueRound { record, queue, .. } = due;
+                let apart = record.runs_apart(unix, group);
+                ready_groups.push(ReadyGroup { key, group_id, record, queue, apart });
             }
         }
         ready_groups
@@ -441,6 +456,8 @@
         let gang_number =
             task_states.iter().map(|task_state| task_state.number).max().unwrap_or(0) + 1;
         let first = claims.len();
+        let apart = ready_group.apart;
+        let whole_gang_apart = group.gang && isolation::may_isolate(hosts);
         let mut rack = None;
         let mut admitted =
             ready_group.organisation(config).map_or(u64::MAX, |(name, organisation)| {
@@ -455,10 +472,12 @@
                 break;
             }
             admitted -= 1;
-            let Some(host) = self.choose(now, ready_group, group, task, rack.as_ref(), hosts)
-            else {
+            let may_take = apart && (whole_gang_apart || isolation::may_isolate(hosts));
+            let admits = |host: &Host| host.admits(job, apart, may_take);
+            let chosen = self.choose(now, ready_group, group, task, rack.as_ref(), hosts, admits);
+            let Some(host) = chosen else {
                 let unrestricted = group.max_per_instance.is_none() && group.data_rack.is_none();
-                let unrestricted = unrestricted && ready_group.queue.admission.is_none();
+                let unrestricted = unrestricted && ready_group.queue.admission.is_none() && !apart;
                 if unrestricted && group.requirement.is_none() && rack.is_none() {
                     unplaceable.push((&ready_group.queue.pool, reserved));
                 }
@@ -467,12 +486,14 @@
             let host = &mut hosts[host];
             let number = if group.gang { gang_number } else { task_state.number + 1 };
             let incarnation = host.incarnation.clone();
-            self.assign(
-                &incarnation,
-                task,
-                Attempt::new(number, Stage::Proposed, Some(group), now),
-                Some(Charge::new(ready_group.record, group)),
-            );
+            let mut attempt = Attempt::new(number, Stage::Proposed, Some(group), now);
+            attempt.isolated = apart;
+            let charge = Charge::new(ready_group.record, group);
+            self.assign(&incarnation, task, attempt, Some(charge));
+            host.attempts += 1;
+            if apart {
+                host.isolated_for = Some(job);
+            }
             host.free = host.free.saturating_sub(reserved);
             host.long_lived += usize::from(group.is_long_lived());
             host.has_latency_target |= group.latency_target.is_some();
@@ -487,6 +508,8 @@
                 let host = hosts.iter_mut().find(|host| host.incarnation == claim.incarnation);
                 if let Some(host) = host {
                     host.free += reserved;
+                    host.attempts -= 1;
+                    host.isolated_for = host.isolated_for.filter(|_| host.attempts > 0);
                     host.long_lived -= usize::from(group.is_long_lived());
                 }
             }
@@ -559,6 +582,7 @@
     /// have room, the task waits: for `rack` always, for the input data only in [`Class::InTime`].
     /// It does not wait for a rack without instances, or without permitted ones if the queue needs
     /// permits.
+    #[expect(clippy::too_many_arguments, reason = "what the choice depends on")]
     fn choose(
         &self,
         now: Time,
@@ -567,6 +591,7 @@
         task: TaskId,
         rack: Option<&Name>,
         hosts: &[Host],
+        admits: impl Fn(&Host) -> bool,
     ) -> Option<usize> {
         let reserved = group.reserved();
         let wanted_rack = rack.or(group.data_rack.as_ref());
@@ -578,6 +603,7 @@
         };
         let fits = |host: &Host| {
             reserved.fits(host.free)
+                && admits(host)
                 && has_permit(host)
                 && group.accepts(&host.labels)
                 && group
@@ -598,7 +624,9 @@
         let (best, host) = candidates.max_by_key(|(_, host)| score(host))?;
         if !in_wanted_rack(host)
             && rack_required
-            && hosts.iter().any(|host| in_wanted_rack(host) && has_permit(host))
+            && hosts
+                .iter()
+                .any(|host| in_wanted_rack(host) && has_permit(host) && !ready_group.apart)
         {
             return None;
         }
--- a/crates/job/src/rebalancing.rs
+++ b/crates/job/src/rebalancing.rs
@@ -51,6 +51,10 @@
     /// Lower bound of the capacity that the pool needs: that of `min_machines` machines, or more
     /// while admission decisions leave no instance of the pool for some group.
     pub(crate) min_capacity: u64,
+    /// Number of jobs with waiting tasks that must not run beside others.
+    pub(crate) suspects: u32,
+    /// Number of usable instances with attempts.
+    pub(crate) busy: u32,
     /// Idle machines with their capacity, longest idle first.
     pub(crate) idle: Vec<(Name, u64)>,
 }
@@ -316,6 +320,7 @@
             pool.capacity += size;
             pool.ready += if instance.lending { 0 } else { size };
             pool.instances += 1;
+            pool.busy += u32::from(!instance.attempts.is_empty());
             let machine = &announcement.machine;
             let settled = instance.lending || now >= instance.last_busy + MOVE_IDLE_TIME;
             let free = instance.attempts.is_empty() && settled;
@@ -383,6 +388,11 @@
         for due in DueRound::all(table, config, |_| Some(unix)) {
             let DueRound { record, round, queue, .. } = due;
             let Some(pool) = pools.get_mut(&queue.pool) else { continue };
+            let waits_apart = |(_, group): (_, &Group)| {
+                record.runs_apart(unix, group) && round.dependencies_done(group)
+            };
+            pool.suspects +=
+                u32::from(record.is_suspect() && due.waiting_groups().any(waits_apart));
             if record.surplus || !self.can_meet_objective(unix, due) {
                 late.insert(due.job);
                 let machines = due.waiting_groups().map(|(_, group)| group.machines(largest));
@@ -432,6 +442,7 @@
         let machine = total / (self.machines.listed.len() as u64).max(1);
         let late_backlog = pools.values().map(|pool| pool.late_backlog).sum::<u64>();
         for (name, pool) in pools {
+            pool.add_room_for_suspects();
             let wanted = pool.late + pool.late_backlog / LATE_BACKLOG_HORIZON_MS;
             let share = u128::from(total / 1000 * LATE_SHARE_PERMILLE)
                 * u128::from(pool.late_backlog)
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -244,10 +244,10 @@
             }
             Event::BatchCommitted(outcomes) => {
                 self.on_batch_committed(now, table, &outcomes, &mut effects);
-                self.on_command_committed(now, table, &outcomes);
+                self.on_command_committed(now, table, &outcomes, &mut effects);
             }
             Event::CommandCommitted(outcomes) => {
-                self.on_command_committed(now, table, &outcomes);
+                self.on_command_committed(now, table, &outcomes, &mut effects);
             }
             Event::AdmissionAnswered { id, result } => {
                 let job = self.admissions.job_of(id);
@@ -313,6 +313,7 @@
                 let mut attempt = Attempt::new(claim.number, Stage::Recovered, group, now);
                 attempt.conclusive_from = Some(now);
                 attempt.stop_requested = record.state.is_terminal();
+                attempt.isolated = record.is_suspect();
                 let instance = self.instances.entry(claim.incarnation.clone());
                 instance.or_insert_with(|| Instance::new(None, now, lease_expires));
                 let charge = group.map(|group| Charge::new(record, group));
@@ -398,7 +399,7 @@
             self.needs_planning = true;
         }
         instance.draining |= ordered;
-        instance.last_heard = now;
+        instance.record_contact(now);
         record_latest(&mut self.latest_on_machine, &announcement);
         self.touched.insert(incarnation);
         instance.update_clock(announcement.clock, now);
@@ -439,6 +440,7 @@
             self.current_starts.get(&incarnation.name).filter(|born| **born > incarnation.born);
         let successor =
             later.map(|born| Incarnation { name: incarnation.name.clone(), born: *born });
+        let reasons = instance.crash_reasons(now);
         for (task, mut attempt) in instance.attempts {
             self.assigned.remove(&task);
             match (attempt.stage, &successor) {
@@ -448,6 +450,7 @@
                     Some(successor),
                 ) if !attempt.confirmed => {
                     attempt.stage = Stage::Unanswered;
+                    attempt.crash_possible |= !planned;
                     attempt.stop_requested = true;
                     attempt.stop_sent = None;
                     attempt.conclusive_from = None;
@@ -456,20 +459,17 @@
                     self.assign(successor, task, attempt, None);
                 }
                 _ => {
+                    let reason = reasons.get(&task).copied().filter(|_| !planned);
+                    let reason = reason.unwrap_or(EndReason::Lost);
                     let Attempt { number, checkpoint, .. } = attempt;
-                    self.pending_ends.push(AttemptEnd {
-                        task,
-                        number,
-                        reason: EndReason::Lost,
-                        checkpoint,
-                    });
+                    self.pending_ends.push(AttemptEnd { task, number, reason, checkpoint });
                 }
             }
         }
     }
 
     /// Whether an instance was about to end: it drains, or its machine was ordered away.
-    fn is_leaving(&self, instance: &Instance) -> bool {
+    pub(crate) fn is_leaving(&self, instance: &Instance) -> bool {
         let Some(announcement) = &instance.announcement else { return instance.draining };
         let heard_before = |ordered: Time| instance.last_heard <= ordered;
         instance.draining
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -176,7 +176,7 @@
         let attempts = self.max_attempts(id);
         if let Some(record) = self.jobs.get_mut(&id) {
             let was_terminal = record.state.is_terminal();
-            record.end(&end, attempts);
+            record.end(&end, attempts, at);
             if was_terminal {
                 if record.open_attempts == 0 {
                     self.live.remove(&id);
--- a/crates/job/src/task_state.rs
+++ b/crates/job/src/task_state.rs
@@ -9,6 +9,8 @@
     pub number: AttemptNumber,
     /// Number of failed attempts.
     pub failed: u32,
+    /// Crashes of instances that ran it.
+    pub crashes: Crashes,
     /// Whether an attempt ended other than by being lost, which proves that the task has run.
     pub ended: bool,
     /// Last checkpoint.
--- a/crates/job/tests/world/crashes.rs
+++ b/crates/job/tests/world/crashes.rs
@@ -15,6 +15,23 @@
         for task in std::mem::take(&mut instance.running).into_keys() {
             self.starts_after_crashes.entry(task).or_default().push(0);
         }
+        if instance.disconnected_until <= self.now {
+            let to_it = |(_, call): &(usize, &SentCall)| call.incarnation == *incarnation;
+            let broken = self.sent.iter().enumerate().filter(to_it).map(|(call, _)| call);
+            for call in broken.collect::<Vec<_>>() {
+                self.break_call(call);
+            }
+        }
+    }
+
+    /// Breaks the connection of a call, unless it was answered or its request is delayed.
+    pub(super) fn break_call(&mut self, call: usize) {
+        let SentCall { epoch, receiver, answer, .. } = &mut self.sent[call];
+        if *answer == Some(Err(CallError::Timeout)) && receiver.is_none() {
+            *answer = Some(Err(CallError::Broken));
+            let epoch = *epoch;
+            self.schedule(CALL_DELAY_MS, SimEvent::Answer { epoch, call });
+        }
     }
 
     /// Crashes an instance; its machine starts another one some seconds later.
@@ -57,4 +74,10 @@
     pub fn crashes_under(&self, task: TaskId) -> usize {
         self.starts_after_crashes.get(&task).map_or(0, Vec::len)
     }
+
+    /// The largest number of instances that crashed under one task of a job.
+    pub fn most_crashes_under(&self, job: JobId) -> usize {
+        let of_job = self.starts_after_crashes.iter().filter(|(task, _)| task.job == job);
+        of_job.map(|(_, crashes)| crashes.len()).max().unwrap_or_default()
+    }
 }
