An idle instance that missed an answer is asked again

Callers waited for an instance that ran nothing: an instance whose last renewal was not answered got no tasks, and without tasks it got no renewal, so nothing ever showed that it was there again.

Found by a test of capacities, in which the answer to one of two renewals was lost. The new test an_idle_instance_that_missed_an_answer_is_used_again failed before.

--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -307,7 +307,8 @@
     }
 
     fn renewal_is_due(&self, now: Time) -> bool {
-        let needed = !self.attempts.is_empty() || !self.fenced || self.received > self.acknowledged;
+        let unknown = !self.fenced || self.unresponsive;
+        let needed = !self.attempts.is_empty() || unknown || self.received > self.acknowledged;
         // The instance repeats ends in every report until a renewal acknowledges them, so the next
         // renewal waits until the ends received are committed.
         let waits_for_commit = self.received > self.acknowledged;
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -426,3 +426,22 @@
     world.run(10_000);
     assert_eq!(state(&world, 7), JobState::Completed);
 }
+
+#[test]
+fn an_idle_instance_that_missed_an_answer_is_used_again() {
+    let bounds = Bounds { parking_idle_time: Duration::from_secs(600), ..Bounds::default() };
+    let mut world = World::with_bounds(1, config(&["a"]), bounds);
+    world.add_machine("m0", "a", "r0", 16_000);
+    world.run(200);
+    world.submit(7, "a", chain(&[1], 2000, 500));
+    world.run(300);
+    world.faults = FaultRates { answer_lost: 1000, ..FaultRates::default() };
+    world.run(100);
+    world.cancel(7);
+    world.run(2500);
+    world.faults = FaultRates::default();
+    world.run(6000);
+    world.submit(8, "a", chain(&[1], 2000, 500));
+    world.run(1500);
+    assert_eq!(state(&world, 8), JobState::Completed);
+}
