--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -113,13 +113,12 @@
         }
     }
 
-    /// Requests the stop of every attempt of a job that has ended.
+    /// Requests the stop of every attempt of a job that has ended, see [`JobRecord::must_stop`].
     fn stop_job(&mut self, table: &Table, job: JobId) {
-        if !table.jobs.get(&job).is_some_and(|record| record.state.is_terminal()) {
-            return;
-        }
+        let Some(record) = table.jobs.get(&job) else { return };
         let first = TaskId { job, round: 0, group: 0, index: 0 };
-        for (task, incarnation) in self.assigned.range(first..).take_while(|(t, _)| t.job == job) {
+        let of_job = self.assigned.range(first..).take_while(|(task, _)| task.job == job);
+        for (task, incarnation) in of_job.filter(|(task, _)| record.must_stop(**task)) {
             let instance = self.instances.get_mut(incarnation);
             if let Some(instance) = instance {
                 instance.request_stop(task);
--- a/crates/job/src/job_record.rs
+++ b/crates/job/src/job_record.rs
@@ -79,6 +79,14 @@
         !self.state.is_terminal() && self.rounds.iter().any(waits)
     }
 
+    /// Whether an attempt at `task` has to be stopped, since the job has ended. The budget of a
+    /// continuous group holds until its caller cancels the job, also if the job has failed.
+    pub(crate) fn must_stop(&self, task: TaskId) -> bool {
+        let has_budget = |group: &Group| group.continuous && group.max_unavailable.is_some();
+        let keeps = self.state == JobState::Failed && self.group(task).is_some_and(has_budget);
+        self.state.is_terminal() && !keeps
+    }
+
     /// The group of `task`.
     pub fn group(&self, task: TaskId) -> Option<&Group> {
         self.spec.groups.get(usize::from(task.group))
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -312,7 +312,7 @@
                 let group = record.group(claim.task);
                 let mut attempt = Attempt::new(claim.number, Stage::Recovered, group, now);
                 attempt.conclusive_from = Some(now);
-                attempt.stop_requested = record.state.is_terminal();
+                attempt.stop_requested = record.must_stop(claim.task);
                 attempt.isolated = record.is_suspect();
                 let instance = self.instances.entry(claim.incarnation.clone());
                 instance.or_insert_with(|| Instance::new(None, now, lease_expires));
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -140,6 +140,8 @@
         if !record.state.is_terminal() {
             record.state = JobState::Cancelled;
             outcomes.extend(self.record_job_end(id, at));
+        } else if record.state == JobState::Failed && record.open_attempts > 0 {
+            record.state = JobState::Cancelled;
         }
         outcomes
     }
--- a/crates/job/tests/world/checks.rs
+++ b/crates/job/tests/world/checks.rs
@@ -74,7 +74,8 @@
         }
         let record = &self.table.jobs[&task.job];
         let group = record.group(task).expect("the task has a group");
-        let Some(budget) = group.max_unavailable.filter(|_| !record.state.is_terminal()) else {
+        let is_cancelled = self.cancelled.contains_key(&task.job);
+        let Some(budget) = group.max_unavailable.filter(|_| !is_cancelled) else {
             return;
         };
         let runs = |sibling: TaskId| {
