Tests of instances whose capacity shrinks and grows

The simulated instances of a pool that does not check room accept whatever they are told to start, and check each start against the capacities of the last 4.5 s (contact and one announcement).

--- a/crates/job/tests/world/calls.rs
+++ b/crates/job/tests/world/calls.rs
@@ -21,6 +21,9 @@
 
     /// Sends the answer to a call; it may be lost.
     pub(super) fn answer(&mut self, call: usize, reply: Reply) {
+        if !self.instances.get(&self.sent[call].incarnation).is_none_or(|i| i.alive) {
+            return self.break_call(call);
+        }
         let disconnected = self
             .instances
             .get(&self.sent[call].incarnation)
@@ -131,7 +134,10 @@
             return Reply::StaleAttempt { clock: now };
         }
         if !group.reserved().fits(instance.announcement.capacity.saturating_sub(instance.used())) {
-            return Reply::NoCapacity { clock: now };
+            if instance.checks_room {
+                return Reply::NoCapacity { clock: now };
+            }
+            instance.check_capacity(at, task, group.reserved());
         }
         self.check_start(receiver, task, &group);
         self.check_limit(task, number, &group);
@@ -152,8 +158,12 @@
         instance.running.insert(task, run);
         self.starts.push((at, task, number, receiver.clone()));
         self.note_start_after_crashes(task);
-        if let Some(after) = self.deadly.get(&task).copied() {
-            self.schedule(after, SimEvent::Crash { incarnation: receiver.clone() });
+        match self.deadly.get(&task).copied() {
+            Some(0) => self.lose_power(receiver),
+            Some(after) => {
+                self.schedule(after, SimEvent::Crash { incarnation: receiver.clone() });
+            }
+            None => {}
         }
         Reply::Done { clock: now }
     }
--- a/crates/job/tests/world/instance.rs
+++ b/crates/job/tests/world/instance.rs
@@ -5,6 +5,10 @@
 pub struct Instance {
     pub announcement: Announcement,
     pub alive: bool,
+    /// Whether it rejects what exceeds its capacity.
+    pub checks_room: bool,
+    /// Earlier capacities, each with the time at which it changed.
+    pub earlier_capacities: Vec<(u64, Resources)>,
     /// Nothing reaches the instance or leaves it before this time.
     pub disconnected_until: u64,
     /// Whether every task started here fails.
@@ -22,6 +26,9 @@
     pub held_renewal: Option<(CallId, u64)>,
 }
 
+/// Time for which a capacity that has shrunk still counts: that of contact and an announcement.
+const CAPACITY_NOTICE_MS: u64 = 4500;
+
 /// A running attempt.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -51,6 +58,24 @@
         })
     }
 
+    /// Changes its capacity, which the next announcement shows.
+    pub fn set_capacity(&mut self, now: u64, capacity: Resources) {
+        let earlier = std::mem::replace(&mut self.announcement.capacity, capacity);
+        self.earlier_capacities.push((now, earlier));
+    }
+
+    /// Checks that a start does not exceed the capacity, or one that has changed lately.
+    pub fn check_capacity(&self, now: u64, task: TaskId, reserved: Resources) {
+        let recent =
+            self.earlier_capacities.iter().filter(|(at, _)| now <= at + CAPACITY_NOTICE_MS);
+        let mut capacities = recent.map(|(_, capacity)| *capacity);
+        assert!(
+            capacities.any(|capacity| reserved.fits(capacity.saturating_sub(self.used()))),
+            "{task} starts at {now} beyond the capacity of {}",
+            self.announcement.incarnation
+        );
+    }
+
     /// Ends an attempt and keeps the end until it is acknowledged.
     pub fn end(&mut self, task: TaskId, reason: EndReason) {
         let Some(run) = self.running.remove(&task) else { return };
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -213,9 +213,12 @@
     /// Starts an instance, which has not announced itself yet.
     fn start_instance(&mut self, announcement: Announcement) {
         let incarnation = announcement.incarnation.clone();
+        let config = self.table.config.as_ref().expect("the world has a configuration");
         let instance = Instance {
+            checks_room: config.pools[&announcement.pool].checks_room,
             announcement,
             alive: true,
+            earlier_capacities: Vec::new(),
             disconnected_until: 0,
             fails: false,
             epoch: 0,
