The list of machines is read soon after connections to an instance break

A crash showed in the list once a second, so that lost tasks started again up to a second later, and tasks proposed meanwhile went to instances that were gone. A broken connection now asks for the next list after 250 ms at the earliest; the list alone decides, as before.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -46,6 +46,7 @@
         }
         if result == Err(CallError::Broken) {
             instance.broken_since.get_or_insert(now);
+            self.machines.expect_crash();
         }
         match pending {
             PendingCall::Start(task, number) => {
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -51,6 +51,8 @@
     pub(crate) complete: bool,
     /// When the last list was requested.
     list_requested_at: Option<Time>,
+    /// Whether connections to an instance broke since the last list was requested.
+    list_urgent: bool,
     /// List request in flight and when it was sent.
     list_in_flight: Option<(CallId, Time)>,
     /// Orders to commit in the next batch.
@@ -102,6 +104,8 @@
 
 /// Interval between machine lists.
 const LIST_INTERVAL: Duration = Duration::from_millis(1000);
+/// The same after connections to an instance broke, which the list may explain.
+const URGENT_LIST_INTERVAL: Duration = Duration::from_millis(250);
 const LIST_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Delay before a machine whose order was answered gets another one.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -147,6 +151,11 @@
             Some((mean * (MOVE_TIME_WEIGHT_DIVISOR - 1) + took) / MOVE_TIME_WEIGHT_DIVISOR);
     }
 
+    /// Requests the next list soon, since connections to an instance broke.
+    pub(crate) fn expect_crash(&mut self) {
+        self.list_urgent = true;
+    }
+
     /// Whether an order about a machine is pending or may still be carried out.
     pub(crate) fn is_ordered(&self, machine: &Name) -> bool {
         let is_about = |order: &MachineOrder| order.machine() == Some(machine);
@@ -279,12 +288,14 @@
         if self.machines.list_in_flight.as_ref().is_some_and(expired) {
             self.machines.list_in_flight = None;
         }
+        let interval = if self.machines.list_urgent { URGENT_LIST_INTERVAL } else { LIST_INTERVAL };
         let due = self
             .machines
             .list_requested_at
-            .is_none_or(|list_requested_at| now >= list_requested_at + LIST_INTERVAL);
+            .is_none_or(|list_requested_at| now >= list_requested_at + interval);
         if self.machines.list_in_flight.is_none() && due {
             self.machines.list_requested_at = Some(now);
+            self.machines.list_urgent = false;
             self.request_list(now, None, effects);
         }
         let (idle, given_up): (Vec<_>, Vec<_>) = self
@@ -453,7 +464,6 @@
                 let other = machine.instance.as_ref().is_some_and(|i| *i != incarnation.name);
                 let down = machine.state != MachineState::Up;
                 if (other || down) && instance.last_heard < sent {
-                    let incarnation = incarnation.clone();
                     let departure = match machine.state {
                         MachineState::Up => Departure::OtherListed,
                         state => Departure::MachineListed(state),
