--- a/crates/job/src/crashes.rs
+++ b/crates/job/src/crashes.rs
@@ -14,8 +14,8 @@
     const MAX_PROVEN: u8 = 3;
     /// The same if no other job was on board at the last one.
     const MAX_PROVEN_ALONE: u8 = 2;
-    /// Proven and possible crashes after which a task is given up: each may have been proven to the
-    /// caller, who allows two further starts after three crashes.
+    /// Proven and possible crashes after which a task is given up. Two further starts are allowed
+    /// after the third crash.
     const MAX: u8 = 5;
     /// Time after which the evidence against a continuous task expires, in milliseconds.
     pub(crate) const VALIDITY_MS: UnixMs = 3_600_000;
--- a/crates/job/src/isolation.rs
+++ b/crates/job/src/isolation.rs
@@ -2,8 +2,8 @@
 //!
 //! The load: some jobs of a queue contain a task that crashes each instance that starts it. An
 //! instance is back after seconds, so a few such tasks empty a pool, and each crash takes the tasks
-//! of a dozen other jobs with it. All of these are suspects afterwards, so they are many, and most
-//! are innocent: they get instances of their own, but only a part of the pool, and not for long.
+//! of a dozen other jobs with it. Suspects are therefore many, and most are innocent: they get
+//! instances of their own, but only a part of the pool, and not for long.
 
 use super::*;
 use {
@@ -22,7 +22,7 @@
 const MAX_DETECTION_TIME: Duration = Duration::from_secs(2);
 /// Part of the usable instances of a pool that run suspects, as a divisor.
 const MAX_SHARE_DIVISOR: usize = 2;
-/// Time after the last crash for which a suspect waits for an empty instance, in milliseconds: a
+/// Time after the last crash for which a suspect waits for an empty instance, in milliseconds. A
 /// continuous task has to run again within 6 s.
 const PATIENCE_MS: UnixMs = 2000;
 
@@ -47,11 +47,10 @@
 
     /// How each attempt on board ended, given that the instance crashed at `crashed_at`.
     ///
-    /// An attempt is known to have run until the crash only if the time of the crash is known, since
-    /// connections broke or something was heard shortly before: an instance that was silent may have
-    /// ended it, and then crashed. If some attempts had just started,
-    /// one of them is a likelier cause than those that had worked for a while; a task that runs for
-    /// ever would otherwise be suspected sooner or later.
+    /// An attempt is known to have run until the crash only if the time of the crash is known: an
+    /// instance that was silent may have ended it, and then crashed. If some attempts had just
+    /// started, one of them is a likelier cause than those that had worked for a while; a continuous
+    /// task would otherwise be suspected sooner or later.
     pub(crate) fn crash_reasons(&self, crashed_at: Option<Time>) -> BTreeMap<TaskId, EndReason> {
         let on_board =
             |attempt: &Attempt| !matches!(attempt.stage, Stage::Ending | Stage::Proposed);
@@ -90,6 +89,7 @@
 }
 
 impl JobRecord {
+    /// Where its tasks may be placed at `unix`.
     pub(crate) fn isolation(&self, unix: UnixMs) -> Isolation {
         let since_crash = unix.saturating_sub(self.crashed_at);
         if !self.is_suspect() || self.spec.is_continuous() && since_crash > Crashes::VALIDITY_MS {
