--- a/crates/job/tests/crashes.rs
+++ b/crates/job/tests/crashes.rs
@@ -150,15 +150,6 @@
     }
 }
 
-/// Submits a job whose tasks run for ever on different instances, of which one may be away.
-fn submit_continuous(world: &mut World, id: JobId, count: u16) {
-    let mut continuous = chain(&[count], 2000, 500);
-    continuous.groups[0].continuous = true;
-    continuous.groups[0].max_per_instance = Some(1);
-    continuous.groups[0].max_unavailable = Some(1);
-    world.submit(id, "a", continuous);
-}
-
 fn running_tasks(world: &World, job: JobId) -> usize {
     let alive = world.instances.values().filter(|instance| instance.alive);
     alive.flat_map(|instance| instance.running.keys()).filter(|task| task.job == job).count()
@@ -167,7 +158,7 @@
 #[test]
 fn continuous_tasks_beside_deadly_ones_are_kept() {
     let mut world = one_pool(12);
-    submit_continuous(&mut world, 1000, 6);
+    world.submit_continuous(1000, 6);
     world.run(5000);
     for id in 1..=80 {
         if id % 10 == 0 {
@@ -185,7 +176,7 @@
 fn a_continuous_job_that_is_given_up_keeps_its_budget_until_it_is_cancelled() {
     let mut world = one_pool(4);
     world.deadly.insert(first_task(7), 10);
-    submit_continuous(&mut world, 7, 3);
+    world.submit_continuous(7, 3);
     // The world checks that no stop exceeds the budget.
     world.run(40_000);
     assert_eq!(state(&world, 7), JobState::Failed);
@@ -201,7 +192,7 @@
 #[test]
 fn suspects_run_beside_continuous_tasks_if_every_instance_has_some() {
     let mut world = one_pool(3);
-    submit_continuous(&mut world, 1000, 3);
+    world.submit_continuous(1000, 3);
     world.run(5000);
     world.submit(7, "a", chain(&[2], 2000, 1500));
     world.run(300);
@@ -215,7 +206,7 @@
 #[test]
 fn instances_that_are_taken_away_are_no_evidence() {
     let mut world = one_pool(4);
-    submit_continuous(&mut world, 1000, 3);
+    world.submit_continuous(1000, 3);
     world.submit(7, "a", chain(&[8], 2000, 3000));
     world.run(500);
     world.start_wave(1, &["m0", "m1", "m2", "m3"], 1);
--- a/crates/job/tests/takeover.rs
+++ b/crates/job/tests/takeover.rs
@@ -14,19 +14,10 @@
     world
 }
 
-/// Submits a job with continuous tasks on different instances, of which at most one may be away.
-fn submit_continuous(world: &mut World, id: JobId, count: u16) {
-    let mut continuous = chain(&[count], 2000, 500);
-    continuous.groups[0].continuous = true;
-    continuous.groups[0].max_per_instance = Some(1);
-    continuous.groups[0].max_unavailable = Some(1);
-    world.submit(id, "a", continuous);
-}
-
 #[test]
 fn no_task_starts_on_a_machine_that_a_former_leader_ordered_away() {
     let mut world = one_pool(3);
-    submit_continuous(&mut world, 6, 2);
+    world.submit_continuous(6, 2);
     world.run(3300);
     world.order_delay_ms = 2000;
     world.start_wave(1, &["m0", "m1", "m2"], 1);
@@ -35,7 +26,7 @@
     // The new leader hears from all instances before its first tick.
     world.run(1);
     world.change_leader(true);
-    submit_continuous(&mut world, 7, 3);
+    world.submit_continuous(7, 3);
     // The world checks that the order ends no tasks.
     world.run(30_000);
     assert!(world.table.waves[&1].is_complete(), "the wave goes on under the new leader");
@@ -44,7 +35,7 @@
 #[test]
 fn a_new_leader_waits_for_stops_of_the_former_one_before_it_stops_others() {
     let mut world = one_pool(5);
-    submit_continuous(&mut world, 7, 3);
+    world.submit_continuous(7, 3);
     world.run(2000);
     let machine_of = |world: &World, index: u16| {
         let start = world.starts.iter().find(|(_, task, _, _)| task.index == index);
@@ -72,7 +63,7 @@
 #[test]
 fn a_task_whose_start_was_carried_out_late_is_kept() {
     let mut world = one_pool(3);
-    submit_continuous(&mut world, 7, 1);
+    world.submit_continuous(7, 1);
     world.delay_ms = 400;
     world.run(60);
     world.delay_ms = 2;
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -361,6 +361,15 @@
         self.step(Event::CommandCommitted(outcomes));
     }
 
+    /// Submits a job with continuous tasks on different instances, of which at most one may be away.
+    pub fn submit_continuous(&mut self, id: JobId, count: u16) {
+        let mut continuous = chain(&[count], 2000, 500);
+        continuous.groups[0].continuous = true;
+        continuous.groups[0].max_per_instance = Some(1);
+        continuous.groups[0].max_unavailable = Some(1);
+        self.submit(id, "a", continuous);
+    }
+
     pub fn cancel(&mut self, id: JobId) {
         let outcomes = self.table.apply(Command::Cancel { id, at: self.unix() });
         self.cancelled.entry(id).or_insert(self.now);
