--- a/crates/job/src/departure.rs
+++ b/crates/job/src/departure.rs
@@ -15,7 +15,7 @@
     /// The platform lists its machine as not in operation.
     #[display("the platform lists its machine as {_0:?}")]
     MachineListed(MachineState),
-    /// The platform lists no instance of its rack any more.
+    /// All instances of its rack crashed at the same time.
     #[display("all instances of its rack crashed at once")]
     RackLost,
 }
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -40,7 +40,7 @@
     pub(crate) long_lived: usize,
     /// Number of attempts with a latency target.
     pub(crate) with_latency_target: usize,
-    /// Number of attempts of suspect jobs that were placed without others.
+    /// Number of isolated attempts, see [`Attempt::isolated`].
     pub(crate) isolated: usize,
     /// Whether an attempt may have to be stopped.
     pub(crate) may_need_stops: bool,
@@ -76,9 +76,9 @@
     /// Whether it has run on the incarnation that it is assigned to. A start request is addressed
     /// by instance name, so its answer alone may have come from a later incarnation.
     pub(crate) confirmed: bool,
-    /// Whether it belongs to a suspect job and was placed where nothing else runs.
+    /// Whether it belongs to a suspect job, so that nothing else is placed beside it at first.
     pub(crate) isolated: bool,
-    /// Whether an instance has crashed that may have run it, before it was assigned to this one.
+    /// Whether an earlier incarnation crashed that may have run it.
     pub(crate) crash_possible: bool,
     /// Whether it is to be stopped.
     pub(crate) stop_requested: bool,
--- a/crates/job/src/isolation.rs
+++ b/crates/job/src/isolation.rs
@@ -134,7 +134,8 @@
 }
 
 impl Scheduler {
-    /// Racks on which all instances, and more than one, crashed at the same time: not by their tasks.
+    /// Racks on which several instances crashed at the same time and no other is left. Their tasks
+    /// are not the cause.
     pub(crate) fn lost_racks(&self, now: Time, crashed: &[Incarnation]) -> BTreeSet<Name> {
         let mut times = BTreeMap::<Name, Vec<Option<Time>>>::new();
         let mut others = BTreeSet::new();
