--- a/crates/entry/tests/reducer/load.rs
+++ b/crates/entry/tests/reducer/load.rs
@@ -86,6 +86,40 @@
     panic!("the caller had no answer within 1.8 s");
 }
 
+/// Guards against refusals that come after their callers have stopped listening.
+#[test]
+fn a_job_that_cannot_be_reached_before_its_deadline_is_refused_before_it() {
+    let mut state = leader();
+    let mut inbox = Inbox::default();
+    for ticket in 1..=150 {
+        inbox.push(ms(3000), forward(ticket, DEADLINE));
+    }
+    let deadline = ms(3500);
+    let late = forward(999, Some(Reading { boot: 7, at: deadline }));
+    let mut late = Some(late);
+    for at in 3000..4800 {
+        for id in 0..2 {
+            let result = Err(job::CallError::Timeout);
+            inbox.push(ms(at), Event::InstanceAnswered { id, result, origin: None });
+        }
+        if at == 3250 {
+            inbox.push(ms(at), late.take().expect("it arrives once"));
+        }
+        let lag = inbox.lag(ms(at));
+        let (waited, event) = inbox.pop(ms(at)).expect("events wait");
+        state.overload.record(waited, lag);
+        let is_late =
+            matches!(&event, Event::Peer { message: Message::Forward { ticket: 999, .. }, .. });
+        let answers = returned(&run(&mut state, ms(at), event));
+        if is_late {
+            assert!(ms(at) < deadline, "the caller stopped listening {} ms before", at - 3500);
+            assert!(matches!(answers[..], [Answer::NotRun { .. }]), "{answers:?}");
+            return;
+        }
+    }
+    panic!("the caller had no answer");
+}
+
 #[test]
 fn no_class_waits_for_all_events_of_the_classes_before_it() {
     let mut inbox = Inbox::default();
