The leader lease is computed when consensus changes, not for each event

The end of the lease changes only with an event of the consensus protocol, so it is computed there and compared with the clock elsewhere. A leader that is the only voter has no end.

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -75,13 +75,23 @@
         values.get(self.members.majority() - 1).copied()
     }
 
-    /// Whether this leader may grant view leases: a majority follows it, and its membership is
-    /// committed, so that any later leader knows the members that may hold a lease.
+    /// Whether this leader may grant view leases.
     pub(crate) fn may_grant_view_leases(&self, now: Time) -> bool {
-        let ElectionState::Leader { term_start, .. } = self.election else { return false };
-        let Some(last_majority_contact) = self.last_majority_contact(now) else { return false };
-        let members_committed = self.commit_index >= term_start.max(self.members_entry_index);
-        members_committed && now < last_majority_contact + Timing::LEADER_LEASE
+        now < self.leader_lease_end(now)
+    }
+
+    /// Time until which this member surely leads, and may grant view leases: a majority follows it,
+    /// and its membership is committed, so that any later leader knows the members that may hold a
+    /// lease. A leader that is a majority by itself has no limit. In the past if it does not lead.
+    pub(crate) fn leader_lease_end(&self, now: Time) -> Time {
+        let ElectionState::Leader { term_start, .. } = self.election else { return Time::ZERO };
+        if self.commit_index < term_start.max(self.members_entry_index) {
+            return Time::ZERO;
+        }
+        if self.members.majority() == 1 && self.members.is_admitted_voter(&self.id, self.disk) {
+            return Time::MAX;
+        }
+        self.last_majority_contact(now).map_or(Time::ZERO, |at| at + Timing::LEADER_LEASE)
     }
 
     /// Steps down if no majority has answered within the leader lease, else sends the heartbeats
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -113,3 +113,45 @@
         disk: Option<DiskId>,
     },
 }
+
+impl Message {
+    /// Maximum bytes of commands in a message that `later` was added to.
+    const MAX_MERGED_BYTES: usize = 128 * 1024;
+
+    /// Adds a later message of the same leader to this one, if both append entries and those of
+    /// `later` follow those of this message. The receiver then has the same entries, and answers once.
+    /// Returns `later` if it cannot be added.
+    pub fn merge(&mut self, later: Self) -> Result<(), Self> {
+        let Self::Append { term, prev_index, entries, .. } = &*self else { return Err(later) };
+        let last = prev_index + entries.len() as Index;
+        let bytes = |entries: &[Entry]| -> usize { entries.iter().map(|e| e.command.len()).sum() };
+        let continues = match &later {
+            Self::Append { term: later_term, prev_index, entries: more, .. } => {
+                later_term == term
+                    && *prev_index == last
+                    && bytes(entries) + bytes(more) <= Self::MAX_MERGED_BYTES
+            }
+            _ => false,
+        };
+        if !continues {
+            return Err(later);
+        }
+        if let (
+            Self::Append { entries, commit, forced, sent, echo, .. },
+            Self::Append {
+                entries: more,
+                commit: later_commit,
+                forced: later_forced,
+                sent: later_sent,
+                echo: later_echo,
+                ..
+            },
+        ) = (self, later)
+        {
+            entries.extend(more);
+            (*commit, *forced) = (later_commit, later_forced);
+            (*sent, *echo) = (later_sent, later_echo);
+        }
+        Ok(())
+    }
+}
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -38,6 +38,8 @@
     /// member becomes leader or transfers leadership.
     pub(crate) last_leader_contact: Time,
     pub(crate) view_lease_end: Time,
+    /// Expiry of the leader lease as of the last event; see [`State::has_leader_lease`].
+    leader_lease_end: Time,
     pub(crate) rng: ChaCha8Rng,
 }
 
@@ -79,6 +81,7 @@
             forced: 0,
             last_leader_contact: Time::ZERO,
             view_lease_end: Time::ZERO,
+            leader_lease_end: Time::ZERO,
             rng: ChaCha8Rng::seed_from_u64(boot),
         }
     }
@@ -104,6 +107,7 @@
             Event::Synced { term, index } => self.on_synced(now, term, index, &mut effects),
             Event::Snapshot { index, state } => self.on_snapshot(index, state, &mut effects),
         }
+        self.leader_lease_end = self.leader_lease_end(now);
         if self.leader != leader {
             effects.push(Effect::Leader(self.leader.clone()));
         }
@@ -151,7 +155,7 @@
     /// Whether this member leads and holds a valid leader lease, so that no other member can be
     /// leader now. Also requires that its membership is committed.
     pub fn has_leader_lease(&self, now: Time) -> bool {
-        self.may_grant_view_leases(now)
+        now < self.leader_lease_end
     }
 
     /// Index of the last entry in the log, committed or not.
@@ -167,6 +171,7 @@
             self.initial_members = Members::from(BTreeMap::from([(self.id.clone(), Role::Voter)]));
             self.members = self.initial_members.clone();
             self.on_election_timer(now, &mut effects);
+            self.leader_lease_end = self.leader_lease_end(now);
         }
         effects
     }
--- a/crates/quorum/tests/replication.rs
+++ b/crates/quorum/tests/replication.rs
@@ -2,7 +2,7 @@
 
 use {
     model::Name,
-    quorum::{Effect, Event, Message, PersistentState, Role, State, Timer},
+    quorum::{Effect, Event, Message, PersistentState, Role, State, Timer, Timing},
     std::{collections::VecDeque, time::Duration},
 };
 
@@ -130,3 +130,50 @@
     }
     assert_eq!(a.boot_of(&"b".into()), Some(2));
 }
+
+#[test]
+fn a_leader_lease_ends_without_an_event() {
+    let (a, b) = leader_and_follower();
+    assert!(a.has_leader_lease(5 * SECOND));
+    assert!(!a.has_leader_lease(5 * SECOND + Timing::LEADER_LEASE));
+    assert!(!b.has_leader_lease(5 * SECOND));
+}
+
+#[test]
+fn only_a_leader_that_is_the_only_voter_keeps_its_lease() {
+    let members = [(Name::from("a"), Role::Voter)].into();
+    let restored = PersistentState { disk: Some(2), ..PersistentState::default() };
+    let mut alone = State::new("a".into(), members, restored, 1);
+    alone.reduce(Duration::ZERO, Event::Start);
+    step(&mut alone, 5 * SECOND, Event::Timer(Timer::Election));
+    assert!(alone.has_leader_lease(60 * SECOND));
+}
+
+#[test]
+fn appends_that_follow_each_other_can_be_sent_as_one() {
+    let (mut a, mut b) = leader_and_follower();
+    let now = 6 * SECOND;
+    let mut proposed = VecDeque::new();
+    for i in 0..3 {
+        proposed.extend(step(&mut a, now + i * SECOND / 100, Event::Propose(vec![1])));
+    }
+    let mut first = proposed.pop_front().expect("an append");
+    for later in proposed {
+        first.merge(later).expect("it follows");
+    }
+    assert_eq!(exchange(&mut a, &mut b, now + SECOND / 10, [first].into()), 3);
+    assert_eq!(b.last_index(), a.last_index());
+    assert_eq!(a.commit_index(), a.last_index());
+    assert!(a.has_leader_lease(now + SECOND / 50 + Timing::LEADER_LEASE - SECOND / 1000));
+}
+
+#[test]
+fn appends_with_a_gap_are_not_sent_as_one() {
+    let (mut a, _) = leader_and_follower();
+    let mut first = step(&mut a, 6 * SECOND, Event::Propose(vec![1]));
+    step(&mut a, 6 * SECOND, Event::Propose(vec![2]));
+    let third = step(&mut a, 6 * SECOND, Event::Propose(vec![3])).pop_front();
+    let third = third.expect("an append");
+    let mut first = first.pop_front().expect("an append");
+    assert_eq!(first.merge(third.clone()), Err(third));
+}
