Orders, appends and acknowledgements share frames in proportion to the load

Orders are spread over one carrier for 100 a second, and each frame was held for 8 ms whatever the rate, so that it held 1.8 orders at most times; each proposal and each commit was sent to every member by itself. Change: orders and their results are held for 6 ms for each thousand orders a second, from 8 to 24 ms, as the leader tells the carriers with its answers to pings; appends to one member that follow each other are merged, and held for up to 8 ms while orders are; the news of a commit waits up to 10 ms for the next entries; a peer acknowledges ten packets at once; a frame is one write. Orders that expire are found by deadline, not by a search of all. Test: orders_share_frames_however_many_carriers_there_are; with the constant hold of 8 ms it fails.

--- a/crates/entry/src/carriers.rs
+++ b/crates/entry/src/carriers.rs
@@ -8,7 +8,14 @@
 //! instances and to the orders of the last seconds, since a carrier's link is slow. Rendezvous
 //! hashing assigns the instances, so that a change of one carrier moves only its own.
 
-use {super::*, std::net::IpAddr, twox_hash::XxHash64};
+use {
+    super::*,
+    std::{
+        collections::{BinaryHeap, binary_heap::PeekMut},
+        net::IpAddr,
+    },
+    twox_hash::XxHash64,
+};
 
 /// Daemons that may carry orders, and the orders in flight through them.
 #[derive(Debug, Default)]
@@ -17,7 +24,9 @@
     daemons: BTreeMap<IpAddr, Daemon>,
     /// The carriers in use, by data centre.
     chosen: BTreeMap<Name, Vec<Name>>,
-    open: BTreeMap<job::CallId, OpenOrder>,
+    open: Map<job::CallId, OpenOrder>,
+    /// When each order is given up, the next one first; also of orders that have been returned.
+    deadlines: BinaryHeap<Reverse<(Time, job::CallId)>>,
     /// Number of orders opened since the carriers were chosen.
     opened: usize,
     /// When the carriers were chosen.
@@ -44,7 +53,6 @@
 struct OpenOrder {
     carrier: Name,
     instance: Name,
-    until: Time,
 }
 
 impl Carriers {
@@ -55,6 +63,10 @@
     /// Orders a second for each carrier. An order and its answer take about 1 KB of its link of
     /// 250 KB/s.
     const ORDERS_PER_CARRIER: f64 = 100.0;
+    /// For each thousand orders a second, orders and results are held for this long.
+    const HOLD_PER_THOUSAND_ORDERS: Duration = Duration::from_millis(6);
+    /// A task is held twice, at its start and at its end, and short ones must still be in time.
+    const MAX_ORDER_HOLD: Duration = Duration::from_millis(24);
     /// The rate of orders that carriers are chosen for falls to half in this time after a peak.
     const RATE_HALF_LIFE: Duration = Duration::from_secs(4);
     /// A daemon that was not heard from for this long is not chosen.
@@ -139,6 +151,14 @@
         self.chosen_at = now;
     }
 
+    /// How long orders and their results are held, so that those of one carrier share frames. The
+    /// orders are spread over more carriers the more there are, so that a fixed time would leave a
+    /// frame for nearly each of them.
+    pub(crate) fn order_hold(&self) -> Duration {
+        let hold = Self::HOLD_PER_THOUSAND_ORDERS.mul_f64(self.peak_rate / 1000.0);
+        hold.clamp(Outbox::ORDER_HOLD, Self::MAX_ORDER_HOLD)
+    }
+
     /// The carrier for an instance; `None` if the leader sends its orders itself.
     pub(crate) fn carrier_of(&self, instance: &Name, data_center: &Name) -> Option<&Name> {
         let seed = hash(instance, 0);
@@ -159,7 +179,8 @@
     ) {
         self.opened += 1;
         let until = now + timeout + Self::TRANSPORT_TIME;
-        self.open.insert(id, OpenOrder { carrier, instance, until });
+        self.deadlines.push(Reverse((until, id)));
+        self.open.insert(id, OpenOrder { carrier, instance });
     }
 
     /// Records the result of an order. Returns whether it was still open, and the carrier if it is
@@ -192,16 +213,23 @@
         (true, Some(carrier))
     }
 
-    /// Orders that no carrier returned in time.
-    pub(crate) fn expired(&self, now: Time) -> Vec<job::CallId> {
-        let expired = self.open.iter().filter(|(_, order)| order.until <= now);
-        expired.map(|(id, _)| *id).collect()
+    /// Takes the orders whose deadline has passed; those that no carrier returned are expired.
+    pub(crate) fn expired(&mut self, now: Time) -> Vec<job::CallId> {
+        let mut expired = Vec::new();
+        while let Some(next) = self.deadlines.peek_mut().filter(|next| next.0.0 <= now) {
+            let Reverse((_, id)) = PeekMut::pop(next);
+            if self.open.contains_key(&id) {
+                expired.push(id);
+            }
+        }
+        expired
     }
 
     /// Drops everything in flight, when this daemon no longer leads.
     pub(crate) fn resign(&mut self) {
         self.leads_since = None;
         self.open.clear();
+        self.deadlines.clear();
         self.chosen.clear();
         self.failures.clear();
     }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -52,6 +52,8 @@
         serves: bool,
         /// Whether so many daemons ask that each should ask less often.
         large_fleet: bool,
+        /// How long the leader wants results of orders to be held, so that they share frames.
+        order_hold: Duration,
         /// Clock of the sender.
         clock: Reading,
     },
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -10,6 +10,8 @@
     bundles: BTreeMap<Name, Bundle>,
     /// When the first bundle is due.
     next_due: Option<Time>,
+    /// How long orders to instances and their results are held, if longer than `ORDER_HOLD`.
+    order_hold: Duration,
 }
 
 #[derive(Debug)]
@@ -19,10 +21,14 @@
 }
 
 impl Outbox {
-    /// How long orders to instances and their results are held.
-    const ORDER_HOLD: Duration = Duration::from_millis(8);
+    /// How long orders to instances and their results are held at least.
+    pub(crate) const ORDER_HOLD: Duration = Duration::from_millis(8);
     /// The same for results that only confirm an order: the task runs, and nothing waits for them.
     const CONFIRMATION_HOLD: Duration = Duration::from_millis(40);
+    /// How long heartbeats of the leader and the news of a commit are held; the next entries take them
+    /// along. Entries are held only while many orders are on their way: half of the time that orders are
+    /// held for longer then.
+    const COMMIT_HOLD: Duration = Duration::from_millis(10);
     /// How long announcements of instances are held on their way to the leader; the instance waits
     /// for the answer, but does nothing else meanwhile.
     const ANNOUNCEMENT_HOLD: Duration = Duration::from_millis(60);
@@ -31,12 +37,23 @@
     /// Number of messages that is not held any longer.
     const MAX_HELD: usize = 256;
 
-    fn hold(message: &Message) -> Duration {
+    /// Sets how long orders to instances and their results are held.
+    pub(crate) fn set_order_hold(&mut self, hold: Duration) {
+        self.order_hold = hold;
+    }
+
+    fn hold(&self, message: &Message) -> Duration {
         match message {
             Message::OrderResult { result: Ok(job::Reply::Done { .. }), .. } => {
-                Self::CONFIRMATION_HOLD
+                Self::CONFIRMATION_HOLD.max(self.order_hold)
+            }
+            Message::Order { .. } | Message::OrderResult { .. } => {
+                Self::ORDER_HOLD.max(self.order_hold)
+            }
+            Message::Quorum(quorum::Message::Append { entries, .. }) => {
+                let hold = self.order_hold.saturating_sub(Self::ORDER_HOLD) / 2;
+                if entries.is_empty() { hold.max(Self::COMMIT_HOLD) } else { hold }
             }
-            Message::Order { .. } | Message::OrderResult { .. } => Self::ORDER_HOLD,
             Message::Forward { call: Call::Announce(_), .. } => Self::ANNOUNCEMENT_HOLD,
             Message::Announced(_) => Self::COPY_HOLD,
             _ => Duration::ZERO,
@@ -44,7 +61,7 @@
     }
 
     pub(crate) fn push(&mut self, now: Time, to: &Name, message: Message) {
-        let due = now + Self::hold(&message);
+        let due = now + self.hold(&message);
         let bundle = match self.bundles.get_mut(to) {
             Some(bundle) => bundle,
             None => self
@@ -52,7 +69,9 @@
                 .entry(to.clone())
                 .or_insert(Bundle { due, messages: Vec::with_capacity(1) }),
         };
-        bundle.messages.push(message);
+        if let Some(message) = merge(&mut bundle.messages, message) {
+            bundle.messages.push(message);
+        }
         let full = bundle.messages.len() >= Self::MAX_HELD;
         bundle.due = if full { now } else { bundle.due.min(due) };
         self.next_due = Some(self.next_due.map_or(bundle.due, |next| next.min(bundle.due)));
@@ -74,3 +93,15 @@
         due
     }
 }
+
+/// Adds a message to the last one of the consensus protocol, if both append entries; returns it
+/// otherwise.
+fn merge(messages: &mut [Message], message: Message) -> Option<Message> {
+    let Message::Quorum(later) = message else { return Some(message) };
+    let last = messages.iter_mut().rev().find_map(|message| match message {
+        Message::Quorum(message) => Some(message),
+        _ => None,
+    });
+    let Some(last) = last else { return Some(Message::Quorum(later)) };
+    last.merge(later).err().map(Message::Quorum)
+}
--- a/crates/entry/src/pending_calls.rs
+++ b/crates/entry/src/pending_calls.rs
@@ -24,6 +24,8 @@
     pub(crate) clocks: PeerClocks,
     /// Whether the leader wants to be asked less often.
     pub(crate) large_fleet: bool,
+    /// How long the leader wants results of orders to be held.
+    pub(crate) order_hold: Duration,
 }
 
 impl PendingCalls {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -301,6 +301,7 @@
             while let Ok(call) = calls_in.try_recv() {
                 self.on_call(call);
             }
+            self.outbox.set_order_hold(self.state.order_hold());
             for _ in 0..Self::EVENTS_PER_ROUND {
                 let now = self.clock.now();
                 let lag = self.inbox.lag(now);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -339,10 +339,17 @@
             members,
             serves,
             large_fleet: self.carriers.is_large_fleet(),
+            order_hold: self.order_hold(),
             clock: self.clock(now),
         }
     }
 
+    /// How long orders to instances, and their results, are held to share frames: as this leader, or
+    /// the last one that this daemon heard from, decides.
+    pub(crate) fn order_hold(&self) -> Duration {
+        if self.leads() { self.carriers.order_hold() } else { self.pending_calls.order_hold }
+    }
+
     /// Reading of this daemon's clock.
     fn clock(&self, now: Time) -> Reading {
         Reading { boot: self.boot, at: now }
@@ -466,7 +473,7 @@
                 self.carriers.heard_from(now, &from, &data_center);
                 effects.push(Effect::Send { to: from, message: self.pong(now) });
             }
-            Message::Pong { leader, members, serves, large_fleet, clock } => {
+            Message::Pong { leader, members, serves, large_fleet, order_hold, clock } => {
                 self.pending_calls.last_heard = Some(now);
                 self.pending_calls.clocks.record(now, &from, clock);
                 self.pending_calls.known.extend(members.iter().cloned());
@@ -476,6 +483,7 @@
                 self.pending_calls.known.extend(leader.clone());
                 if serves {
                     self.pending_calls.large_fleet = large_fleet;
+                    self.pending_calls.order_hold = order_hold;
                     self.pending_calls.leader = Some(from);
                     self.pending_calls.last_served = Some(now);
                 } else if leader.as_ref() != Some(&from) {
--- a/crates/entry/tests/reducer/carriers.rs
+++ b/crates/entry/tests/reducer/carriers.rs
@@ -100,6 +100,48 @@
     }
 }
 
+/// Guards against a frame for nearly each order of a leader that is busy.
+#[test]
+fn orders_share_frames_however_many_carriers_there_are() {
+    let mut carriers = Carriers::default();
+    let mut outbox = Outbox::default();
+    let (mut orders, mut frames) = (0, 0);
+    for at in 0..2000 {
+        if at % 200 == 0 {
+            for i in 0..100 {
+                carriers.heard_from(ms(at), &daemon(i), &data_center(i));
+            }
+            carriers.choose(ms(at), &instances(550), &BTreeSet::new());
+            outbox.set_order_hold(carriers.order_hold());
+        }
+        for i in 0..4 {
+            let id = 4 * at + i;
+            let instance: Name = format!("i-{}", id % 1100).into();
+            let near = data_center((id % 2) as u8);
+            let carrier = carriers.carrier_of(&instance, &near).cloned().expect("a carrier");
+            carriers.open(ms(at), id, carrier.clone(), instance, ms(700));
+            let result = Err(job::CallError::Timeout);
+            outbox.push(ms(at), &carrier, Message::OrderResult { id, boot: 7, result });
+        }
+        let sent = outbox.take_due(ms(at));
+        if at >= 1000 {
+            frames += sent.len();
+            orders += sent.iter().map(|(_, messages)| messages.len()).sum::<usize>();
+        }
+    }
+    assert!(2 * frames <= orders, "{frames} frames for {orders} orders");
+}
+
+#[test]
+fn orders_wait_no_longer_than_before_while_there_are_few() {
+    let mut carriers = carriers(ms(0));
+    for id in 0..100 {
+        carriers.open(ms(0), id, daemon(0), "i-1".into(), ms(700));
+    }
+    carriers.choose(ms(200), &instances(150), &BTreeSet::new());
+    assert_eq!(carriers.order_hold(), Outbox::ORDER_HOLD);
+}
+
 #[test]
 fn an_order_that_no_carrier_returns_expires() {
     let mut carriers = carriers(ms(0));
--- a/crates/entry/tests/reducer/forwarding.rs
+++ b/crates/entry/tests/reducer/forwarding.rs
@@ -78,7 +78,9 @@
             let clock = Reading { boot: 7, at: ms(5000 + at) };
             let members = vec![leader.clone(), other.clone()];
             let (leader, serves) = (Some(leader.clone()), true);
-            let pong = Message::Pong { leader, members, serves, large_fleet: true, clock };
+            let order_hold = Duration::ZERO;
+            let pong =
+                Message::Pong { leader, members, serves, large_fleet: true, order_hold, clock };
             peer(&mut state, ms(at), &"10.0.0.1:1".into(), pong);
         }
         sent.extend(forwarded(&state.reduce(ms(at), 0, Event::Timer(Timer::Tick))));
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -32,6 +32,7 @@
         members: vec![leader.clone()],
         serves: true,
         large_fleet: false,
+        order_hold: Duration::ZERO,
         clock: Reading { boot: 7, at: clock },
     };
     peer(state, now, leader, message)
--- a/crates/entry/tests/reducer/outbox.rs
+++ b/crates/entry/tests/reducer/outbox.rs
@@ -59,3 +59,28 @@
     outbox.push(ms(50), &leader, confirmation);
     assert_eq!(outbox.take_due(ms(90)).len(), 1);
 }
+
+#[test]
+fn the_news_of_a_commit_waits_for_the_next_entries_but_not_for_long() {
+    let append = |entries| quorum::Message::Append {
+        term: 1,
+        prev_index: 1,
+        prev_term: 1,
+        entries,
+        commit: 1,
+        forced: 0,
+        sent: ms(0),
+        echo: None,
+    };
+    let entry = quorum::Entry { term: 1, command: vec![1], members: None };
+    let mut outbox = Outbox::default();
+    let member: Name = "10.0.0.2:1".into();
+    outbox.push(ms(0), &member, Message::Quorum(append(Vec::new())));
+    assert_eq!(outbox.next_due(), Some(ms(10)));
+    outbox.push(ms(4), &member, Message::Quorum(append(vec![entry])));
+    let sent = outbox.take_due(ms(4));
+    let [Message::Quorum(quorum::Message::Append { entries, .. })] = &sent[0].1[..] else {
+        panic!("{sent:?}")
+    };
+    assert_eq!(entries.len(), 1);
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -5,9 +5,12 @@
 pub struct Codec;
 
 impl Codec {
+    /// Capacity of the buffer for a message at first. Most messages fit, so that it seldom grows.
+    const EXPECTED_BYTES: usize = 1024;
+
     /// Encodes `message`; fails only if the result exceeds [`Frame::MAX_BYTES`].
     pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
-        let body = postcard::to_stdvec(message)?;
+        let body = postcard::to_extend(message, Vec::with_capacity(Self::EXPECTED_BYTES))?;
         if body.len() > Frame::MAX_BYTES {
             return Err(Error::Size { bytes: body.len(), max: Frame::MAX_BYTES });
         }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,4 +1,4 @@
-use super::*;
+use {super::*, bytes::Bytes};
 
 /// Time without traffic after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -9,11 +9,19 @@
 /// Time within which a connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Number of packets after which a peer acknowledges them at once; fewer are acknowledged along with
+/// other traffic, or after a short delay. An acknowledgement of its own costs about as much as a
+/// small frame.
+const MAX_UNACKNOWLEDGED_PACKETS: u32 = 10;
+
 /// The QUIC configuration of all connections.
 pub(crate) fn transport_config() -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     let idle = quinn::IdleTimeout::try_from(IDLE_TIMEOUT).expect("idle timeout fits a varint");
     config.max_idle_timeout(Some(idle));
+    let mut acknowledgements = quinn::AckFrequencyConfig::default();
+    acknowledgements.ack_eliciting_threshold(MAX_UNACKNOWLEDGED_PACKETS.into());
+    config.ack_frequency_config(Some(acknowledgements));
     config
 }
 
@@ -57,7 +65,7 @@
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
         let mut stream = connection.open_uni().await?;
         let hello = Codec::encode(&self.own).map_err(io::Error::other)?;
-        write(&mut stream, &hello).await?;
+        write(&mut stream, hello).await?;
         Ok(stream)
     }
 
@@ -65,7 +73,7 @@
     async fn send_frames(&mut self, mut stream: quinn::SendStream, first: Vec<u8>) {
         let mut next = Some(first);
         while let Some(body) = next {
-            if write(&mut stream, &body).await.is_err() {
+            if write(&mut stream, body).await.is_err() {
                 return;
             }
             next = tokio::select! {
@@ -78,10 +86,10 @@
 }
 
 /// Writes a frame: the length of `body` as a big-endian `u32`, then `body`.
-pub(crate) async fn write(stream: &mut quinn::SendStream, body: &[u8]) -> io::Result<()> {
+pub(crate) async fn write(stream: &mut quinn::SendStream, body: Vec<u8>) -> io::Result<()> {
     let length = u32::try_from(body.len()).map_err(io::Error::other)?;
-    stream.write_all(&length.to_be_bytes()).await?;
-    stream.write_all(body).await?;
+    let length = Bytes::copy_from_slice(&length.to_be_bytes());
+    stream.write_all_chunks(&mut [length, body.into()]).await?;
     Ok(())
 }
 
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -179,7 +179,7 @@
             _ = connection.closed() => return,
         };
         let Some(body) = body else { break };
-        if link::write(&mut stream, &body).await.is_err() {
+        if link::write(&mut stream, body).await.is_err() {
             return;
         }
     }
