A job that cannot be handled in time is refused on arrival

Cause: a job waited behind others for up to 350 ms before the leader looked at it and refused it. On its second or third try a caller has less time left than that, so that its gateway gave the call up first, with an unknown outcome; the leader then handled a call that nobody waited for. Change: a job that arrives while an earlier one has waited for 150 ms, while events of instances wait for 150 ms, or that could not be reached before its deadline, is in a class of its own, of which one is refused after every 8 other events. Others wait as before.

--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -4,6 +4,9 @@
 //! A class other than agreement never waits for all of the classes before it. It gets a turn after a
 //! number of their events, and every second turn once it has waited too long: a job that is to be
 //! refused for its wait has to be refused while its caller still listens.
+//!
+//! A job that arrives while others wait for long, or that would wait for longer than its caller, is to
+//! be refused, and overtakes the jobs that may still be accepted.
 
 use super::*;
 
@@ -18,9 +21,20 @@
     Calls,
     /// Jobs that are handed in.
     Jobs,
+    /// Jobs that are to be refused.
+    ExcessJobs,
 }
 
 impl Class {
+    /// Number of events of earlier classes after which an event is taken.
+    fn max_passed_over(self) -> u32 {
+        match self {
+            // A refusal costs little, and its caller can try again the sooner it comes.
+            Self::ExcessJobs => 8,
+            _ => 32,
+        }
+    }
+
     fn of(event: &Event) -> Self {
         match event {
             Event::InstanceAnswered { .. }
@@ -70,7 +84,7 @@
             Class::Agreement => Self::Agreement,
             Class::Instances => Self::Instances,
             Class::Calls => Self::Calls,
-            Class::Jobs => Self::Jobs,
+            Class::Jobs | Class::ExcessJobs => Self::Jobs,
         }
     }
 }
@@ -85,13 +99,15 @@
 }
 
 impl Queue {
-    /// Number of events of earlier classes after which an event is taken.
-    const MAX_PASSED_OVER: u32 = 32;
+    fn is_due(&self, class: Class, now: Time) -> bool {
+        let overdue = class != Class::ExcessJobs && Overload::is_too_long(self.first_wait(now));
+        overdue || self.passed_over >= class.max_passed_over()
+    }
 
-    fn is_due(&self, now: Time) -> bool {
-        let overdue =
-            |(since, _): &(Time, Event)| Overload::is_too_long(now.saturating_sub(*since));
-        self.passed_over >= Self::MAX_PASSED_OVER || self.events.front().is_some_and(overdue)
+    /// For how long the first event has waited; zero if none waits.
+    fn first_wait(&self, now: Time) -> Duration {
+        let first = self.events.front();
+        first.map_or(Duration::ZERO, |(since, _)| now.saturating_sub(*since))
     }
 }
 
@@ -105,15 +121,40 @@
 }
 
 impl Inbox {
+    /// A job is refused if an earlier one has waited for this long when it arrives.
+    const MAX_JOB_WAIT: Duration = Duration::from_millis(150);
+
     pub(crate) fn push(&mut self, now: Time, event: Event) {
-        self.queues.entry(Class::of(&event)).or_default().events.push_back((now, event));
+        let class = match Class::of(&event) {
+            Class::Jobs if self.is_excess(now, &event) => Class::ExcessJobs,
+            class => class,
+        };
+        self.queues.entry(class).or_default().events.push_back((now, event));
+    }
+
+    /// Whether a job that arrives now is to be refused.
+    fn is_excess(&self, now: Time, event: &Event) -> bool {
+        let wait = self.first_wait(Class::Jobs, now);
+        let deadline = match event {
+            Event::Peer { message: Message::Forward { deadline, .. }, .. } => *deadline,
+            _ => None,
+        };
+        wait > Self::MAX_JOB_WAIT
+            || Overload::is_behind(self.lag(now))
+            || deadline.is_some_and(|deadline| now + wait >= deadline.at)
     }
 
-    /// Takes the next event, with the time for which it has waited.
+    /// For how long the first event of a class has waited; zero if none waits.
+    fn first_wait(&self, class: Class, now: Time) -> Duration {
+        self.queues.get(&class).map_or(Duration::ZERO, |queue| queue.first_wait(now))
+    }
+
+    /// Takes the next event, with the time for which it has waited. A job to be refused counts as one
+    /// that has waited too long.
     pub(crate) fn pop(&mut self, now: Time) -> Option<(Duration, Event)> {
         let mut waiting = self.queues.iter().filter(|(_, queue)| !queue.events.is_empty());
         let (first, _) = waiting.next()?;
-        let due = waiting.find(|(_, queue)| queue.is_due(now)).map(|(class, _)| class);
+        let due = waiting.find(|(class, queue)| queue.is_due(**class, now)).map(|(class, _)| class);
         let may_precede = *first != Class::Agreement && self.in_order;
         let due = due.filter(|_| may_precede);
         let class = *due.unwrap_or(first);
@@ -124,13 +165,14 @@
         let queue = self.queues.get_mut(&class)?;
         queue.passed_over = 0;
         let (since, event) = queue.events.pop_front()?;
-        Some((now.saturating_sub(since), event))
+        let waited = now.saturating_sub(since);
+        let is_excess = class == Class::ExcessJobs;
+        Some((if is_excess { waited + Overload::TOO_LONG } else { waited }, event))
     }
 
     /// For how long the first event of instances has waited; zero if none waits.
     pub(crate) fn lag(&self, now: Time) -> Duration {
-        let first = self.queues.get(&Class::Instances).and_then(|queue| queue.events.front());
-        first.map_or(Duration::ZERO, |(since, _)| now.saturating_sub(*since))
+        self.first_wait(Class::Instances, now)
     }
 
     pub(crate) fn is_empty(&self) -> bool {
--- a/crates/entry/src/overload.rs
+++ b/crates/entry/src/overload.rs
@@ -17,6 +17,8 @@
     /// A job that has waited for this long is refused. A caller notices the wait, and a leader that
     /// is this late plans and renews late as well.
     const MAX_WAIT: Duration = Duration::from_millis(300);
+    /// A wait for which a job is refused.
+    pub(crate) const TOO_LONG: Duration = Duration::from_millis(301);
     /// While events of instances wait for longer than this, all jobs are refused. Each group of a
     /// job waits twice, for its start and for its end, and jobs of two groups would use up the time
     /// that the objective leaves them.
@@ -31,6 +33,11 @@
         waited > Self::MAX_WAIT
     }
 
+    /// Whether all jobs are refused while events of instances wait for this long.
+    pub(crate) fn is_behind(lag: Duration) -> bool {
+        lag > Self::MAX_LAG
+    }
+
     /// Records for how long the event that is handled next has waited, and for how long the first
     /// event of instances.
     pub(crate) fn record(&mut self, waited: Duration, lag: Duration) {
@@ -46,7 +53,7 @@
 
     /// When the caller of the job that is being handled should return, if the job is refused.
     pub(crate) fn retry_after(&self) -> Option<Duration> {
-        let refuses = Self::is_too_long(self.waited) || self.lag > Self::MAX_LAG;
+        let refuses = Self::is_too_long(self.waited) || Self::is_behind(self.lag);
         refuses.then(|| Self::RETRY_AFTER + self.waited.max(self.lag))
     }
 }
