--- a/crates/job/tests/capacity.rs
+++ b/crates/job/tests/capacity.rs
@@ -7,8 +7,13 @@
 
 /// A world with machines in one pool whose instances do not check their capacity.
 fn unguarded_pool(machines: usize) -> World {
+    pool(machines, false)
+}
+
+/// A world with machines in one pool. `checks_room` tells whether instances reject what does not fit.
+fn pool(machines: usize, checks_room: bool) -> World {
     let mut config = config(&["a"]);
-    config.pools.get_mut("a").expect("a pool").checks_room = false;
+    config.pools.get_mut("a").expect("a pool").checks_room = checks_room;
     // Idle machines stay, since they would come back with their full capacity.
     let parking_idle_time = Duration::from_secs(600);
     let mut world =
@@ -56,6 +61,20 @@
     assert!(all_complete(&world));
 }
 
+/// Guards against jobs that fail or wait because instances reject starts until they have announced
+/// that they have shrunk.
+#[test]
+fn jobs_complete_while_instances_that_check_their_capacity_shrink() {
+    let mut world = pool(4, true);
+    let next = submit_steadily(&mut world, 1, 2000);
+    for machine in ["m0", "m1"] {
+        set_capacity(&mut world, machine, 9000);
+    }
+    submit_steadily(&mut world, next, 14_000);
+    world.run(5000);
+    assert!(all_complete(&world));
+}
+
 #[test]
 fn a_new_leader_knows_a_capacity_that_has_shrunk() {
     let mut world = unguarded_pool(2);
