--- a/crates/quorum/src/snapshots.rs
+++ b/crates/quorum/src/snapshots.rs
@@ -4,6 +4,10 @@
 use super::*;
 
 impl State {
+    /// Maximum size of a part of a snapshot. Heartbeats wait behind it on the way to a member that may
+    /// have little of its processor, and it is sent again if it is not answered in time.
+    const MAX_CHUNK_BYTES: usize = 64 * 1024;
+
     /// Stores the encoded state as of `index` as the latest snapshot.
     pub(crate) fn on_snapshot(&mut self, index: Index, state: Vec<u8>, effects: &mut Vec<Effect>) {
         let newer = self.snapshot.as_ref().is_none_or(|snapshot| snapshot.index < index);
@@ -24,7 +28,7 @@
     }
 
     /// Sends the next chunk of the snapshot to a member that needs compacted entries, or an empty
-    /// chunk as heartbeat while the previous one is unanswered.
+    /// chunk as heartbeat, if one is due, while the previous one is unanswered.
     pub(crate) fn send_chunk(&mut self, now: Time, to: &Name, effects: &mut Vec<Effect>) {
         let Some(snapshot) = &self.snapshot else { return };
         let ElectionState::Leader { progress, .. } = &mut self.election else { return };
@@ -33,11 +37,14 @@
         let current = peer.transfer.filter(|transfer| transfer.index == index);
         let awaiting_answer =
             current.is_some_and(|transfer| now < transfer.sent + Timing::CHUNK_RETRY_INTERVAL);
+        if awaiting_answer && now < peer.last_sent + Timing::HEARTBEAT_INTERVAL {
+            return;
+        }
         let offset = current.map_or(0, |transfer| transfer.offset);
         let rest = snapshot.state.get(offset..).unwrap_or_default();
         peer.last_sent = now;
-        let length =
-            if awaiting_answer { 0 } else { rest.len().min(self.limits.max_message_bytes) };
+        let max_length = self.limits.max_message_bytes.min(Self::MAX_CHUNK_BYTES);
+        let length = if awaiting_answer { 0 } else { rest.len().min(max_length) };
         if !awaiting_answer {
             peer.transfer = Some(SnapshotTransfer { index, offset, sent: now });
         }
--- a/crates/quorum/tests/replication.rs
+++ b/crates/quorum/tests/replication.rs
@@ -2,7 +2,7 @@
 
 use {
     model::Name,
-    quorum::{Effect, Event, Message, PersistentState, Role, State, Timer, Timing},
+    quorum::{Effect, Event, Limits, Message, PersistentState, Role, State, Timer, Timing},
     std::{collections::VecDeque, time::Duration},
 };
 
@@ -177,3 +177,42 @@
     let mut first = first.pop_front().expect("an append");
     assert_eq!(first.merge(third.clone()), Err(third));
 }
+
+/// Guards against a member that cannot catch up, since what it waits for is queued behind a message
+/// for each proposal.
+#[test]
+fn a_member_that_receives_a_snapshot_gets_no_message_for_each_proposal() {
+    let limits = Limits { snapshot_interval_bytes: 50, retained_entries: 1, max_message_bytes: 60 };
+    let (a, mut b) = leader_and_follower();
+    let mut a = a.with_limits(limits);
+    let now = 6 * SECOND;
+    for _ in 0..10 {
+        let proposed = step(&mut a, now, Event::Propose(vec![0; 10]));
+        exchange(&mut a, &mut b, now, proposed);
+    }
+    let index = a.commit_index();
+    step(&mut a, now, Event::Snapshot { index, state: vec![0; 500] });
+    let disk = Some(9);
+    let members = ["a", "b"].map(|name| (Name::from(name), Role::Voter)).into();
+    let restored = PersistentState { disk, ..PersistentState::default() };
+    let mut empty = State::new("b".into(), members, restored, 2);
+    empty.reduce(now, Event::Start);
+    let heartbeat = step(&mut a, now, Event::Timer(Timer::Heartbeat));
+    let mut to_a = VecDeque::new();
+    for message in heartbeat {
+        to_a.extend(step(&mut empty, now, Event::Message { from: "a".into(), message }));
+    }
+    let mut sent = VecDeque::new();
+    for message in to_a {
+        sent.extend(step(&mut a, now, Event::Message { from: "b".into(), message }));
+    }
+    assert!(
+        sent.iter()
+            .any(|message| matches!(message, Message::Chunk { data, .. } if !data.is_empty()))
+    );
+    let mut more = 0;
+    for i in 1..=100 {
+        more += step(&mut a, now + SECOND * i / 1000, Event::Propose(vec![0; 10])).len();
+    }
+    assert!(more <= 1, "{more} messages in 100 ms");
+}
