Evidence against a task can be read from one leader's log

`lease-over` gives the end recorded, stage, age and silence; a new leader writes `evidence-inherited` for each task with evidence; `instance-lost` says whether connections broke. No decision changes.

--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -226,16 +226,19 @@
         });
         for (incarnation, reason) in over.collect::<Vec<_>>() {
             let Some(instance) = self.instances.get_mut(&incarnation) else { continue };
+            let silence = instance.silence(now);
             for (task, attempt) in &mut instance.attempts {
                 if matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
                     continue;
                 }
-                attempt.stage = Stage::Ending;
+                let stage = std::mem::replace(&mut attempt.stage, Stage::Ending);
                 let (task, number) = (*task, attempt.number);
                 let checkpoint = attempt.checkpoint.clone();
                 self.pending_ends.push(AttemptEnd { task, number, reason, checkpoint });
                 let about = format!("{task} {number} {incarnation}");
-                effects.push(note("lease-over", about, "the instance did not answer".into()));
+                let age = now.saturating_sub(attempt.started).as_millis();
+                let why = format!("{reason}: {stage:?} {age} ms; {silence}");
+                effects.push(note("lease-over", about, why));
             }
         }
         let gone = |instance: &Instance| {
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -253,11 +253,18 @@
         ready && self.fenced && !self.unresponsive && !self.draining && now >= self.avoided_until
     }
 
+    /// How long nothing has been heard from it, for the log.
+    pub(crate) fn silence(&self, now: Time) -> String {
+        let silent = now.saturating_sub(self.last_heard).as_millis();
+        let broken = self.broken_since.map(|since| now.saturating_sub(since).as_millis());
+        let broken = broken.map_or(String::new(), |ms| format!(", connections broke {ms} ms ago"));
+        format!("silent for {silent} ms{broken}")
+    }
+
     /// The attempts on board, and how long each had run when the instance was last heard, for the
     /// log.
     pub(crate) fn on_board(&self, now: Time) -> String {
-        let silent = now.saturating_sub(self.last_heard).as_millis();
-        let mut text = format!("silent for {silent} ms, {} attempts", self.attempts.len());
+        let mut text = format!("{}, {} attempts", self.silence(now), self.attempts.len());
         for (task, attempt) in self.attempts.iter().take(Self::MAX_ATTEMPTS_IN_LOG) {
             let age = self.last_heard.saturating_sub(attempt.started).as_millis();
             let Attempt { number, stage, confirmed, .. } = attempt;
--- a/crates/job/src/isolation.rs
+++ b/crates/job/src/isolation.rs
@@ -133,6 +133,27 @@
     Some(note("task-crashed", format!("{task} {number}"), why))
 }
 
+/// Log entries about the evidence that earlier leaders recorded against the tasks of a job.
+pub(crate) fn inherited_notes(job: JobId, record: &JobRecord) -> Vec<Effect> {
+    let mut notes = Vec::new();
+    if record.crashed_at == 0 {
+        return notes;
+    }
+    for (round, groups) in (0..).zip(&record.rounds) {
+        for (group, tasks) in (0..).zip(&groups.groups) {
+            for (index, task_state) in (0..).zip(tasks) {
+                let Crashes { proven, possible } = task_state.crashes;
+                if task_state.crashes != Crashes::default() {
+                    let task = TaskId { job, round, group, index };
+                    let why = format!("{proven} proven, {possible} possible by earlier leaders");
+                    notes.push(note("evidence-inherited", task.to_string(), why));
+                }
+            }
+        }
+    }
+    notes
+}
+
 impl Scheduler {
     /// Racks on which several instances crashed at the same time and no other is left. Their tasks
     /// are not the cause.
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -332,6 +332,7 @@
         self.recurring_jobs = table.live.iter().filter(recurs).copied().collect();
         for id in &table.live {
             let Some(record) = table.jobs.get(id) else { continue };
+            effects.extend(isolation::inherited_notes(*id, record));
             for claim in record.claims(*id) {
                 let group = record.group(claim.task);
                 let mut attempt = Attempt::new(claim.number, Stage::Recovered, group, now);
