Failing tests: jobs that are given up without a crash of their own

A job on instances that are cut off and run on, and a continuous job whose instances crash seconds after it started, are shown as failed after five times. A continuous task that does crash its instances is given up, as before.

--- a/crates/job/tests/crashes.rs
+++ b/crates/job/tests/crashes.rs
@@ -217,3 +217,66 @@
     let crashes = tasks.map(|task| world.table.jobs[&1000].task_state(task).unwrap().crashes);
     assert_eq!(crashes.collect::<Vec<_>>(), [Crashes::default(); 3]);
 }
+
+/// Instances on which tasks of a job run.
+fn instances_of(world: &World, job: JobId) -> Vec<Incarnation> {
+    let alive = world.instances.iter().filter(|(_, instance)| instance.alive);
+    let runs = |instance: &Instance| instance.running.keys().any(|task| task.job == job);
+    alive.filter(|(_, i)| runs(i)).map(|(incarnation, _)| incarnation.clone()).collect()
+}
+
+/// Disconnects all instances on which a job runs, for longer than their leases, `cuts` times.
+fn cut_off_repeatedly(world: &mut World, job: JobId, cuts: usize) {
+    for _ in 0..cuts {
+        for incarnation in instances_of(world, job) {
+            let until = world.now + 8000;
+            world.disconnect(&incarnation, until);
+        }
+        world.run(9000);
+    }
+}
+
+#[test]
+fn a_continuous_job_on_instances_that_are_cut_off_is_not_failed() {
+    let mut world = one_pool(6);
+    world.submit_continuous(7, 3);
+    world.run(3000);
+    cut_off_repeatedly(&mut world, 7, 8);
+    world.run(9000);
+    assert_eq!(state(&world, 7), JobState::Running);
+    assert_eq!(running_tasks(&world, 7), 3);
+}
+
+#[test]
+fn a_job_on_instances_that_are_cut_off_is_not_failed() {
+    let mut world = one_pool(6);
+    world.submit(7, "a", chain(&[3], 2000, 20_000));
+    world.run(3000);
+    cut_off_repeatedly(&mut world, 7, 8);
+    world.run(60_000);
+    assert_eq!(state(&world, 7), JobState::Completed);
+}
+
+#[test]
+fn a_continuous_job_survives_crashes_of_the_instances_it_works_on() {
+    let mut world = one_pool(9);
+    world.submit_continuous(7, 1);
+    for _ in 0..12 {
+        world.run(5000);
+        let [incarnation] = instances_of(&world, 7).try_into().expect("its task runs");
+        world.lose_power(&incarnation);
+    }
+    world.run(5000);
+    assert_eq!(state(&world, 7), JobState::Running);
+    assert_eq!(running_tasks(&world, 7), 1);
+}
+
+#[test]
+fn a_continuous_task_that_crashes_its_instances_before_they_answer_is_given_up() {
+    let mut world = one_pool(4);
+    world.deadly.insert(first_task(7), 0);
+    world.submit_continuous(7, 1);
+    // The world checks the number of starts.
+    world.run(60_000);
+    assert_eq!(state(&world, 7), JobState::Failed);
+}
