Silence and coincidence no longer end a job

Cause: an attempt on an instance that was silent until its lease was over ended as Vanished, and five of these gave its job up. A silent instance runs on, so each cut, freeze or late renewal counted against all that was on board. And a continuous task is on board of whatever happens to its instances, so five crashes within an hour ended its job as well.

Change: the end of a lease is no crash, unless the platform does not list an instance that this leader never heard from, or connections broke within 250 ms of a start; then it is a possible one. Possible crashes end only jobs whose tasks end by themselves. So that a continuous task that does crash its instances is still given up, a start request that broke off proves a crash if no other job had just started there; a refused connection, where nothing was sent, is told apart from a broken one; and a crash is dated by the break of the connections however late the platform lists it.

--- a/crates/entry/src/http_client.rs
+++ b/crates/entry/src/http_client.rs
@@ -106,7 +106,7 @@
 async fn connect(address: &Name) -> Result<Sender, CallError> {
     let connecting = TcpStream::connect(&**address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-    let stream = stream.map_err(|_| CallError::Timeout)?.map_err(|_| CallError::Broken)?;
+    let stream = stream.map_err(|_| CallError::Timeout)?.map_err(|_| CallError::Refused)?;
     stream.set_nodelay(true).ok();
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| CallError::Broken)?;
--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -44,7 +44,7 @@
                 instance.update_clock(clock, now);
             }
         }
-        if result == Err(CallError::Broken) {
+        if matches!(result, Err(CallError::Broken | CallError::Refused)) {
             instance.broken_since.get_or_insert(now);
             self.machines.expect_crash();
         }
@@ -152,6 +152,7 @@
             }
             Ok(Reply::Report { .. } | Reply::Fenced) | Err(_) => {
                 attempt.stage = Stage::Unanswered;
+                attempt.broke_off = result == Err(CallError::Broken);
                 // The renewal in flight may be held open for long.
                 instance.renewal_in_flight = false;
                 instance.renew_at = now;
@@ -278,8 +279,7 @@
             if absent && !matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
                 attempt.stage = Stage::Ending;
                 let (number, checkpoint) = (attempt.number, attempt.checkpoint.clone());
-                let reason =
-                    if attempt.crash_possible { EndReason::Vanished } else { EndReason::Lost };
+                let reason = attempt.end_if_absent;
                 self.pending_ends.push(AttemptEnd { task: *task, number, reason, checkpoint });
                 let about = format!("{task} {number} {incarnation}");
                 effects.push(note(
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -220,19 +220,17 @@
         let is_over =
             |instance: &Instance| now >= instance.lease_expires && !instance.attempts.is_empty();
         let over = self.instances.iter().filter(|(_, instance)| is_over(instance));
-        let over = over.map(|(incarnation, instance)| {
-            let leaving = self.is_leaving(instance);
-            (incarnation.clone(), if leaving { EndReason::Lost } else { EndReason::Vanished })
-        });
-        for (incarnation, reason) in over.collect::<Vec<_>>() {
+        for incarnation in over.map(|(incarnation, _)| incarnation.clone()).collect::<Vec<_>>() {
             let Some(instance) = self.instances.get_mut(&incarnation) else { continue };
             let silence = instance.silence(now);
+            let reasons = instance.lapse_reasons(self.machines.lists(&incarnation.name));
             for (task, attempt) in &mut instance.attempts {
                 if matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
                     continue;
                 }
                 let stage = std::mem::replace(&mut attempt.stage, Stage::Ending);
                 let (task, number) = (*task, attempt.number);
+                let reason = reasons.get(&task).copied().unwrap_or(EndReason::Lost);
                 let checkpoint = attempt.checkpoint.clone();
                 self.pending_ends.push(AttemptEnd { task, number, reason, checkpoint });
                 let about = format!("{task} {number} {incarnation}");
--- a/crates/job/src/end_reason.rs
+++ b/crates/job/src/end_reason.rs
@@ -16,7 +16,7 @@
     Broken,
     /// The rest of its gang did not start in time.
     Alone,
-    /// It never ran, or its instance was taken away.
+    /// It never ran, or its instance was taken away or fell silent.
     Lost,
     /// Its instance crashed soon after it had started.
     #[display("crashed")]
@@ -24,7 +24,7 @@
         /// Whether no attempt of another job ran there.
         alone: bool,
     },
-    /// Its instance crashed or fell silent, and it may have run there, or had run for long.
+    /// Its instance crashed, and it may have run there, or had run for long.
     Vanished,
 }
 
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -76,10 +76,12 @@
     /// Whether it has run on the incarnation that it is assigned to. A start request is addressed
     /// by instance name, so its answer alone may have come from a later incarnation.
     pub(crate) confirmed: bool,
+    /// Whether the connection broke while its start request waited for an answer.
+    pub(crate) broke_off: bool,
     /// Whether it belongs to a suspect job, so that nothing else is placed beside it at first.
     pub(crate) isolated: bool,
-    /// Whether an earlier incarnation crashed that may have run it.
-    pub(crate) crash_possible: bool,
+    /// How it ends if it turns out not to run: how an earlier incarnation ended that may have run it.
+    pub(crate) end_if_absent: EndReason,
     /// Whether it is to be stopped.
     pub(crate) stop_requested: bool,
     /// Whether its start request was not answered and has to be made impossible, by a stop, before
@@ -300,8 +302,9 @@
             has_latency_target: group.is_some_and(|group| group.latency_target.is_some()),
             conclusive_from: None,
             confirmed: false,
+            broke_off: false,
             isolated: false,
-            crash_possible: false,
+            end_if_absent: EndReason::Lost,
             stop_requested: false,
             start_in_doubt: false,
             adopted_at: None,
--- a/crates/job/src/isolation.rs
+++ b/crates/job/src/isolation.rs
@@ -18,8 +18,6 @@
 /// Age of an attempt from which a crash of its instance is no proof against it, and from which it
 /// need not have its instance to itself.
 const PROBATION: Duration = Duration::from_secs(1);
-/// Longest time from the break of the connections until the platform lists a crash.
-const MAX_DETECTION_TIME: Duration = Duration::from_secs(2);
 /// Part of the usable instances of a pool that run suspects, as a divisor.
 const MAX_SHARE_DIVISOR: usize = 2;
 /// Time after the last crash for which a suspect waits for an empty instance, in milliseconds. A
@@ -41,8 +39,7 @@
     /// When it crashed, given that this is known at `now`; `None` if it had been silent before.
     pub(crate) fn crash_time(&self, now: Time) -> Option<Time> {
         let heard_lately = (now < self.last_heard + STARTING).then_some(self.last_heard);
-        let broken_lately = self.broken_since.filter(|since| now <= *since + MAX_DETECTION_TIME);
-        broken_lately.or(heard_lately)
+        self.broken_since.or(heard_lately)
     }
 
     /// How each attempt on board ended, given that the instance crashed at `crashed_at`.
@@ -50,7 +47,8 @@
     /// An attempt is known to have run until the crash only if the time of the crash is known: an
     /// instance that was silent may have ended it, and then crashed. If some attempts had just
     /// started, one of them is a likelier cause than those that had worked for a while; a continuous
-    /// task would otherwise be suspected sooner or later.
+    /// task would otherwise be suspected sooner or later. A start request that broke off when the
+    /// instance crashed has arrived, and is the cause if no other job had just started.
     pub(crate) fn crash_reasons(&self, crashed_at: Option<Time>) -> BTreeMap<TaskId, EndReason> {
         let on_board =
             |attempt: &Attempt| !matches!(attempt.stage, Stage::Ending | Stage::Proposed);
@@ -63,10 +61,16 @@
             crashed_at.is_some_and(|at| at < attempt.started + age)
         };
         let just_started = |attempt: &Attempt| !runs(attempt) || is_younger_than(attempt, STARTING);
-        let any_just_started = on_board.iter().any(|(_, attempt)| just_started(attempt));
-        let reason = |attempt: &Attempt| {
+        let starting = on_board.iter().filter(|(_, attempt)| just_started(attempt));
+        let starting: BTreeSet<_> = starting.map(|(task, _)| task.job).collect();
+        let any_just_started = !starting.is_empty();
+        let is_proven = |attempt: &Attempt| {
             let age = if any_just_started { STARTING } else { PROBATION };
-            if runs(attempt) && is_younger_than(attempt, age) {
+            let arrived = attempt.broke_off && starting.len() == 1;
+            (runs(attempt) || arrived) && is_younger_than(attempt, age)
+        };
+        let reason = |attempt: &Attempt| {
+            if is_proven(attempt) {
                 EndReason::Crashed { alone }
             } else if runs(attempt) && any_just_started && attempt.long_lived {
                 EndReason::Lost
@@ -77,6 +81,17 @@
         on_board.into_iter().map(|(task, attempt)| (*task, reason(attempt))).collect()
     }
 
+    /// The attempts on board that may have crashed the instance, if its lease is over; the others are
+    /// lost. An instance that is only silent runs on, so its silence says nothing about its tasks. It
+    /// has crashed if this leader has never heard from it and the platform does not list it, or if
+    /// connections broke when a task had just started.
+    pub(crate) fn lapse_reasons(&self, is_listed: bool) -> BTreeMap<TaskId, EndReason> {
+        let mut reasons = self.crash_reasons(self.broken_since);
+        let is_gone = self.announcement.is_none() && !is_listed;
+        reasons.retain(|_, reason| is_gone || matches!(reason, EndReason::Crashed { .. }));
+        reasons.into_keys().map(|task| (task, EndReason::Vanished)).collect()
+    }
+
     /// The suspect job that has the instance to itself.
     pub(crate) fn isolated_for(&self, now: Time) -> Option<JobId> {
         if self.isolated == 0 {
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -131,6 +131,13 @@
         maintenance_begun
     }
 
+    /// Whether the platform lists an instance as in operation.
+    pub(crate) fn lists(&self, instance: &Name) -> bool {
+        self.listed.values().any(|machine| {
+            machine.state == MachineState::Up && machine.instance.as_ref() == Some(instance)
+        })
+    }
+
     /// Updates `largest` from the listed machines.
     pub(crate) fn update_largest(&mut self) {
         let sizes = self.listed.values().map(|machine| machine.capacity);
--- a/crates/job/src/reply.rs
+++ b/crates/job/src/reply.rs
@@ -92,6 +92,9 @@
     /// The answer could not be parsed.
     #[display("unreadable answer")]
     Unreadable,
+    /// No connection could be made, so the request was not sent.
+    #[display("connection refused")]
+    Refused,
 }
 
 /// Answer of the platform to a [`MachineOrder`]. The variants are printed in the log.
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -479,8 +479,13 @@
                     Stage::Starting | Stage::Unanswered | Stage::Recovered | Stage::Running,
                     Some(successor),
                 ) if !attempt.confirmed => {
+                    if !planned {
+                        // An answered start may have been answered by the later incarnation.
+                        let answered = attempt.stage == Stage::Running;
+                        let reason = reasons.get(&task).filter(|_| !answered);
+                        attempt.end_if_absent = reason.copied().unwrap_or(EndReason::Vanished);
+                    }
                     attempt.stage = Stage::Unanswered;
-                    attempt.crash_possible |= !planned;
                     attempt.stop_requested = true;
                     attempt.stop_sent = None;
                     attempt.conclusive_from = None;
--- a/crates/job/tests/world/calls.rs
+++ b/crates/job/tests/world/calls.rs
@@ -22,7 +22,7 @@
     /// Sends the answer to a call; it may be lost.
     pub(super) fn answer(&mut self, call: usize, reply: Reply) {
         if !self.instances.get(&self.sent[call].incarnation).is_none_or(|i| i.alive) {
-            return self.break_call(call);
+            return self.break_call(call, CallError::Broken);
         }
         let disconnected = self
             .instances
@@ -59,7 +59,7 @@
         let Some(receiver) = receiver.or_else(|| self.receiver_of(&incarnation)) else {
             let reaches = |instance: &Instance| instance.disconnected_until <= now;
             if self.instances.get(&incarnation).is_some_and(reaches) {
-                self.break_call(call);
+                self.break_call(call, CallError::Refused);
             }
             return;
         };
--- a/crates/job/tests/world/crashes.rs
+++ b/crates/job/tests/world/crashes.rs
@@ -19,16 +19,16 @@
             let to_it = |(_, call): &(usize, &SentCall)| call.incarnation == *incarnation;
             let broken = self.sent.iter().enumerate().filter(to_it).map(|(call, _)| call);
             for call in broken.collect::<Vec<_>>() {
-                self.break_call(call);
+                self.break_call(call, CallError::Broken);
             }
         }
     }
 
     /// Breaks the connection of a call, unless it was answered or its request is delayed.
-    pub(super) fn break_call(&mut self, call: usize) {
+    pub(super) fn break_call(&mut self, call: usize, error: CallError) {
         let SentCall { epoch, receiver, answer, .. } = &mut self.sent[call];
         if *answer == Some(Err(CallError::Timeout)) && receiver.is_none() {
-            *answer = Some(Err(CallError::Broken));
+            *answer = Some(Err(error));
             let epoch = *epoch;
             self.schedule(CALL_DELAY_MS, SimEvent::Answer { epoch, call });
         }
