--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -76,10 +76,12 @@
     /// Whether it has run on the incarnation that it is assigned to. A start request is addressed
     /// by instance name, so its answer alone may have come from a later incarnation.
     pub(crate) confirmed: bool,
+    /// Whether the connection broke while its start request waited for an answer.
+    pub(crate) broke_off: bool,
     /// Whether it belongs to a suspect job, so that nothing else is placed beside it at first.
     pub(crate) isolated: bool,
-    /// Whether an earlier incarnation crashed that may have run it.
-    pub(crate) crash_possible: bool,
+    /// How it ends if it turns out not to run: how an earlier incarnation ended that may have run it.
+    pub(crate) end_if_absent: EndReason,
     /// Whether it is to be stopped.
     pub(crate) stop_requested: bool,
     /// Whether its start request was not answered and has to be made impossible, by a stop, before
@@ -253,11 +255,18 @@
         ready && self.fenced && !self.unresponsive && !self.draining && now >= self.avoided_until
     }
 
+    /// How long nothing has been heard from it, for the log.
+    pub(crate) fn silence(&self, now: Time) -> String {
+        let silent = now.saturating_sub(self.last_heard).as_millis();
+        let broken = self.broken_since.map(|since| now.saturating_sub(since).as_millis());
+        let broken = broken.map_or(String::new(), |ms| format!(", connections broke {ms} ms ago"));
+        format!("silent for {silent} ms{broken}")
+    }
+
     /// The attempts on board, and how long each had run when the instance was last heard, for the
     /// log.
     pub(crate) fn on_board(&self, now: Time) -> String {
-        let silent = now.saturating_sub(self.last_heard).as_millis();
-        let mut text = format!("silent for {silent} ms, {} attempts", self.attempts.len());
+        let mut text = format!("{}, {} attempts", self.silence(now), self.attempts.len());
         for (task, attempt) in self.attempts.iter().take(Self::MAX_ATTEMPTS_IN_LOG) {
             let age = self.last_heard.saturating_sub(attempt.started).as_millis();
             let Attempt { number, stage, confirmed, .. } = attempt;
@@ -293,8 +302,9 @@
             has_latency_target: group.is_some_and(|group| group.latency_target.is_some()),
             conclusive_from: None,
             confirmed: false,
+            broke_off: false,
             isolated: false,
-            crash_possible: false,
+            end_if_absent: EndReason::Lost,
             stop_requested: false,
             start_in_doubt: false,
             adopted_at: None,
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -332,6 +332,7 @@
         self.recurring_jobs = table.live.iter().filter(recurs).copied().collect();
         for id in &table.live {
             let Some(record) = table.jobs.get(id) else { continue };
+            effects.extend(isolation::inherited_notes(*id, record));
             for claim in record.claims(*id) {
                 let group = record.group(claim.task);
                 let mut attempt = Attempt::new(claim.number, Stage::Recovered, group, now);
@@ -478,8 +479,13 @@
                     Stage::Starting | Stage::Unanswered | Stage::Recovered | Stage::Running,
                     Some(successor),
                 ) if !attempt.confirmed => {
+                    if !planned {
+                        // An answered start may have been answered by the later incarnation.
+                        let answered = attempt.stage == Stage::Running;
+                        let reason = reasons.get(&task).filter(|_| !answered);
+                        attempt.end_if_absent = reason.copied().unwrap_or(EndReason::Vanished);
+                    }
                     attempt.stage = Stage::Unanswered;
-                    attempt.crash_possible |= !planned;
                     attempt.stop_requested = true;
                     attempt.stop_sent = None;
                     attempt.conclusive_from = None;
