A submission under the id of another job is refused

Cause: a resend was recognized by its id alone. An identity was narrower than what callers mean by it.

The loop that syncs entries in `of_two_submissions_of_an_id_at_the_same_time_one_is_refused` became a function that the new tests share; its assertions are the same.

Change: a known id is a resend only with the same queue and description from a caller that may see the job; else 409, which is true, since nothing was proposed, or the table refused it.

--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -142,13 +142,16 @@
         spec: Result<job::Spec, String>,
         key: Option<job::KeyDigest>,
     ) -> Result<Command, Answer> {
-        let Target { queue, job, organisation } = self.find_job(host, path, key)?;
+        let invalid_id =
+            || Answer::Invalid("path does not end with 16 hexadecimal digits in lower case".into());
+        let target = self.find_job(host, path, key);
+        let Target { queue, job, organisation } =
+            target.map_err(|answer| if answer == Answer::NoJob { invalid_id() } else { answer })?;
         let spec = spec.map_err(Answer::Invalid)?;
-        let id = job.ok_or_else(|| Answer::Invalid("path names no job".into()))?;
-        // Ids are unique among all queues.
+        let id = job.ok_or_else(invalid_id)?;
         if let Some(record) = self.table.jobs.get(&id) {
-            let is_visible = record.is_visible_to(organisation.as_ref());
-            return Err(if is_visible { Answer::Done } else { Answer::Conflict });
+            let is_resent = record.is_resent_by(&queue, &spec, organisation.as_ref());
+            return Err(if is_resent { Answer::Done } else { Answer::Conflict });
         }
         match self.refusal(now, unix, &queue, organisation.as_ref(), &spec) {
             Some(refusal) => Err(refusal),
@@ -171,10 +174,8 @@
         if rest.is_empty() {
             return Ok(Target { queue, job: None, organisation });
         }
-        let id = Some(rest).filter(|rest| rest.len() == ID_DIGITS);
-        let id = id.and_then(|rest| job::JobId::from_str_radix(rest, 16).ok());
-        let id = id.ok_or(Answer::NoJob)?;
-        Ok(Target { queue, job: Some(id), organisation })
+        let job = Some(parse_id(rest).ok_or(Answer::NoJob)?);
+        Ok(Target { queue, job, organisation })
     }
 
     /// Sends an announcement of an instance to the other members, since each may lead later.
@@ -373,6 +374,14 @@
 /// Number of hexadecimal digits of a job id in a path.
 const ID_DIGITS: usize = 16;
 
+/// Parses the id of a job. Only lower case is accepted, since tasks are named by the id as it is
+/// printed, and two spellings must not mean one job.
+fn parse_id(text: &str) -> Option<job::JobId> {
+    let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+    let digits = Some(text).filter(|text| text.len() == ID_DIGITS && text.bytes().all(is_digit));
+    job::JobId::from_str_radix(digits?, 16).ok()
+}
+
 /// Answer for the client that sent a command with these outcomes.
 fn answer_to(outcomes: &[job::Outcome]) -> Answer {
     match outcomes.first() {
--- a/crates/entry/tests/reducer/access.rs
+++ b/crates/entry/tests/reducer/access.rs
@@ -157,19 +157,11 @@
         let call = submission(JOB, caller, small());
         pending.extend(state.reduce(ms(3100), 0, Event::Call { ticket, call, timeout: ms(1800) }));
     }
-    let (mut answered, mut logged) = (Vec::new(), 0);
-    for effect in pending {
-        if let Effect::Persist(quorum::Record::Entries { first, entries }) = effect {
-            let index = first + entries.len() as Index - 1;
-            let term = entries.last().expect("a record has entries").term;
-            let effects = state.reduce(ms(3110), 0, Event::Synced { term, index });
-            answered.extend(answers(&effects));
-            let refused = |effect: &&Effect| matches!(effect, Effect::Note(note) if note.what == "job-refused");
-            logged += effects.iter().filter(refused).count();
-        }
-    }
-    assert_eq!(answered, [Answer::Done, Answer::Conflict]);
-    assert_eq!(logged, 1, "the refusal has a line");
+    let effects = settle(&mut state, pending);
+    let refused =
+        |effect: &&Effect| matches!(effect, Effect::Note(note) if note.what == "job-refused");
+    assert_eq!(answers(&effects), [Answer::Done, Answer::Conflict]);
+    assert_eq!(effects.iter().filter(refused).count(), 1, "the refusal has a line");
     assert_eq!(state.table.jobs[&0xaa].organisation.as_deref(), Some("a"));
 }
 
@@ -295,3 +287,81 @@
     assert!(restored.exceeds_rate(&"a".into(), 0));
     assert!(restored.jobs[&2].surplus && !restored.jobs[&1].surplus);
 }
+
+/// Syncs the entries that `effects` persist, and returns what follows.
+fn settle(state: &mut State, effects: Vec<Effect>) -> Vec<Effect> {
+    let mut settled = Vec::new();
+    for effect in effects {
+        if let Effect::Persist(quorum::Record::Entries { first, entries }) = effect {
+            let index = first + entries.len() as Index - 1;
+            let term = entries.last().expect("a record has entries").term;
+            settled.extend(state.reduce(ms(3110), 0, Event::Synced { term, index }));
+        }
+    }
+    settled
+}
+
+/// A submission by an anonymous caller that the leader has not committed yet.
+fn start_to_post(
+    state: &mut State,
+    ticket: CallTicket,
+    path: &str,
+    spec: job::Spec,
+) -> Vec<Effect> {
+    let call = submission(path, NOBODY, spec);
+    state.reduce(ms(3100), 0, Event::Call { ticket, call, timeout: ms(1800) })
+}
+
+/// Guards against a job that is answered as accepted and never runs, since another has its id.
+#[test]
+fn an_id_of_another_queue_is_refused() {
+    let mut state = leader();
+    configure(&mut state, config_of(2, &[]));
+    let other = "/open/00000000000000aa";
+    assert_eq!(post(&mut state, JOB, NOBODY), Answer::Done);
+    let before = state.table.clone();
+    assert_eq!(post(&mut state, other, NOBODY), Answer::Conflict);
+    assert_eq!(get(&mut state, other, NOBODY), Answer::NoJob);
+    assert_eq!(delete(&mut state, other, NOBODY), Answer::NoJob);
+    assert_eq!(state.table, before);
+    assert_eq!(post(&mut state, JOB, NOBODY), Answer::Done, "a resend is still the same job");
+    // The id stays taken while the ended job is remembered.
+    assert_eq!(delete(&mut state, JOB, NOBODY), Answer::Done);
+    assert_eq!(post(&mut state, other, NOBODY), Answer::Conflict);
+}
+
+/// Guards against a caller that is told that its job was accepted when an earlier one was.
+#[test]
+fn an_id_of_a_job_with_another_description_is_refused() {
+    let mut state = leader();
+    let larger = || spec_of(model::Resources::default(), 2, false);
+    assert_eq!(post(&mut state, JOB, NOBODY), Answer::Done);
+    assert_eq!(ask(&mut state, ms(3100), submission(JOB, NOBODY, larger())), Answer::Conflict);
+    assert_eq!(*state.table.jobs[&0xaa].spec, small());
+}
+
+#[test]
+fn of_two_jobs_with_one_id_on_their_way_to_the_log_one_is_refused() {
+    let larger = || spec_of(model::Resources::default(), 2, false);
+    for (path, spec) in [("/open/00000000000000aa", small()), (JOB, larger())] {
+        let mut state = leader();
+        configure(&mut state, config_of(2, &[]));
+        let mut pending = start_to_post(&mut state, 1, JOB, small());
+        pending.extend(start_to_post(&mut state, 2, path, spec));
+        let settled = settle(&mut state, pending);
+        assert_eq!(answers(&settled), [Answer::Done, Answer::Conflict]);
+    }
+}
+
+/// Guards against two spellings of an id that mean one job.
+#[test]
+fn an_id_that_is_not_written_in_lower_case_is_refused() {
+    let mut state = leader();
+    for id in ["00000000000000AA", "+0000000000000aa", "0000000000000aa"] {
+        let path = format!("/q/{id}");
+        let answer = post(&mut state, &path, NOBODY);
+        assert!(matches!(answer, Answer::Invalid(_)), "{id}: {answer:?}");
+        assert_eq!(get(&mut state, &path, NOBODY), Answer::NoJob);
+    }
+    assert!(state.table.jobs.is_empty());
+}
--- a/crates/job/src/call.rs
+++ b/crates/job/src/call.rs
@@ -107,7 +107,8 @@
     NoWave,
     /// The caller has no key that the current configuration knows.
     Unauthorized,
-    /// The id belongs to a job of another organisation.
+    /// The id belongs to another job: of another organisation or queue, or with another
+    /// description.
     Conflict,
     /// The job exceeds the agreed rate of its organisation and could not be done in time. It was not
     /// accepted and will not be; the client may submit it again.
--- a/crates/job/src/job_record.rs
+++ b/crates/job/src/job_record.rs
@@ -54,6 +54,12 @@
         self.organisation.is_none() || self.organisation.as_ref() == organisation
     }
 
+    /// Whether a submission under the id of this job is this job once more. Ids are unique among all
+    /// queues, since a task is named by the id of its job alone.
+    pub fn is_resent_by(&self, queue: &Name, spec: &Spec, organisation: Option<&Name>) -> bool {
+        self.is_visible_to(organisation) && self.queue == *queue && *self.spec == *spec
+    }
+
     /// State of `task`, which must belong to this job.
     pub fn task_state(&self, task: TaskId) -> Option<&TaskState> {
         self.rounds.get(task.round as usize)?.task_state(task.group, task.index)
--- a/crates/job/src/outcome.rs
+++ b/crates/job/src/outcome.rs
@@ -7,7 +7,8 @@
     Configured,
     /// The job exists, whether it was new or not.
     Accepted(JobId),
-    /// The id belongs to a job of another organisation.
+    /// The id belongs to another job: of another organisation or queue, or with another
+    /// description.
     Conflict(JobId),
     /// The job was cancelled or had ended before.
     Cancelled(JobId),
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -115,8 +115,8 @@
         let admission = config.and_then(|config| config.queue(&queue)?.admission);
         let delay = admission.map_or(Duration::ZERO, |admission| admission.min_delay());
         if let Some(record) = self.jobs.get(&id) {
-            let is_visible = record.is_visible_to(organisation.as_ref());
-            return vec![if is_visible { Outcome::Accepted(id) } else { Outcome::Conflict(id) }];
+            let is_resent = record.is_resent_by(&queue, &spec, organisation.as_ref());
+            return vec![if is_resent { Outcome::Accepted(id) } else { Outcome::Conflict(id) }];
         }
         let limits =
             organisation.as_ref().and_then(|name| Some((name, config?.organisation(name)?)));
