Configuration: what is accepted can be carried, and what is larger gets 413

Cause: a body of 4 MiB was accepted, its log entry held the text and the parsed form, a frame could have 8 MiB, and the queue for a peer took 4 MiB. A larger frame was dropped each time, and replication repeats the same frame for ever.

Change: one bound, model::MAX_REQUEST_BYTES; the bounds of frames and queues derive from it. An entry, and a call that is forwarded, hold the text alone, and each voter reads it when it applies it; entries in the old form are still read. An empty queue takes any frame. A body above the bound gets 413 with the bound at once, and the rest of the body is discarded. A dropped frame has a log line.

--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Maximum size of a request body, in bytes; a configuration is the largest.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+const MAX_BODY_BYTES: usize = model::MAX_REQUEST_BYTES;
 
 pub(crate) fn start(
     address: SocketAddr,
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -2,8 +2,14 @@
 
 use {
     super::*,
-    http_body_util::{BodyExt, Full, Limited},
-    hyper::{Request, Response, body::Incoming, header, server::conn::http1, service::service_fn},
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{
+        Request, Response,
+        body::{Body as _, Incoming},
+        header,
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     std::convert::Infallible,
     tokio::{
@@ -12,8 +18,9 @@
     },
 };
 
-/// Maximum size of a request body, in bytes.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Time for which the rest of a request that was refused for its size is read and discarded, so that
+/// its client finds the answer.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time allowed for receiving the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
@@ -33,6 +40,8 @@
     pub(crate) calls: mpsc::UnboundedSender<(Call, Duration, oneshot::Sender<Answer>)>,
     pub(crate) ready: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
+    /// Requests that were refused before they were read to their end, for the log.
+    pub(crate) refused: mpsc::UnboundedSender<(String, Answer)>,
     /// Number of requests without a response.
     pub(crate) in_flight: Cell<usize>,
     pub(crate) metrics: Rc<Metrics>,
@@ -47,6 +56,13 @@
     Scraper,
 }
 
+impl Endpoint {
+    /// Name in metrics.
+    fn name(self) -> &'static str {
+        if self == Self::Callers { "callers" } else { "control" }
+    }
+}
+
 /// Listens on `address` until the process ends.
 pub(crate) async fn serve(
     address: SocketAddr,
@@ -109,10 +125,16 @@
 ) -> Response<Body> {
     let started = std::time::Instant::now();
     let (head, body) = request.into_parts();
-    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-        return empty_response(400);
+    let body = match read(body).await {
+        Ok(body) => body,
+        Err(answer) => {
+            let call = format!("{} {}", head.method, head.uri.path());
+            server.refused.send((call, answer.clone())).ok();
+            let response = platform::response(&answer);
+            server.metrics.observe_answer(endpoint.name(), response.status, started.elapsed());
+            return http_response(response, true);
+        }
     };
-    let body = body.to_bytes();
     let header_text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let time_left = header_text(platform::TIME_LEFT_HEADER)
         .and_then(|time_left| time_left.parse().ok())
@@ -141,13 +163,35 @@
             platform::response(&answer.unwrap_or(Answer::Unknown))
         }
     };
-    let call = if callers { "callers" } else { "control" };
-    server.metrics.observe_answer(call, response.status, started.elapsed());
+    server.metrics.observe_answer(endpoint.name(), response.status, started.elapsed());
+    http_response(response, server.stopping.get())
+}
+
+/// Reads the body of a request; gives the answer to one that is too large, or not read to its end.
+async fn read(mut body: Incoming) -> Result<Bytes, Answer> {
+    let max = model::MAX_REQUEST_BYTES;
+    let too_large = body.size_hint().lower() > max as u64;
+    if !too_large {
+        match Limited::new(&mut body, max).collect().await {
+            Ok(read) => return Ok(read.to_bytes()),
+            Err(error) if !error.is::<LengthLimitError>() => {
+                return Err(Answer::Invalid(error.to_string()));
+            }
+            Err(_) => {}
+        }
+    }
+    spawn_local(tokio::time::timeout(DISCARD_TIMEOUT, async move {
+        while let Some(Ok(_)) = body.frame().await {}
+    }));
+    Err(Answer::TooLarge { max })
+}
+
+fn http_response(response: platform::Response, close: bool) -> Response<Body> {
     let mut builder = Response::builder().status(response.status);
     if let Some(seconds) = response.retry_after {
         builder = builder.header(header::RETRY_AFTER, seconds);
     }
-    if server.stopping.get() {
+    if close {
         builder = builder.header(header::CONNECTION, "close");
     }
     if response.body.is_some() {
--- a/crates/entry/src/pending_calls.rs
+++ b/crates/entry/src/pending_calls.rs
@@ -182,7 +182,7 @@
         let pending = self.waiting.get_mut(&ticket)?;
         pending.record_sent(now, to.clone());
         let deadline = self.clocks.translate(&to, pending.until);
-        let message = Message::Forward { ticket, call: pending.call.clone(), deadline };
+        let message = Message::Forward { ticket, call: pending.call.to_forward(), deadline };
         Some(Effect::Send { to, message })
     }
 
@@ -196,6 +196,10 @@
                 Answer::NotRun { retry: Self::RETRY_AFTER }
             }
         };
-        late.map(|(ticket, pending)| (ticket, pending.call.clone(), answer(&pending))).collect()
+        let late = late.map(|(ticket, pending)| {
+            let answer = answer(&pending);
+            (ticket, pending.call, answer)
+        });
+        late.collect()
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -101,9 +101,11 @@
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, calls_in) = mpsc::unbounded_channel();
+    let (refused, refusals) = mpsc::unbounded_channel();
     let metrics = Rc::new(Metrics::new());
     let server = Rc::new(ServerState {
         calls,
+        refused,
         metrics: metrics.clone(),
         ready: Cell::new(false),
         stopping: Cell::new(false),
@@ -148,7 +150,7 @@
         stopped: false,
     };
     event_loop.note("started", &settings.id, &format!("boot {boot:x}"));
-    event_loop.run(inbox, calls_in, durable, pending).await?;
+    event_loop.run(inbox, calls_in, refusals, durable, pending).await?;
     event_loop.note("stopped", &settings.id, "asked to stop");
     event_loop.log.close();
     Ok(())
@@ -245,6 +247,7 @@
         &mut self,
         mut frames: mpsc::UnboundedReceiver<(SocketAddr, Vec<u8>)>,
         mut calls_in: mpsc::UnboundedReceiver<IncomingCall>,
+        mut refusals: mpsc::UnboundedReceiver<(String, Answer)>,
         mut durable: mpsc::UnboundedReceiver<disk::Synced>,
         mut pending: mpsc::UnboundedReceiver<Event>,
     ) -> eyre::Result<()> {
@@ -283,6 +286,9 @@
                     Some((from, body)) = frames.recv() => self.on_frame(from, &body),
                     Some(event) = pending.recv() => self.push(event),
                     Some(call) = calls_in.recv() => self.on_call(call),
+                    Some((call, answer)) = refusals.recv() => {
+                        self.note("request-refused", &call, &format!("{answer:?}"));
+                    }
                     () = tokio::time::sleep(wait) => {}
                 }
             } else {
@@ -542,8 +548,11 @@
         let Ok(address) = to.parse::<SocketAddr>() else { return };
         match wire::Codec::encode(&messages) {
             Ok(body) => {
+                let bytes = body.len();
                 if !self.mesh.send(address, body) {
                     self.metrics.count_dropped_frame();
+                    let why = format!("no room for {bytes} bytes in the queue");
+                    self.note("frame-dropped", to, &why);
                 }
             }
             // The frame would be too large.
@@ -552,7 +561,10 @@
                     self.send_frame(to, std::slice::from_ref(message));
                 }
             }
-            Err(error) => self.note("message-not-sent", to, &error.to_string()),
+            Err(error) => {
+                self.metrics.count_dropped_frame();
+                self.note("message-not-sent", to, &error.to_string());
+            }
         }
     }
 
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -95,15 +95,15 @@
                 }
                 Answer::Done
             }
+            Call::Configure(config) if self.has_version(config.version) => Answer::Done,
             Call::Configure(config) => {
-                let current = self.table.config.as_ref().map(|current| current.version);
-                if current.is_some_and(|current| current >= config.version) {
-                    Answer::Done
-                } else {
-                    let command = Command::Configure(*config);
-                    return self.propose(now, unix, command, Some(reply_to), effects);
-                }
+                return self.propose_config(now, unix, reply_to, *config, effects);
             }
+            Call::Publish(document) if self.has_version(document.version) => Answer::Done,
+            Call::Publish(document) => match (self.read_config)(&document.text) {
+                Ok(config) => return self.propose_config(now, unix, reply_to, config, effects),
+                Err(error) => Answer::Invalid(error),
+            },
             Call::Config => match &self.table.config {
                 Some(config) => Answer::Config(config.text.clone()),
                 None => not_run,
@@ -127,6 +127,37 @@
         self.answer(reply_to, answer, effects);
     }
 
+    /// Whether the current configuration is of this version or of a later one.
+    fn has_version(&self, version: u64) -> bool {
+        self.version().is_some_and(|current| current >= version)
+    }
+
+    /// Proposes a configuration, whose text alone enters the log.
+    fn propose_config(
+        &mut self,
+        now: Time,
+        unix: job::UnixMs,
+        reply_to: ReplyTo,
+        config: job::Config,
+        effects: &mut Vec<Effect>,
+    ) {
+        let command = Command::Publish(job::Document::from(&config));
+        self.proposed_config = Some(config);
+        self.propose(now, unix, command, Some(reply_to), effects);
+    }
+
+    /// Reads the configuration that a committed command holds as text.
+    fn read(&mut self, command: Command) -> Command {
+        let Command::Publish(document) = command else { return command };
+        if self.has_version(document.version) {
+            return Command::Publish(document);
+        }
+        let proposed = self.proposed_config.take();
+        let proposed = proposed.filter(|config| job::Document::from(config) == document);
+        let config = proposed.map_or_else(|| (self.read_config)(&document.text), Ok);
+        Command::Configure(config.expect("the leader has read what it proposed"))
+    }
+
     /// Version of the current configuration.
     pub(crate) fn version(&self) -> Option<u64> {
         self.table.config.as_ref().map(|config| config.version)
@@ -240,6 +271,7 @@
             }
             _ => {}
         }
+        let command = self.read(command);
         let outcomes = self.table.apply(command);
         if let Some(reply_to) = self.commits.remove(&index) {
             let answer = answer_to(&outcomes);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -38,6 +38,10 @@
     pub(crate) carriers: Carriers,
     pub(crate) overload: Overload,
     pub(crate) surplus: Surplus,
+    /// Reads the text of a configuration.
+    pub(crate) read_config: fn(&str) -> Result<job::Config, String>,
+    /// The configuration that this leader proposed last, until it is applied; saves reading it again.
+    pub(crate) proposed_config: Option<job::Config>,
     pub(crate) organisation_labels: OrganisationLabels,
     /// Where to send the answer once a log entry is committed.
     pub(crate) commits: BTreeMap<Index, ReplyTo>,
@@ -96,6 +100,8 @@
             carriers: Carriers::default(),
             overload: Overload::default(),
             surplus: Surplus::default(),
+            read_config: platform::read_config,
+            proposed_config: None,
             organisation_labels: OrganisationLabels::default(),
             commits: BTreeMap::new(),
             ready: false,
@@ -658,6 +664,7 @@
             self.leader_term = None;
             self.lease_lapsed = None;
             self.batch = None;
+            self.proposed_config = None;
             self.carriers.resign();
             self.step_scheduler(now, unix, job::Event::Resign, effects);
             for (_, reply_to) in std::mem::take(&mut self.commits) {
--- a/crates/entry/tests/reducer/fleet.rs
+++ b/crates/entry/tests/reducer/fleet.rs
@@ -71,7 +71,8 @@
         let seeds = VOTERS.iter().map(|name| Name::from(*name)).collect();
         let scheduler = Scheduler::new(job::Bounds::default());
         let grace = Duration::from_secs(2);
-        let state = State::new(identity(name, boot), seeds, is_new_fleet, scheduler, grace);
+        let mut state = State::new(identity(name, boot), seeds, is_new_fleet, scheduler, grace);
+        state.read_config = read_config;
         let daemon = Daemon {
             state,
             timers: ::timer::Queue::default(),
@@ -197,7 +198,7 @@
         let config = config_of(version, &[("a", 100, keys), ("b", 100, &[2])]);
         self.run_until("a leader serves", |fleet| fleet.leader().is_some());
         let leader = self.leader().expect("a leader");
-        assert_eq!(self.call(&leader, Call::Configure(Box::new(config))), Answer::Done);
+        assert_eq!(self.call(&leader, configuration(config)), Answer::Done);
     }
 
     /// Asks through `to` for the length of the queue, with a key.
@@ -295,7 +296,7 @@
             let config = config_of(version, &[("a", 100, &[10 + version as u8])]);
             // The operators use different daemons.
             let to = VOTERS[version as usize % VOTERS.len()].into();
-            fleet.send(&to, Call::Configure(Box::new(config)))
+            fleet.send(&to, configuration(config))
         });
         fleet.run(1000);
         for ticket in tickets {
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -5,6 +5,7 @@
 mod access;
 mod account;
 mod carriers;
+mod configuration;
 mod fleet;
 mod forwarding;
 mod load;
@@ -136,9 +137,25 @@
     run(state, now, from_other(appended))
 }
 
+/// The call that replaces the configuration, whose text is made to be read by [`read_config`].
+fn configuration(config: job::Config) -> Call {
+    let bytes = postcard::to_stdvec(&job::Config { text: "".into(), ..config.clone() });
+    let bytes = bytes.expect("a configuration can be encoded");
+    let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    Call::Configure(Box::new(job::Config { text: text.into(), ..config }))
+}
+
+/// Reads what [`configuration`] wrote.
+fn read_config(text: &str) -> Result<job::Config, String> {
+    let byte = |i| u8::from_str_radix(&text[i..i + 2], 16).map_err(|error| error.to_string());
+    let bytes: Vec<_> = (0..text.len()).step_by(2).map(byte).collect::<Result<_, _>>()?;
+    let config: job::Config = postcard::from_bytes(&bytes).map_err(|error| error.to_string())?;
+    Ok(job::Config { text: text.into(), ..config })
+}
+
 /// Puts a configuration in force.
 fn configure(state: &mut State, config: job::Config) {
-    let call = Call::Configure(Box::new(config));
+    let call = configuration(config);
     let effects = run(state, ms(3000), Event::Call { ticket: 99, call, timeout: ms(900) });
     assert_eq!(answers(&effects), [Answer::Done]);
 }
--- a/crates/job/src/call.rs
+++ b/crates/job/src/call.rs
@@ -58,9 +58,19 @@
     },
     /// An operator asks for the progress of a wave.
     Wave(WaveId),
+    /// [`Call::Configure`], as another daemon forwards it.
+    Publish(Document),
 }
 
 impl Call {
+    /// The call as another daemon gets it. A configuration is forwarded as its text alone.
+    pub fn to_forward(&self) -> Self {
+        match self {
+            Self::Configure(config) => Self::Publish(Document::from(&**config)),
+            call => call.clone(),
+        }
+    }
+
     /// Subject of the request, for the log.
     pub fn subject(&self) -> String {
         match self {
@@ -70,6 +80,7 @@
             Self::Announce(announcement) => announcement.incarnation.to_string(),
             Self::Leave { name, .. } => name.to_string(),
             Self::Configure(config) => format!("version {}", config.version),
+            Self::Publish(document) => format!("version {}", document.version),
             Self::Config => "configuration".into(),
             Self::StartWave { id, .. } | Self::Wave(id) => format!("wave {id}"),
         }
@@ -117,6 +128,11 @@
     },
     /// The request is invalid.
     Invalid(String),
+    /// The request is larger than can be carried.
+    TooLarge {
+        /// Maximum size of its body, in bytes.
+        max: usize,
+    },
 }
 
 impl Answer {
@@ -130,6 +146,7 @@
                 | Self::Conflict
                 | Self::NoQueue
                 | Self::Invalid(_)
+                | Self::TooLarge { .. }
         )
     }
 }
--- a/crates/job/src/command.rs
+++ b/crates/job/src/command.rs
@@ -41,4 +41,7 @@
     },
     /// Records a new leader, before it sends its first order about a machine.
     TakeOver(Leader),
+    /// Replaces the configuration, as [`Command::Configure`] does, by the one in the text. Whoever
+    /// applies it reads the text and applies `Configure`, unless the version is not newer.
+    Publish(Document),
 }
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -31,6 +31,7 @@
 mod config;
 mod crashes;
 mod departure;
+mod document;
 mod due;
 mod durations;
 mod effect;
@@ -100,6 +101,7 @@
     command::Command,
     config::{Config, Limits, Pool},
     crashes::Crashes,
+    document::Document,
     effect::{Effect, Note},
     end_reason::EndReason,
     event::Event,
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -42,6 +42,7 @@
             }
             Command::CommitBatch { at, batch } => self.apply_batch(at, batch),
             Command::TakeOver(leader) => self.record_leader(leader),
+            Command::Publish(_) => vec![Outcome::Configured],
         }
     }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -59,6 +59,10 @@
 /// Position of an entry in the replicated log, counted from 1.
 pub type Index = u64;
 
+/// Maximum size of the body of a request, in bytes. What is accepted has to be carried: the bounds of
+/// log entries, frames and queues between daemons follow from this one.
+pub const MAX_REQUEST_BYTES: usize = 4 * 1024 * 1024;
+
 /// Hash map with a fast hasher, seeded per process. Its iteration order differs between
 /// processes, so it must not be iterated where order matters.
 pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -12,6 +12,7 @@
 impl Frame {
     /// Version of the frame format of this build.
     pub const VERSION: u8 = 1;
-    /// Maximum size of a body, in bytes.
-    pub const MAX_BYTES: usize = 8 * 1024 * 1024;
+    /// Maximum size of a body, in bytes: a request, in the form that the log holds, and what surrounds
+    /// it. Larger contents, such as snapshots, are sent in parts.
+    pub const MAX_BYTES: usize = 2 * model::MAX_REQUEST_BYTES;
 }
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -16,9 +16,9 @@
 /// Maximum number of frames queued for one peer.
 const OUTBOX_FRAMES: usize = 4096;
 
-/// Maximum size of the frames queued for one peer, in bytes: about one second of traffic on the
-/// busiest link of a leader, and small compared to its memory.
-const OUTBOX_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum size of the frames queued for one peer, in bytes. An empty queue takes any frame: the
+/// protocols above repeat what was dropped, and would repeat a frame that never fits for ever.
+const OUTBOX_BYTES: usize = model::MAX_REQUEST_BYTES;
 
 /// Time within which a connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -71,8 +71,10 @@
 
     /// Queues `body`; returns false if the queue is full or closed.
     fn try_send(&self, body: Vec<u8>) -> bool {
-        let bytes = self.bytes.get() + body.len();
-        let fits = bytes <= OUTBOX_BYTES && self.frames.try_send(body).is_ok();
+        let queued = self.bytes.get();
+        let bytes = queued + body.len();
+        let has_room = queued == 0 || bytes <= OUTBOX_BYTES;
+        let fits = has_room && self.frames.try_send(body).is_ok();
         if fits {
             self.bytes.set(bytes);
         }
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -54,3 +54,29 @@
     drop(stop);
     assert!(queued <= MAX_QUEUED_BYTES, "{queued} bytes were queued for a blocked peer");
 }
+
+/// Guards against a frame that the encoder lets pass and the queue for the peer never takes.
+#[test]
+fn a_frame_of_the_largest_size_is_delivered() {
+    let (receiver, sender) =
+        (SocketAddr::from(([127, 9, 0, 3], 7810)), SocketAddr::from(([127, 9, 0, 4], 7810)));
+    let (delivered, on_delivered) = std_mpsc::channel();
+    on_thread(move || async move {
+        let (frames, mut inbox) = mpsc::unbounded_channel();
+        let _mesh = wire::Mesh::start(receiver, frames).expect("an address");
+        while let Some((_, body)) = inbox.recv().await {
+            delivered.send(body.len()).ok();
+        }
+    });
+    on_thread(move || async move {
+        let (frames, _inbox) = mpsc::unbounded_channel();
+        let mesh = wire::Mesh::start(sender, frames).expect("an address");
+        // The protocols above repeat what gets no answer.
+        loop {
+            mesh.send(receiver, vec![0; wire::Frame::MAX_BYTES]);
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    });
+    let bytes = on_delivered.recv_timeout(Duration::from_secs(30)).expect("the frame arrives");
+    assert_eq!(bytes, wire::Frame::MAX_BYTES);
+}
