Failing tests: evidence that is a coincidence or unknown, deadly tasks without a limit

The world gets instances that restart under their names after a crash by a task, a list of machines that is unavailable, a loss of all members' announcements, and a wall clock that is ahead. Nothing is fixed and no check is changed.

--- a/crates/job/tests/world/calls.rs
+++ b/crates/job/tests/world/calls.rs
@@ -159,7 +159,7 @@
         self.starts.push((at, task, number, receiver.clone()));
         self.note_start_after_crashes(task);
         match self.deadly.get(&task).copied() {
-            Some(0) => self.lose_power(receiver),
+            Some(0) => self.crash_by_task(receiver),
             Some(after) => {
                 self.schedule(after, SimEvent::Crash { incarnation: receiver.clone() });
             }
--- a/crates/job/tests/world/crashes.rs
+++ b/crates/job/tests/world/crashes.rs
@@ -4,6 +4,8 @@
 
 /// Time until the machine of a crashed instance is in operation again.
 const REPAIR_MS: u64 = 3000;
+/// Time until an instance that restarts under its name is in operation again.
+const RESTART_MS: u64 = 1000;
 
 impl World {
     /// Ends an incarnation at once, with everything that runs there.
@@ -34,6 +36,17 @@
         }
     }
 
+    /// Crashes an instance because of a task that it started.
+    pub(super) fn crash_by_task(&mut self, incarnation: &Incarnation) {
+        if !self.restarts_after_crash {
+            self.lose_power(incarnation);
+        } else if self.instances.get(incarnation).is_some_and(|instance| instance.alive) {
+            self.end_by_crash(incarnation);
+            let incarnation = incarnation.clone();
+            self.schedule(RESTART_MS, SimEvent::Restarts { incarnation });
+        }
+    }
+
     /// Crashes an instance; its machine starts another one some seconds later.
     pub fn lose_power(&mut self, incarnation: &Incarnation) {
         if !self.instances.get(incarnation).is_some_and(|instance| instance.alive) {
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -48,6 +48,7 @@
     PlatformAnswer { epoch: Epoch, id: CallId },
     MachineJoins { machine: Name },
     Crash { incarnation: Incarnation },
+    Restarts { incarnation: Incarnation },
     AdmissionDecision { epoch: Epoch, id: CallId },
 }
 
@@ -128,6 +129,12 @@
     pub run_times: BTreeMap<GroupId, u64>,
     /// Tasks that crash every instance that starts them, and after how many milliseconds.
     pub deadly: BTreeMap<TaskId, u64>,
+    /// Whether an instance that a task crashes restarts under the same name, on the same machine.
+    pub restarts_after_crash: bool,
+    /// By how much the wall clock of the leader is ahead.
+    pub clock_ahead_ms: u64,
+    /// Whether the platform leaves requests for the list of machines unanswered.
+    pub list_unavailable: bool,
     /// Number of starts of each task after each crash of an instance that ran it, by crash.
     pub starts_after_crashes: BTreeMap<TaskId, Vec<u32>>,
     /// Tasks whose successful end was committed.
@@ -179,6 +186,9 @@
             rejected_tickets: 0,
             run_times: BTreeMap::new(),
             deadly: BTreeMap::new(),
+            restarts_after_crash: false,
+            list_unavailable: false,
+            clock_ahead_ms: 0,
             starts_after_crashes: BTreeMap::new(),
             done: BTreeSet::new(),
             organisations: vec![config.organisations.clone()],
@@ -191,7 +201,7 @@
     }
 
     pub fn unix(&self) -> UnixMs {
-        EPOCH_MS + self.now
+        EPOCH_MS + self.now + self.clock_ahead_ms
     }
 
     fn time(&self) -> Duration {
@@ -278,6 +288,21 @@
         }
     }
 
+    /// Replaces the leader after all members lost power: the new one has heard of no instance.
+    pub fn restart_members(&mut self) {
+        let announced = self.instances.values_mut().filter(|instance| instance.alive);
+        let announced: Vec<_> = announced
+            .map(|instance| {
+                instance.alive = false;
+                instance.announcement.incarnation.clone()
+            })
+            .collect();
+        self.change_leader(false);
+        for incarnation in announced {
+            self.instances.get_mut(&incarnation).expect("an instance").alive = true;
+        }
+    }
+
     /// Replaces the leader. `commit_batch` tells whether the batch proposed by the old leader is
     /// committed.
     pub fn change_leader(&mut self, commit_batch: bool) {
@@ -429,7 +454,12 @@
                 }
             }
             SimEvent::MachineJoins { machine } => self.join(&machine),
-            SimEvent::Crash { incarnation } => self.lose_power(&incarnation),
+            SimEvent::Crash { incarnation } => self.crash_by_task(&incarnation),
+            SimEvent::Restarts { incarnation } => {
+                if let Some(later) = self.restart(&incarnation) {
+                    self.announce(&later);
+                }
+            }
             SimEvent::AdmissionDecision { epoch, id } => self.decide(epoch, id),
         }
     }
--- a/crates/job/tests/world/platform.rs
+++ b/crates/job/tests/world/platform.rs
@@ -50,6 +50,7 @@
         let Some((order, sent)) = self.platform_calls.remove(&(epoch, id)) else { return };
         self.trace(|| format!("platform receives {order:?} of epoch {epoch}"));
         let (machine, pool, absence_ms) = match order.clone() {
+            MachineOrder::List { .. } if self.list_unavailable => return,
             MachineOrder::List { .. } => {
                 let machines = self.machines.values().cloned().collect();
                 let result = Ok(MachineReply::Listed { machines, next: None });
