--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod forwarding;
 mod load;
+mod membership;
 mod organisations;
 mod outbox;
 
