Evidence against a task needs a crash soon after its start

The age of an attempt of a former leader, the identity of who answered a start and the content of an unread list are unknown and were read as zero, this one and empty.

Change: the age of an inherited attempt is unknown. A long-lived task is suspected only if its instance crashed within 1 s of its start; then five possible crashes end its job as any other. The end of a lease counts for attempts younger than 1 s if connections broke, and for all of an instance that this leader never heard from only if a known list does not show it. An answer counts for the crash of an instance that is back under its name if connections broke after it. A start that was refused was not sent: the task starts elsewhere at once, and nothing is counted.

The test of silent instances looked at the job while its task waited; it now looks after that, and that the task runs.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -44,8 +44,10 @@
                 instance.update_clock(clock, now);
             }
         }
-        if matches!(result, Err(CallError::Broken | CallError::Refused)) {
+        if result == Err(CallError::Broken) {
             instance.broken_since.get_or_insert(now);
+        }
+        if matches!(result, Err(CallError::Broken | CallError::Refused)) {
             self.machines.expect_crash();
         }
         match pending {
@@ -150,9 +152,14 @@
                 instance.unresponsive = true;
                 "other incarnation"
             }
+            Err(CallError::Refused) => {
+                instance.unresponsive = true;
+                instance.renewal_in_flight = false;
+                instance.renew_at = now;
+                "connection refused"
+            }
             Ok(Reply::Report { .. } | Reply::Fenced) | Err(_) => {
                 attempt.stage = Stage::Unanswered;
-                attempt.broke_off = result == Err(CallError::Broken);
                 // The renewal in flight may be held open for long.
                 instance.renewal_in_flight = false;
                 instance.renew_at = now;
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -220,10 +220,17 @@
         let is_over =
             |instance: &Instance| now >= instance.lease_expires && !instance.attempts.is_empty();
         let over = self.instances.iter().filter(|(_, instance)| is_over(instance));
-        for incarnation in over.map(|(incarnation, _)| incarnation.clone()).collect::<Vec<_>>() {
+        let over = over.map(|(incarnation, instance)| {
+            let reasons = if self.is_leaving(instance) {
+                BTreeMap::new()
+            } else {
+                instance.lapse_reasons(self.machines.is_unlisted(&incarnation.name))
+            };
+            (incarnation.clone(), reasons)
+        });
+        for (incarnation, reasons) in over.collect::<Vec<_>>() {
             let Some(instance) = self.instances.get_mut(&incarnation) else { continue };
             let silence = instance.silence(now);
-            let reasons = instance.lapse_reasons(self.machines.lists(&incarnation.name));
             for (task, attempt) in &mut instance.attempts {
                 if matches!(attempt.stage, Stage::Ending | Stage::Proposed) {
                     continue;
--- a/crates/job/src/crashes.rs
+++ b/crates/job/src/crashes.rs
@@ -14,8 +14,8 @@
     const MAX_PROVEN: u8 = 3;
     /// The same if no other job was on board at the last one.
     const MAX_PROVEN_ALONE: u8 = 2;
-    /// Proven and possible crashes after which a task that ends by itself is given up. Two further
-    /// starts are allowed after the third crash.
+    /// Proven and possible crashes after which a task is given up. Two further starts are allowed
+    /// after the third crash.
     const MAX: u8 = 5;
     /// Time after which the evidence against a continuous task expires, in milliseconds.
     pub(crate) const VALIDITY_MS: UnixMs = 3_600_000;
@@ -38,12 +38,11 @@
         self.proven > 0 || self.possible > 1
     }
 
-    /// Whether the task is given up after an attempt that ended for `reason`. A continuous task is on
-    /// board of whatever happens to its instances, so that only proof counts against it.
-    pub(crate) fn is_given_up(&self, reason: EndReason, continuous: bool) -> bool {
+    /// Whether the task is given up after an attempt that ended for `reason`.
+    pub(crate) fn is_given_up(&self, reason: EndReason) -> bool {
         let alone = reason == EndReason::Crashed { alone: true };
         self.proven >= Self::MAX_PROVEN
             || alone && self.proven >= Self::MAX_PROVEN_ALONE
-            || !continuous && self.proven.saturating_add(self.possible) >= Self::MAX
+            || self.proven.saturating_add(self.possible) >= Self::MAX
     }
 }
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -76,11 +76,9 @@
     /// Whether it has run on the incarnation that it is assigned to. A start request is addressed
     /// by instance name, so its answer alone may have come from a later incarnation.
     pub(crate) confirmed: bool,
-    /// Whether the connection broke while its start request waited for an answer.
-    pub(crate) broke_off: bool,
     /// Whether it belongs to a suspect job, so that nothing else is placed beside it at first.
     pub(crate) isolated: bool,
-    /// How it ends if it turns out not to run: how an earlier incarnation ended that may have run it.
+    /// How it ends if it turns out not to run. `Lost` unless an earlier incarnation may have run it.
     pub(crate) end_if_absent: EndReason,
     /// Whether it is to be stopped.
     pub(crate) stop_requested: bool,
@@ -302,7 +300,6 @@
             has_latency_target: group.is_some_and(|group| group.latency_target.is_some()),
             conclusive_from: None,
             confirmed: false,
-            broke_off: false,
             isolated: false,
             end_if_absent: EndReason::Lost,
             stop_requested: false,
--- a/crates/job/src/isolation.rs
+++ b/crates/job/src/isolation.rs
@@ -46,50 +46,59 @@
     ///
     /// An attempt is known to have run until the crash only if the time of the crash is known: an
     /// instance that was silent may have ended it, and then crashed. If some attempts had just
-    /// started, one of them is a likelier cause than those that had worked for a while; a continuous
-    /// task would otherwise be suspected sooner or later. A start request that broke off when the
-    /// instance crashed has arrived, and is the cause if no other job had just started.
+    /// started, one of them is a likelier cause than those that had worked for a while. A long-lived
+    /// task is on board of whatever happens to its instances, so that only a crash soon after its
+    /// start counts against it.
     pub(crate) fn crash_reasons(&self, crashed_at: Option<Time>) -> BTreeMap<TaskId, EndReason> {
-        let on_board =
-            |attempt: &Attempt| !matches!(attempt.stage, Stage::Ending | Stage::Proposed);
+        let is_on_board = |attempt: &Attempt| {
+            attempt.end_if_absent == EndReason::Lost
+                && !matches!(attempt.stage, Stage::Ending | Stage::Proposed)
+        };
         let on_board: Vec<_> =
-            self.attempts.iter().filter(|(_, attempt)| on_board(attempt)).collect();
+            self.attempts.iter().filter(|(_, attempt)| is_on_board(attempt)).collect();
         let jobs: BTreeSet<_> = on_board.iter().map(|(task, _)| task.job).collect();
         let alone = jobs.len() == 1;
         let runs = |attempt: &Attempt| attempt.stage == Stage::Running;
         let is_younger_than = |attempt: &Attempt, age: Duration| {
-            crashed_at.is_some_and(|at| at < attempt.started + age)
+            let is_age_known = attempt.stage != Stage::Recovered && attempt.adopted_at.is_none();
+            is_age_known && crashed_at.is_some_and(|at| at < attempt.started + age)
         };
         let just_started = |attempt: &Attempt| !runs(attempt) || is_younger_than(attempt, STARTING);
-        let starting = on_board.iter().filter(|(_, attempt)| just_started(attempt));
-        let starting: BTreeSet<_> = starting.map(|(task, _)| task.job).collect();
-        let any_just_started = !starting.is_empty();
-        let is_proven = |attempt: &Attempt| {
-            let age = if any_just_started { STARTING } else { PROBATION };
-            let arrived = attempt.broke_off && starting.len() == 1;
-            (runs(attempt) || arrived) && is_younger_than(attempt, age)
-        };
+        let any_just_started = on_board.iter().any(|(_, attempt)| just_started(attempt));
         let reason = |attempt: &Attempt| {
-            if is_proven(attempt) {
+            let age = if any_just_started { STARTING } else { PROBATION };
+            // The answer to its start may be that of a later incarnation, unless connections broke
+            // after it.
+            let has_run = attempt.confirmed || self.broken_since.is_some();
+            if runs(attempt) && has_run && is_younger_than(attempt, age) {
                 EndReason::Crashed { alone }
-            } else if runs(attempt) && any_just_started && attempt.long_lived {
+            } else if attempt.long_lived && !is_younger_than(attempt, PROBATION) {
                 EndReason::Lost
             } else {
                 EndReason::Vanished
             }
         };
-        on_board.into_iter().map(|(task, attempt)| (*task, reason(attempt))).collect()
+        let reasons = on_board.into_iter().map(|(task, attempt)| (*task, reason(attempt)));
+        let earlier = self.attempts.iter().map(|(task, attempt)| (*task, attempt.end_if_absent));
+        reasons.chain(earlier.filter(|(_, reason)| *reason != EndReason::Lost)).collect()
     }
 
-    /// The attempts on board that may have crashed the instance, if its lease is over; the others are
-    /// lost. An instance that is only silent runs on, so its silence says nothing about its tasks. It
-    /// has crashed if this leader has never heard from it and the platform does not list it, or if
-    /// connections broke when a task had just started.
-    pub(crate) fn lapse_reasons(&self, is_listed: bool) -> BTreeMap<TaskId, EndReason> {
+    /// How the attempts on board ended, given that the lease is over; those that are missing are lost.
+    /// An instance that is only silent runs on, so its silence says nothing about its tasks. It has
+    /// crashed if connections broke, or if this leader has never heard from it and the platform does
+    /// not list it.
+    pub(crate) fn lapse_reasons(&self, is_unlisted: bool) -> BTreeMap<TaskId, EndReason> {
+        let is_gone = self.announcement.is_none() && is_unlisted;
+        let broke_at_start = |task: &TaskId| {
+            let broken_since = self.broken_since.filter(|_| !is_gone);
+            broken_since.is_some_and(|at| at < self.attempts[task].started + PROBATION)
+        };
         let mut reasons = self.crash_reasons(self.broken_since);
-        let is_gone = self.announcement.is_none() && !is_listed;
-        reasons.retain(|_, reason| is_gone || matches!(reason, EndReason::Crashed { .. }));
-        reasons.into_keys().map(|task| (task, EndReason::Vanished)).collect()
+        reasons.retain(|task, _| {
+            let is_moved = self.attempts[task].end_if_absent != EndReason::Lost;
+            is_gone || is_moved || broke_at_start(task)
+        });
+        reasons
     }
 
     /// The suspect job that has the instance to itself.
--- a/crates/job/src/job_record.rs
+++ b/crates/job/src/job_record.rs
@@ -166,7 +166,7 @@
         let since_crash = declared_group.continuous.then(|| at.saturating_sub(self.crashed_at));
         task_state.crashes.record(end.reason, since_crash);
         let exhausted = task_state.failed >= max_attempts && !declared_group.continuous
-            || task_state.crashes.is_given_up(end.reason, declared_group.continuous);
+            || task_state.crashes.is_given_up(end.reason);
         if declared_group.gang && task_state.checkpoint.is_some() {
             let checkpoint = task_state.checkpoint.clone();
             for task_state in &mut round.groups[usize::from(group)] {
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -131,11 +131,12 @@
         maintenance_begun
     }
 
-    /// Whether the platform lists an instance as in operation.
-    pub(crate) fn lists(&self, instance: &Name) -> bool {
-        self.listed.values().any(|machine| {
+    /// Whether the platform's list is known and does not show an instance in operation.
+    pub(crate) fn is_unlisted(&self, instance: &Name) -> bool {
+        let shows = |machine: &Machine| {
             machine.state == MachineState::Up && machine.instance.as_ref() == Some(instance)
-        })
+        };
+        self.complete && !self.listed.values().any(shows)
     }
 
     /// Updates `largest` from the listed machines.
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -479,11 +479,8 @@
                     Stage::Starting | Stage::Unanswered | Stage::Recovered | Stage::Running,
                     Some(successor),
                 ) if !attempt.confirmed => {
-                    if !planned {
-                        // An answered start may have been answered by the later incarnation.
-                        let answered = attempt.stage == Stage::Running;
-                        let reason = reasons.get(&task).filter(|_| !answered);
-                        attempt.end_if_absent = reason.copied().unwrap_or(EndReason::Vanished);
+                    if !planned && let Some(reason) = reasons.get(&task) {
+                        attempt.end_if_absent = *reason;
                     }
                     attempt.stage = Stage::Unanswered;
                     attempt.stop_requested = true;
--- a/crates/job/tests/evidence.rs
+++ b/crates/job/tests/evidence.rs
@@ -74,7 +74,9 @@
         world.run(9500);
     }
     assert_eq!(world.crashes_under(first_task(7)), 0);
+    world.run(9500);
     assert_eq!(state(&world, 7), JobState::Running);
+    assert_eq!(instances_of(&world, 7).len(), 1, "nothing runs");
 }
 
 #[test]
