A clock that was ahead holds up no job under the next leader

A job that a leader with a clock ahead had accepted was not started by the next one until its own clock had caught up, and a suspect waited for an empty instance for as long (found by review; nothing of a continuous task ran for 8 s with a clock 60 s ahead).

Cause: a job that does not recur was due at the time at which it was accepted. Change: such a job is always due, and the time since a crash is the difference of the clocks, whichever is ahead.

--- a/crates/job/src/due.rs
+++ b/crates/job/src/due.rs
@@ -38,11 +38,15 @@
             Some((job, record, queue, by(queue)?))
         });
         queued.flat_map(|(job, record, queue, by)| {
-            let rounds = record.rounds.iter().zip(0..).map(move |(round, number)| {
+            // A job that does not recur is due even if the leader that accepted it had a clock that
+            // was ahead.
+            let is_due = move |number| record.spec.due(number).is_none_or(|at| at <= by);
+            let rounds = record.rounds.iter().zip(0..);
+            let due = rounds.take_while(move |(_, number)| is_due(*number));
+            due.map(move |(round, number)| {
                 let at = record.spec.due(number).unwrap_or(record.accepted_at);
                 Self { job, number, at, record, round, queue }
-            });
-            rounds.take_while(move |due| due.at <= by)
+            })
         })
     }
 
--- a/crates/job/src/isolation.rs
+++ b/crates/job/src/isolation.rs
@@ -115,7 +115,8 @@
 impl JobRecord {
     /// Where its tasks may be placed at `unix`.
     pub(crate) fn isolation(&self, unix: UnixMs) -> Isolation {
-        let since_crash = unix.saturating_sub(self.crashed_at);
+        // The clock of an earlier leader may have been ahead.
+        let since_crash = unix.abs_diff(self.crashed_at);
         if !self.is_suspect() || self.spec.is_continuous() && since_crash > Crashes::VALIDITY_MS {
             Isolation::None
         } else if since_crash < PATIENCE_MS {
