A run that ends `done` does not exhaust the attempts of its task

With max-attempts lowered while its last run was at work, a job was shown as failed though that run had ended done (found by review, the test failed before). The limit was compared at every end; now only at one that failed.

--- a/crates/job/src/job_record.rs
+++ b/crates/job/src/job_record.rs
@@ -165,7 +165,8 @@
         task_state.ended |= !end.reason.may_not_have_run();
         let since_crash = declared_group.continuous.then(|| at.saturating_sub(self.crashed_at));
         task_state.crashes.record(end.reason, since_crash);
-        let exhausted = task_state.failed >= max_attempts && !declared_group.continuous
+        let has_failed = end.reason == EndReason::Failed && !declared_group.continuous;
+        let exhausted = has_failed && task_state.failed >= max_attempts
             || task_state.crashes.is_given_up(end.reason);
         if declared_group.gang && task_state.checkpoint.is_some() {
             let checkpoint = task_state.checkpoint.clone();
