--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -11,6 +11,8 @@
     join_requests: BTreeMap<Name, Time>,
     /// When this leader first checked whether the fleet has settled.
     settling_since: Option<Time>,
+    /// Term in which this daemon leads, and when it first asked for a change in it.
+    leading_since: Option<(quorum::Term, Time)>,
 }
 
 impl Membership {
@@ -63,8 +65,14 @@
         let observers = members.iter().filter(|(_, member)| member.role == quorum::Role::Observer);
         let standby: Vec<_> =
             observers.map(|(name, _)| name.clone()).filter(|name| alive(name)).collect();
+        // A member that has not answered this leader yet may have answered the former one.
+        let leading_since = match self.leading_since {
+            Some((term, since)) if term == quorum.term() => since,
+            _ => self.leading_since.insert((quorum.term(), now)).1,
+        };
         let unresponsive = |name: &&Name| {
-            let answered = progress.get(*name).map(|peer| peer.last_acked_send.unwrap_or_default());
+            let answered =
+                progress.get(*name).map(|peer| peer.last_acked_send.unwrap_or(leading_since));
             answered.is_some_and(|at| now > at + Self::VOTER_TIMEOUT)
         };
         let voters = members.voters().count();
