--- a/crates/entry/src/http_client.rs
+++ b/crates/entry/src/http_client.rs
@@ -104,7 +104,9 @@
 }
 
 async fn connect(address: &Name) -> Result<Sender, CallError> {
-    let connecting = TcpStream::connect(&**address);
+    // Names are not resolved: that cannot be given up, and would hold up the end of the process.
+    let address = address.parse::<SocketAddr>().map_err(|_| CallError::Unreadable)?;
+    let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
     let stream = stream.map_err(|_| CallError::Timeout)?.map_err(|_| CallError::Broken)?;
     stream.set_nodelay(true).ok();
