A latency of any size is compared with its target

What callers see, by the tests: a row of a report with a figure above 42,949,672 ended a leader built with overflow checks; others wrapped around and let best-effort tasks run on beside a task over its target. A target above 49 days lost its upper bits, and could pause best-effort tasks for good.

Cause: the share of the target was computed in 32 bits.

--- a/crates/job/src/throttling.rs
+++ b/crates/job/src/throttling.rs
@@ -6,9 +6,9 @@
 
 impl Scheduler {
     /// Best-effort tasks are paused when latency exceeds this percentage of its target.
-    const HIGH_PERCENT: u32 = 80;
+    const HIGH_PERCENT: u128 = 80;
     /// Best-effort tasks are sped up when latency is below this percentage of its target.
-    const LOW_PERCENT: u32 = 55;
+    const LOW_PERCENT: u128 = 55;
     /// Percentage points by which the speed is raised in one step.
     const STEP_PERCENT: u8 = 20;
     /// Minimum time between a change of the speed and the next step up.
@@ -31,7 +31,8 @@
             else {
                 continue;
             };
-            worst = worst.max(attempt.gauge * 100 / (latency_target.as_millis() as u32).max(1));
+            let percent = u128::from(attempt.gauge) * 100 / latency_target.as_millis().max(1);
+            worst = worst.max(percent);
         }
         let mut orders = Vec::new();
         for (task, attempt) in &mut instance.attempts {
@@ -60,7 +61,7 @@
 
     /// New speed of a best-effort task, in percent, given the worst latency as a percentage of its
     /// target.
-    fn new_speed(now: Time, worst: u32, attempt: &Attempt) -> u8 {
+    fn new_speed(now: Time, worst: u128, attempt: &Attempt) -> u8 {
         if worst > Self::HIGH_PERCENT {
             return 0;
         }
--- a/crates/job/tests/world/calls.rs
+++ b/crates/job/tests/world/calls.rs
@@ -106,7 +106,10 @@
                     Reply::InvalidTicket { clock: self.instances[&receiver].clock(now) }
                 }
             }
-            Order::Throttle { .. } => Reply::Done { clock: instance.clock(now) },
+            Order::Throttle { task, percent, .. } => {
+                instance.speeds.insert(task, percent);
+                Reply::Done { clock: instance.clock(now) }
+            }
         };
         self.answer(call, reply);
     }
--- a/crates/job/tests/world/instance.rs
+++ b/crates/job/tests/world/instance.rs
@@ -24,6 +24,10 @@
     pub rejected: BTreeMap<TaskId, AttemptNumber>,
     /// A renewal held open until an attempt ends, and the time at which it is answered anyway.
     pub held_renewal: Option<(CallId, u64)>,
+    /// Gauge that it reports for every attempt.
+    pub gauge: u32,
+    /// Speed last requested for each attempt, in percent.
+    pub speeds: BTreeMap<TaskId, u8>,
 }
 
 /// Time for which a capacity that has shrunk still counts: that of contact and an announcement.
@@ -105,7 +109,7 @@
             percent: run.until.map_or(100, |until| {
                 ((now - run.since) * 100 / (until - run.since).max(1)).min(100) as u8
             }),
-            gauge: 0,
+            gauge: self.gauge,
         });
         Reply::Report {
             clock: self.clock(now),
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -229,6 +229,8 @@
             acknowledged: 0,
             rejected: BTreeMap::new(),
             held_renewal: None,
+            gauge: 0,
+            speeds: BTreeMap::new(),
         };
         self.instances.insert(incarnation, instance);
     }
