An announcement from the far future hides no instance

What callers see, by the test: an announcement under the name of an instance, with a start time in the far future, replaced the instance: its attempts counted as lost, and its own announcements as late.

Cause: of two start times the later one wins, and any was believed.

Evidence: an_announcement_from_the_far_future_is_refused_and_hides_no_instance failed before: the instance of the future joined and was called.

The leader refuses an announcement whose start is more than 24 h after its own clock, with a log line. The bound leaves room for clocks that are wrong by hours; within it, an announcement of another writer can't be told from one of a restarted instance.

--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -81,6 +81,12 @@
                     }
                 }
             },
+            Call::Announce(announcement) if is_from_future(unix, &announcement.incarnation) => {
+                let why = "it starts after the clock of this daemon by far";
+                let about = announcement.incarnation.to_string();
+                effects.push(log::line("announcement-refused", about, why));
+                Answer::Invalid(why.into())
+            }
             Call::Announce(announcement) => {
                 if self.scheduler.record_news(now, &announcement) {
                     self.broadcast_announcement(&announcement, effects);
@@ -370,6 +376,15 @@
     }
 }
 
+/// Difference between the clocks of an instance and of a daemon above which an announcement is not
+/// believed.
+const MAX_CLOCK_ERROR: Duration = Duration::from_secs(24 * 3600);
+
+/// Whether an incarnation claims to start so far in the future that no wrong clock explains it.
+fn is_from_future(unix: job::UnixMs, incarnation: &job::Incarnation) -> bool {
+    Duration::from_millis(incarnation.born.saturating_sub(unix)) > MAX_CLOCK_ERROR
+}
+
 /// Number of hexadecimal digits of a job id in a path.
 const ID_DIGITS: usize = 16;
 
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod forwarding;
 mod load;
+mod odd;
 mod organisations;
 mod outbox;
 
