Clocks and holds that daemons report end no process

What would be seen, by the tests: a daemon that is told a clock, or a hold for orders, near the largest duration ended ("overflow when adding durations"), also in builds without overflow checks. Frames between daemons are encrypted and checked, so this takes a daemon that sends such values.

Cause: durations from frames were added to times without a bound.

The reading of a clock is added with saturation: a deadline on such a clock is late, or never. A hold is capped at the longest one that a leader chooses.

--- a/crates/entry/src/carriers.rs
+++ b/crates/entry/src/carriers.rs
@@ -66,7 +66,7 @@
     /// For each thousand orders a second, orders and results are held for this long.
     const HOLD_PER_THOUSAND_ORDERS: Duration = Duration::from_millis(6);
     /// A task is held twice, at its start and at its end, and short ones must still be in time.
-    const MAX_ORDER_HOLD: Duration = Duration::from_millis(24);
+    pub(crate) const MAX_ORDER_HOLD: Duration = Duration::from_millis(24);
     /// The rate of orders that carriers are chosen for falls to half in this time after a peak.
     const RATE_HALF_LIFE: Duration = Duration::from_secs(4);
     /// A daemon that was not heard from for this long is not chosen.
--- a/crates/entry/src/peer_clock.rs
+++ b/crates/entry/src/peer_clock.rs
@@ -28,7 +28,7 @@
     /// What the clock shows at the local time `local`. It may show more, by the delay of the
     /// reading.
     fn at(&self, local: Time) -> Time {
-        (self.reading.at + local).saturating_sub(self.received)
+        self.reading.at.saturating_add(local).saturating_sub(self.received)
     }
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -483,7 +483,7 @@
                 self.pending_calls.known.extend(leader.clone());
                 if serves {
                     self.pending_calls.large_fleet = large_fleet;
-                    self.pending_calls.order_hold = order_hold;
+                    self.pending_calls.order_hold = order_hold.min(Carriers::MAX_ORDER_HOLD);
                     self.pending_calls.leader = Some(from);
                     self.pending_calls.last_served = Some(now);
                 } else if leader.as_ref() != Some(&from) {
--- a/crates/entry/tests/reducer/odd.rs
+++ b/crates/entry/tests/reducer/odd.rs
@@ -56,3 +56,38 @@
     let effects = announce(&mut state, announcement(UNIX + 3 * 3_600_000, 1));
     assert_eq!(answers(&effects), [Answer::Done]);
 }
+
+/// Guards against the overflow of a clock that another daemon reports.
+#[test]
+fn a_clock_of_a_daemon_of_any_size_ends_no_process() {
+    let leader: Name = "10.0.0.1:1".into();
+    let mut state = gateway(&leader);
+    pong(&mut state, ms(10), &leader, Duration::MAX);
+    assert_eq!(forwarded(&submit(&mut state, ms(20), 1)).len(), 1);
+    pong(&mut state, ms(30), &leader, Duration::MAX);
+}
+
+/// Guards against the overflow of the time for which messages are held.
+#[test]
+fn a_hold_of_any_length_that_a_daemon_reports_ends_no_process() {
+    let leader: Name = "10.0.0.1:1".into();
+    let mut state = gateway(&leader);
+    let message = Message::Pong {
+        leader: Some(leader.clone()),
+        members: vec![leader.clone()],
+        serves: true,
+        large_fleet: false,
+        order_hold: Duration::MAX,
+        clock: Reading { boot: 7, at: ms(10) },
+    };
+    peer(&mut state, ms(10), &leader, message);
+    let mut outbox = Outbox::default();
+    outbox.set_order_hold(state.order_hold());
+    let message = Message::OrderResult { id: 1, boot: 7, result: Err(job::CallError::Timeout) };
+    outbox.push(ms(20), &leader, message);
+    assert_eq!(
+        outbox.take_due(ms(120)).len(),
+        1,
+        "results go on while the instance holds its lease"
+    );
+}
