Damaged first records of a log are refused

Cause: a last frame that can't be read counts as truncated by a crash, and the first frame of records may be the last one. But a log appears under its name by a rename, after its header and first records are durable: a crash can't truncate these.

The properties for logs of any bytes and for damaged logs passed before and after.

Recovery refuses a log without a whole first frame of records as damaged, and changes nothing.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -64,6 +64,10 @@
         let mut restored =
             PersistentState { disk: Some(header.disk), ..PersistentState::default() };
         let mut rest = first.rest;
+        // A log appears whole under its name, with the header and the first records.
+        if Frame::split(rest, salt).is_none() {
+            return Err(damaged_at((bytes.len() - rest.len()) as u64));
+        }
         while let Some(frame) = Frame::split(rest, salt) {
             let offset = (bytes.len() - rest.len()) as u64;
             let batch = postcard::from_bytes::<Vec<Record>>(frame.body);
