--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -164,7 +164,8 @@
 
     /// Local time at which a lease of `length`, granted now, has expired for certain.
     pub(crate) fn lease_expiry_after(now: Time, length: Duration) -> Time {
-        now + length * (1000 + Self::DRIFT_PERMILLE) / 1000 + Self::EXPIRY_MARGIN
+        let longest = length.saturating_mul(1000 + Self::DRIFT_PERMILLE) / 1000;
+        now.saturating_add(longest).saturating_add(Self::EXPIRY_MARGIN)
     }
 
     /// Records that something arrived from it at `now`.
@@ -191,14 +192,15 @@
 
     /// Estimated reading of its clock.
     pub(crate) fn clock_at(&self, now: Time) -> Option<InstanceMs> {
-        self.clock.map(|(clock, at)| clock + now.saturating_sub(at).as_millis() as InstanceMs)
+        let (clock, at) = self.clock?;
+        Some(clock.saturating_add(now.saturating_sub(at).as_millis() as InstanceMs))
     }
 
     /// Extends the lease to `length` from now, and returns its deadline on the instance's clock.
     pub(crate) fn extend_lease(&mut self, now: Time, length: Duration) -> Option<InstanceMs> {
         let (clock, at) = self.clock?;
         let unheard = now.saturating_sub(at);
-        let lease = self.clock_at(now)? + length.as_millis() as InstanceMs;
+        let lease = self.clock_at(now)?.saturating_add(length.as_millis() as InstanceMs);
         self.lease = self.lease.max(lease);
         // The instance's clock may have advanced by less than ours since it was last read.
         let remaining = Duration::from_millis(self.lease.saturating_sub(clock))
