A row with a run that was never started bars no task

What callers would see, by the test: a task whose instance crashed did not start again on another one. A row of another writer there had named the task with a high number of a run. The leader stopped that run, after which the instance refused each start with a lower number as stale.

Cause: each running row without an attempt of the leader was stopped, whatever its number.

Evidence: a_row_with_a_run_that_was_never_started_keeps_no_task_from_its_instance failed before: nothing ran 15 s after the crash. All tests of crate job pass.

A claim is committed before its start is sent, so a run with a higher number than the last claim is not one of a leader, and is left alone. If the table lags, the row comes again with the next report.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -247,7 +247,12 @@
         for run in running {
             let attempt = instance.attempts.get_mut(&run.task);
             let Some(attempt) = attempt.filter(|a| a.number == run.number) else {
-                unclaimed.push((run.task, run.number));
+                // The stop of an attempt that was never claimed would bar all later ones.
+                let record = table.jobs.get(&run.task.job);
+                let last = record.and_then(|record| record.task_state(run.task));
+                if last.is_none_or(|last| run.number <= last.number) {
+                    unclaimed.push((run.task, run.number));
+                }
                 continue;
             };
             reported.insert(run.task);
--- a/crates/job/tests/odd_reports.rs
+++ b/crates/job/tests/odd_reports.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use {std::time::Duration, world::*};
+use {job::*, std::time::Duration, world::*};
 
 /// Speeds requested for the best-effort task beside a task with this latency target, after an
 /// instance has reported `gauge` for both.
@@ -40,3 +40,34 @@
 fn a_long_latency_target_is_not_taken_for_a_short_one() {
     assert_eq!(speeds(Duration::from_millis(1 << 32), 10), []);
 }
+
+/// Guards against a stop of a run that was never started, after which its instance refuses all starts
+/// of the task.
+#[test]
+fn a_row_with_a_run_that_was_never_started_keeps_no_task_from_its_instance() {
+    let mut world = World::new(1, config(&["a"]));
+    world.add_machine("m0", "a", "r0", 16_000);
+    world.add_machine("m1", "a", "r1", 16_000);
+    world.run(200);
+    world.submit_continuous(7, 1);
+    world.submit_continuous(8, 2);
+    world.run(2000);
+    let task = TaskId { job: 7, round: 0, group: 0, index: 0 };
+    let runs = |world: &World| {
+        let runs = world.instances.values().filter(|i| i.running.contains_key(&task));
+        runs.map(|instance| instance.announcement.incarnation.clone()).collect::<Vec<_>>()
+    };
+    let [home] = &runs(&world)[..] else { panic!("{:?}", runs(&world)) };
+    for (incarnation, instance) in &mut world.instances {
+        if incarnation != home {
+            let (number, percent) = (AttemptNumber::MAX, 100);
+            let row = RunningAttempt { task, number, checkpoint: None, percent, gauge: 0 };
+            instance.odd_rows.push(row);
+        }
+    }
+    world.run(3000);
+    let home = home.clone();
+    world.crash(&home, false);
+    world.run(15_000);
+    assert_eq!(runs(&world).len(), 1, "the task runs again on the other instance");
+}
--- a/crates/job/tests/world/instance.rs
+++ b/crates/job/tests/world/instance.rs
@@ -24,6 +24,8 @@
     pub rejected: BTreeMap<TaskId, AttemptNumber>,
     /// A renewal held open until an attempt ends, and the time at which it is answered anyway.
     pub held_renewal: Option<(CallId, u64)>,
+    /// Rows of another writer in the list of what runs.
+    pub odd_rows: Vec<RunningAttempt>,
     /// Gauge that it reports for every attempt.
     pub gauge: u32,
     /// Speed last requested for each attempt, in percent.
@@ -114,7 +116,7 @@
         Reply::Report {
             clock: self.clock(now),
             born: Some(self.announcement.incarnation.born),
-            running: running.collect(),
+            running: running.chain(self.odd_rows.iter().cloned()).collect(),
             ended: self.ended.clone(),
         }
     }
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -229,6 +229,7 @@
             acknowledged: 0,
             rejected: BTreeMap::new(),
             held_renewal: None,
+            odd_rows: Vec::new(),
             gauge: 0,
             speeds: BTreeMap::new(),
         };
