--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -145,6 +145,7 @@
         events,
         tickets: BTreeMap::new(),
         last_ticket: 0,
+        entries_left_out: 0,
         stopped: false,
     };
     event_loop.note("started", &settings.id, &format!("boot {boot:x}"));
@@ -226,6 +227,8 @@
     /// Where to send the answers to open calls.
     tickets: BTreeMap<CallTicket, oneshot::Sender<Answer>>,
     last_ticket: CallTicket,
+    /// Entries of lists that were left out up to the last report.
+    entries_left_out: u64,
     /// Whether the grace period after a stop request is over.
     stopped: bool,
 }
@@ -338,6 +341,12 @@
         for (activity, spent) in report.parts() {
             self.metrics.count_time(activity, spent);
         }
+        let left_out = platform::entries_left_out();
+        if left_out > self.entries_left_out {
+            let why = format!("{} since the last report", left_out - self.entries_left_out);
+            self.entries_left_out = left_out;
+            self.note("entries-left-out", "", &why);
+        }
         if self.state.is_member() {
             self.note(what, "", &report.to_string());
         }
