--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -10,6 +10,7 @@
 mod forwarding;
 mod load;
 mod membership;
+mod odd;
 mod organisations;
 mod outbox;
 
--- a/crates/job/tests/world/instance.rs
+++ b/crates/job/tests/world/instance.rs
@@ -24,6 +24,12 @@
     pub rejected: BTreeMap<TaskId, AttemptNumber>,
     /// A renewal held open until an attempt ends, and the time at which it is answered anyway.
     pub held_renewal: Option<(CallId, u64)>,
+    /// Rows of another writer in the list of what runs.
+    pub odd_rows: Vec<RunningAttempt>,
+    /// Gauge that it reports for every attempt.
+    pub gauge: u32,
+    /// Speed last requested for each attempt, in percent.
+    pub speeds: BTreeMap<TaskId, u8>,
 }
 
 /// Time for which a capacity that has shrunk still counts: that of contact and an announcement.
@@ -105,12 +111,12 @@
             percent: run.until.map_or(100, |until| {
                 ((now - run.since) * 100 / (until - run.since).max(1)).min(100) as u8
             }),
-            gauge: 0,
+            gauge: self.gauge,
         });
         Reply::Report {
             clock: self.clock(now),
             born: Some(self.announcement.incarnation.born),
-            running: running.collect(),
+            running: running.chain(self.odd_rows.iter().cloned()).collect(),
             ended: self.ended.clone(),
         }
     }
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -239,6 +239,9 @@
             acknowledged: 0,
             rejected: BTreeMap::new(),
             held_renewal: None,
+            odd_rows: Vec::new(),
+            gauge: 0,
+            speeds: BTreeMap::new(),
         };
         self.instances.insert(incarnation, instance);
     }
