A configuration is proposed once, forwarded once, and read where it is

Three kinds of copies filled the streams between daemons: the leader proposed a version again for each call that carried it while the first was not committed; a voter sent the whole call to the leader again each second; and each read at another voter carried the whole text from the leader.

Change: a call with the configuration that is on its way to the log waits for that entry; a call is repeated to a leader that serves only after the time that the slowest link (2 Mbit/s) takes to carry it; a voter asks the leader whether the version that it holds is the newest, and answers with its own text.

--- a/crates/entry/src/pending_call.rs
+++ b/crates/entry/src/pending_call.rs
@@ -14,10 +14,23 @@
 }
 
 impl PendingCall {
+    /// Rate of the slowest link between daemons: 2 Mbit/s.
+    const SLOWEST_LINK_BYTES_PER_S: u32 = 250_000;
+
     pub(crate) fn new(call: Call, until: Time) -> Self {
         Self { call, until, sent: None, unanswered: BTreeMap::new() }
     }
 
+    /// Time that the slowest link takes to carry the call: a copy that is sent earlier only adds to what
+    /// the link has to carry.
+    pub(crate) fn transfer_time(&self) -> Duration {
+        let bytes = match &self.call {
+            Call::Configure(config) => config.text.len(),
+            _ => 0,
+        };
+        Duration::from_secs(bytes as u64) / Self::SLOWEST_LINK_BYTES_PER_S
+    }
+
     /// Whether some daemon may have carried it out, or may still do so.
     pub(crate) fn may_have_run(&self) -> bool {
         !self.unanswered.is_empty()
--- a/crates/entry/src/pending_calls.rs
+++ b/crates/entry/src/pending_calls.rs
@@ -170,7 +170,11 @@
         if let Some((to, at)) = &pending.sent {
             let is_leader = self.leader.as_ref() == Some(to);
             let serves = is_leader && self.leader_serves(now);
-            let delay = if serves { Self::RESEND_DELAY_WHILE_SERVED } else { Self::RESEND_DELAY };
+            let delay = if serves {
+                Self::RESEND_DELAY_WHILE_SERVED + pending.transfer_time()
+            } else {
+                Self::RESEND_DELAY
+            };
             if now < *at + delay {
                 return None;
             }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -110,7 +110,12 @@
                 Ok(config) => return self.propose_config(now, unix, reply_to, config, effects),
                 Err(error) => Answer::Invalid(error),
             },
-            Call::Config => match &self.table.config {
+            Call::ConfigSince(version)
+                if matches!(reply_to, ReplyTo::Peer(..)) && self.version() == Some(version) =>
+            {
+                Answer::Current
+            }
+            Call::Config | Call::ConfigSince(_) => match &self.table.config {
                 Some(config) => Answer::Config(config.text.clone()),
                 None => not_run,
             },
@@ -138,7 +143,8 @@
         self.version().is_some_and(|current| current >= version)
     }
 
-    /// Proposes a configuration, whose text alone enters the log.
+    /// Proposes a configuration, whose text alone enters the log. One that is on its way there already
+    /// is answered with it.
     fn propose_config(
         &mut self,
         now: Time,
@@ -147,9 +153,15 @@
         config: job::Config,
         effects: &mut Vec<Effect>,
     ) {
-        let command = Command::Publish(job::Document::from(&config));
-        self.proposed_config = Some(config);
-        self.propose(now, unix, command, Some(reply_to), effects);
+        let document = job::Document::from(&config);
+        let proposed = self.proposed_config.as_ref();
+        let proposed = proposed.filter(|(_, proposed)| job::Document::from(proposed) == document);
+        if let Some((index, _)) = proposed {
+            return self.commits.entry(*index).or_default().push(reply_to);
+        }
+        let Some(quorum) = &self.quorum else { return };
+        self.proposed_config = Some((quorum.last_index() + 1, config));
+        self.propose(now, unix, Command::Publish(document), Some(reply_to), effects);
     }
 
     /// Reads the configuration that a committed command holds as text.
@@ -158,8 +170,9 @@
         if self.has_version(document.version) {
             return Command::Publish(document);
         }
-        let proposed = self.proposed_config.take();
-        let proposed = proposed.filter(|config| job::Document::from(config) == document);
+        let is_read =
+            |(_, config): &mut (Index, job::Config)| job::Document::from(&*config) == document;
+        let proposed = self.proposed_config.take_if(is_read).map(|(_, config)| config);
         let config = proposed.map_or_else(|| (self.read_config)(&document.text), Ok);
         Command::Configure(config.expect("the leader has read what it proposed"))
     }
@@ -247,7 +260,7 @@
         let Some(quorum) = &self.quorum else { return };
         let index = quorum.last_index() + 1;
         if let Some(reply_to) = reply_to {
-            self.commits.insert(index, reply_to);
+            self.commits.entry(index).or_default().push(reply_to);
         }
         match postcard::to_stdvec(&command) {
             Ok(command) => self.step_quorum(now, unix, quorum::Event::Propose(command), effects),
@@ -280,9 +293,8 @@
         }
         let command = self.read(command);
         let outcomes = self.table.apply(command);
-        if let Some(reply_to) = self.commits.remove(&index) {
-            let answer = answer_to(&outcomes);
-            self.answer(reply_to, answer, effects);
+        for reply_to in self.commits.remove(&index).unwrap_or_default() {
+            self.answer(reply_to, answer_to(&outcomes), effects);
         }
         if self.leader_term.is_none() {
             return;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -40,11 +40,12 @@
     pub(crate) surplus: Surplus,
     /// Reads the text of a configuration.
     pub(crate) read_config: fn(&str) -> Result<job::Config, String>,
-    /// The configuration that this leader proposed last, until it is applied; saves reading it again.
-    pub(crate) proposed_config: Option<job::Config>,
+    /// The configuration that this leader proposed last and the index of its entry, until that is
+    /// applied.
+    pub(crate) proposed_config: Option<(Index, job::Config)>,
     pub(crate) organisation_labels: OrganisationLabels,
     /// Where to send the answer once a log entry is committed.
-    pub(crate) commits: BTreeMap<Index, ReplyTo>,
+    pub(crate) commits: BTreeMap<Index, Vec<ReplyTo>>,
     /// Whether the load balancer was told to send callers here.
     pub(crate) ready: bool,
     /// Whether the process was asked to stop.
@@ -136,6 +137,10 @@
                 self.step_quorum(now, unix, quorum::Event::Synced { term, index }, &mut effects);
             }
             Event::Call { ticket, call, timeout } => {
+                let call = match (call, self.version()) {
+                    (Call::Config, Some(version)) => Call::ConfigSince(version),
+                    (call, _) => call,
+                };
                 self.pending_calls.insert(ticket, call, now + timeout);
                 self.serve_or_forward(now, unix, ticket, &mut effects);
             }
@@ -453,6 +458,9 @@
             Message::Answer { ticket, answer } => {
                 self.pending_calls.last_heard = Some(now);
                 if let Some(answer) = self.pending_calls.on_answer(ticket, &from, answer) {
+                    let config = self.table.config.as_ref().filter(|_| answer == Answer::Current);
+                    let answer =
+                        config.map_or(answer, |config| Answer::Config(config.text.clone()));
                     effects.push(Effect::Answer { ticket, answer });
                 }
             }
@@ -667,7 +675,7 @@
             self.proposed_config = None;
             self.carriers.resign();
             self.step_scheduler(now, unix, job::Event::Resign, effects);
-            for (_, reply_to) in std::mem::take(&mut self.commits) {
+            for reply_to in std::mem::take(&mut self.commits).into_values().flatten() {
                 self.answer(reply_to, Answer::Unknown, effects);
             }
             effects.push(log::line("resigned", self.id.to_string(), &why));
--- a/crates/entry/tests/reducer/access.rs
+++ b/crates/entry/tests/reducer/access.rs
@@ -289,7 +289,7 @@
 }
 
 /// Syncs the entries that `effects` persist, and returns what follows.
-fn settle(state: &mut State, effects: Vec<Effect>) -> Vec<Effect> {
+pub(super) fn settle(state: &mut State, effects: Vec<Effect>) -> Vec<Effect> {
     let mut settled = Vec::new();
     for effect in effects {
         if let Effect::Persist(quorum::Record::Entries { first, entries }) = effect {
--- a/crates/job/src/call.rs
+++ b/crates/job/src/call.rs
@@ -60,6 +60,9 @@
     Wave(WaveId),
     /// [`Call::Configure`], as another daemon forwards it.
     Publish(Document),
+    /// An operator reads the configuration from a daemon that has it in this version, and asks the
+    /// leader whether that is the newest.
+    ConfigSince(u64),
 }
 
 impl Call {
@@ -81,7 +84,7 @@
             Self::Leave { name, .. } => name.to_string(),
             Self::Configure(config) => format!("version {}", config.version),
             Self::Publish(document) => format!("version {}", document.version),
-            Self::Config => "configuration".into(),
+            Self::Config | Self::ConfigSince(_) => "configuration".into(),
             Self::StartWave { id, .. } | Self::Wave(id) => format!("wave {id}"),
         }
     }
@@ -129,6 +132,8 @@
     },
     /// The request is invalid.
     Invalid(String),
+    /// The configuration that the asking daemon has is the newest.
+    Current,
     /// The request is larger than can be carried.
     TooLarge {
         /// Maximum size of its body, in bytes.
