A gateway that stops answers every request that it has read

What callers saw: a request sent to a stopping gateway 2.0 to 3.4 s after SIGTERM got no answer; its connection was closed 3.8 s after SIGTERM, before the deadline of the call.

Cause: callers were served for 2.6 s, and 1.2 s later the process ended with calls that may wait for 1.8 s. Connections stayed open for new requests until then. Requests of clients that had left and bodies that were not complete counted as in flight for ever, so that most stops took the whole 3.8 s. The signal was not read while events waited. 2.2 s of the 6 s that the platform gives were not used.

Change: crate `stop` plans a stop by time: serve for 2.6 s, then drain, with a deadline for all calls (1 s before the grace period is over, which is a setting) and an end (0.3 s before). A draining daemon accepts no connections, reads what has arrived, closes idle connections, and stays while an answer is owed: a request counts from its last byte until its connection has closed. The state bounds every waiting and new call by the deadline, gives up commits that are still open then, and refuses what comes later without forwarding it. Every answer carries `Connection: close`. The two signals are read in every round of the loop. `call-stopped` names each call that a stop ended, `draining` and `stopped` the phases.

Why it works: the last request that can be read on an open connection comes at 2.6 s, ends by 4.4 s, and the process waits for it until 5.7 s.

The reading of signals under load has no test of its own.

--- a/crates/entry/src/effect.rs
+++ b/crates/entry/src/effect.rs
@@ -46,6 +46,6 @@
     ReportOrganisations(Vec<OrganisationReport>),
     /// Try to open the data folder.
     OpenDisk,
-    /// The process may end now.
-    Stopped,
+    /// Take no more connections, and close those that are idle.
+    Drain,
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -33,8 +33,10 @@
     pub(crate) calls: mpsc::UnboundedSender<(Call, Duration, oneshot::Sender<Answer>)>,
     pub(crate) ready: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
-    /// Number of requests without a response.
-    pub(crate) in_flight: Cell<usize>,
+    /// Whether this daemon drains: takes no more connections and closes the idle ones.
+    pub(crate) drain: watch::Sender<bool>,
+    /// Number of requests that were read whole and whose answer may not have been sent yet.
+    pub(crate) unanswered: Cell<usize>,
     pub(crate) metrics: Rc<Metrics>,
 }
 
@@ -47,7 +49,31 @@
     Scraper,
 }
 
-/// Listens on `address` until the process ends.
+impl Endpoint {
+    /// Whether the address is closed while the daemon drains. The balancer and scrapers are answered
+    /// until the process ends.
+    fn drains(self) -> bool {
+        matches!(self, Self::Callers | Self::Control)
+    }
+}
+
+/// A request that was read whole, until its connection ends or has its next request.
+struct Unanswered(Rc<ServerState>);
+
+impl Unanswered {
+    fn enter(server: &Rc<ServerState>) -> Self {
+        server.unanswered.set(server.unanswered.get() + 1);
+        Self(server.clone())
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        self.0.unanswered.set(self.0.unanswered.get() - 1);
+    }
+}
+
+/// Listens on `address` until this daemon drains.
 pub(crate) async fn serve(
     address: SocketAddr,
     endpoint: Endpoint,
@@ -58,7 +84,12 @@
         .wrap_err_with(|| format!("cannot listen on `{address}`"))?;
     spawn_local(async move {
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = draining(endpoint, &server) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     spawn_local(connection(stream, endpoint, server.clone()));
                 }
@@ -69,13 +100,33 @@
     Ok(())
 }
 
+/// Waits until this daemon drains; for ever if the endpoint does not.
+async fn draining(endpoint: Endpoint, server: &ServerState) {
+    let mut drain = server.drain.subscribe();
+    if !endpoint.drains() || drain.wait_for(|drains| *drains).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Serves a connection. Once this daemon drains, the connection ends after the answer to a request that
+/// has arrived.
 async fn connection(stream: TcpStream, endpoint: Endpoint, server: Rc<ServerState>) {
     stream.set_nodelay(true).ok();
-    let service = service_fn(move |request| handle(request, endpoint, server.clone()));
+    let unanswered = Rc::new(Cell::new(None));
+    let service = {
+        let server = server.clone();
+        service_fn(move |request| handle(request, endpoint, server.clone(), unanswered.clone()))
+    };
     let mut builder = http1::Builder::new();
     builder.timer(hyper_util::rt::TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     // Errors are ignored: the client may disconnect in the middle of a request.
-    builder.serve_connection(TokioIo::new(stream), service).await.ok();
+    tokio::select! {
+        biased;
+        result = connection.as_mut() => return result.unwrap_or_default(),
+        () = draining(endpoint, &server) => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await.ok();
 }
 
 type Body = Full<Bytes>;
@@ -84,34 +135,44 @@
     request: Request<Incoming>,
     endpoint: Endpoint,
     server: Rc<ServerState>,
+    unanswered: Rc<Cell<Option<Unanswered>>>,
 ) -> Result<Response<Body>, Infallible> {
-    if endpoint == Endpoint::Balancer {
-        let ready = request.uri().path() == platform::READY_PATH && server.ready.get();
-        return Ok(empty_response(if ready { 200 } else { 503 }));
-    }
-    if endpoint == Endpoint::Scraper {
-        let mut response = empty_response(200);
-        let kind = header::HeaderValue::from_static(metrics::CONTENT_TYPE);
-        response.headers_mut().insert(header::CONTENT_TYPE, kind);
-        *response.body_mut() = Full::new(server.metrics.text().into());
-        return Ok(response);
+    let mut response = match endpoint {
+        Endpoint::Balancer => {
+            let ready = request.uri().path() == platform::READY_PATH && server.ready.get();
+            empty_response(if ready { 200 } else { 503 })
+        }
+        Endpoint::Scraper => {
+            let mut response = empty_response(200);
+            let kind = header::HeaderValue::from_static(metrics::CONTENT_TYPE);
+            response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            *response.body_mut() = Full::new(server.metrics.text().into());
+            response
+        }
+        Endpoint::Callers | Endpoint::Control => {
+            unanswered.set(None);
+            respond(request, endpoint, &server, &unanswered).await
+        }
+    };
+    if server.stopping.get() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
     }
-    server.in_flight.set(server.in_flight.get() + 1);
-    let response = respond(request, endpoint, &server).await;
-    server.in_flight.set(server.in_flight.get() - 1);
     Ok(response)
 }
 
 async fn respond(
     request: Request<Incoming>,
     endpoint: Endpoint,
-    server: &ServerState,
+    server: &Rc<ServerState>,
+    unanswered: &Cell<Option<Unanswered>>,
 ) -> Response<Body> {
     let started = std::time::Instant::now();
     let (head, body) = request.into_parts();
     let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
         return empty_response(400);
     };
+    unanswered.set(Some(Unanswered::enter(server)));
     let body = body.to_bytes();
     let header_text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let time_left = header_text(platform::TIME_LEFT_HEADER)
@@ -147,9 +208,6 @@
     if let Some(seconds) = response.retry_after {
         builder = builder.header(header::RETRY_AFTER, seconds);
     }
-    if server.stopping.get() {
-        builder = builder.header(header::CONNECTION, "close");
-    }
     if response.body.is_some() {
         builder = builder.header(header::CONTENT_TYPE, "application/json");
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,7 +23,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::sync::{mpsc, oneshot},
+    tokio::sync::{mpsc, oneshot, watch},
 };
 
 mod access;
--- a/crates/entry/src/log.rs
+++ b/crates/entry/src/log.rs
@@ -7,8 +7,8 @@
 /// Maximum number of lines of one kind per second.
 const MAX_LINES_PER_SECOND: u32 = 40;
 
-/// The same for `job-summary`, several times the number of jobs that end in a second in a fleet of
-/// the largest size.
+/// The same for `job-summary` and `call-stopped`, several times the number of jobs that end in a
+/// second in a fleet of the largest size.
 const MAX_SUMMARIES_PER_SECOND: u32 = 1000;
 
 /// Maximum number of batches that wait for the reader.
@@ -86,7 +86,7 @@
         let count = self.counts.entry(note.what).or_default();
         *count += 1;
         let limit = match note.what {
-            "job-summary" => MAX_SUMMARIES_PER_SECOND,
+            "job-summary" | "call-stopped" => MAX_SUMMARIES_PER_SECOND,
             _ => MAX_LINES_PER_SECOND,
         };
         if *count > limit {
--- a/crates/entry/src/pending_calls.rs
+++ b/crates/entry/src/pending_calls.rs
@@ -60,6 +60,13 @@
         self.waiting.insert(ticket, PendingCall::new(call, until));
     }
 
+    /// Gives every call a deadline within the stop.
+    pub(crate) fn bound(&mut self, stop: &stop::Plan) {
+        for pending in self.waiting.values_mut() {
+            pending.until = stop.bound(pending.until);
+        }
+    }
+
     pub(crate) fn take(&mut self, ticket: CallTicket) -> Option<PendingCall> {
         self.waiting.remove(&ticket)
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,13 +9,14 @@
 /// Exit code for invalid settings.
 const EXIT_INVALID_SETTINGS: u8 = 2;
 
-/// Part of the platform's grace period that is kept for sending pending answers and ending the
-/// process.
-const STOP_RESERVE: Duration = Duration::from_millis(1500);
+/// How long the load balancer takes to redirect callers, with two checks a second apart.
+const BALANCER_DELAY: Duration = Duration::from_millis(2600);
 
-/// How long callers are still served after the process was asked to stop, so that the load balancer
-/// has time to redirect them.
-const STOP_GRACE: Duration = Duration::from_millis(2600);
+/// Minimum time for which a stopping daemon drains.
+const MIN_DRAINING: Duration = Duration::from_millis(100);
+
+/// Grace period of the platform, unless the settings name another.
+const DEFAULT_STOP_GRACE: Duration = Duration::from_secs(6);
 
 /// Timeout of a request to the platform about machines.
 const MACHINE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -91,13 +92,14 @@
             rate => rate,
         },
     };
-    let grace = match settings.bounds.stop_grace {
-        Duration::ZERO => STOP_GRACE,
-        limit => STOP_GRACE.min(limit.saturating_sub(STOP_RESERVE)),
+    let stop_limits = stop::Limits {
+        serving: BALANCER_DELAY,
+        draining: MIN_DRAINING,
+        grace: Some(set(settings.bounds.stop_grace, DEFAULT_STOP_GRACE)),
     };
     let identity = Identity { id, boot, data_center: settings.data_center.clone() };
     let scheduler = Scheduler::new(bounds).with_mechanisms(settings.mechanisms.clone());
-    let state = State::new(identity, seeds, settings.founding, scheduler, grace);
+    let state = State::new(identity, seeds, settings.founding, scheduler, stop_limits);
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, calls_in) = mpsc::unbounded_channel();
@@ -107,7 +109,8 @@
         metrics: metrics.clone(),
         ready: Cell::new(false),
         stopping: Cell::new(false),
-        in_flight: Cell::new(0),
+        drain: watch::Sender::new(false),
+        unanswered: Cell::new(0),
     });
     let addresses = [
         (settings.callers, Endpoint::Callers),
@@ -145,11 +148,10 @@
         events,
         tickets: BTreeMap::new(),
         last_ticket: 0,
-        stopped: false,
     };
     event_loop.note("started", &settings.id, &format!("boot {boot:x}"));
     event_loop.run(inbox, calls_in, durable, pending).await?;
-    event_loop.note("stopped", &settings.id, "asked to stop");
+    event_loop.note_stopped();
     event_loop.log.close();
     Ok(())
 }
@@ -226,8 +228,6 @@
     /// Where to send the answers to open calls.
     tickets: BTreeMap<CallTicket, oneshot::Sender<Answer>>,
     last_ticket: CallTicket,
-    /// Whether the grace period after a stop request is over.
-    stopped: bool,
 }
 
 /// A call, its timeout, and where to send the answer.
@@ -238,8 +238,6 @@
     const MAX_WAIT: Duration = Duration::from_millis(500);
     /// Events handled before timers, the disk and arriving messages get their turn.
     const EVENTS_PER_ROUND: usize = 32;
-    /// Maximum time to wait for pending answers before the process ends.
-    const DRAIN_TIMEOUT: Duration = Duration::from_millis(1200);
 
     async fn run(
         &mut self,
@@ -251,33 +249,23 @@
         use tokio::signal::unix::{SignalKind, signal};
         let mut terminate = signal(SignalKind::terminate())?;
         let mut reload = signal(SignalKind::hangup())?;
-        let mut stopped: Option<Time> = None;
         if self.data.is_some() {
             self.open_disk();
         }
         self.step(Event::Start);
         loop {
             let now = self.clock.now();
-            if let Some(since) = stopped
-                && (self.server.in_flight.get() == 0 || now > since + Self::DRAIN_TIMEOUT)
-            {
+            let unanswered = self.server.unanswered.get();
+            if self.state.stop.is_some_and(|stop| stop.may_end(now, unanswered)) {
                 return Ok(());
             }
-            if self.stopped && stopped.is_none() {
-                stopped = Some(now);
-                continue;
-            }
             if self.inbox.is_empty() {
                 let due = self.timers.next_due().into_iter().chain(self.outbox.next_due()).min();
                 let due = due.map(|at| at.saturating_sub(now));
                 let wait = due.unwrap_or(Self::MAX_WAIT).min(Self::MAX_WAIT);
                 tokio::select! {
                     biased;
-                    _ = terminate.recv() => {
-                        self.server.stopping.set(true);
-                        self.note("stopping", "", "asked to stop");
-                        self.step(Event::Stop);
-                    }
+                    _ = terminate.recv() => self.stop(),
                     _ = reload.recv() => self.reload_settings(),
                     Some(result) = durable.recv() => self.on_synced(result),
                     Some((from, body)) = frames.recv() => self.on_frame(from, &body),
@@ -286,7 +274,12 @@
                     () = tokio::time::sleep(wait) => {}
                 }
             } else {
-                tokio::task::yield_now().await;
+                tokio::select! {
+                    biased;
+                    _ = terminate.recv() => self.stop(),
+                    _ = reload.recv() => self.reload_settings(),
+                    () = tokio::task::yield_now() => {}
+                }
             }
             self.account.begin(self.clock.now());
             while let Ok(result) = durable.try_recv() {
@@ -331,6 +324,21 @@
         }
     }
 
+    /// Starts the stop of the process.
+    fn stop(&mut self) {
+        self.server.stopping.set(true);
+        self.step(Event::Stop);
+    }
+
+    /// Logs the end of the process.
+    fn note_stopped(&mut self) {
+        let asked_at = self.state.stop.map_or(Time::ZERO, |stop| stop.asked_at);
+        let age = self.clock.now().saturating_sub(asked_at).as_millis();
+        let unanswered = self.server.unanswered.get();
+        let why = format!("asked to stop {age} ms ago, {unanswered} requests unanswered");
+        self.note("stopped", "", &why);
+    }
+
     /// Reports where the time of this thread went since the last report.
     fn report_time(&mut self, what: &'static str) {
         let runtime = tokio::runtime::Handle::current().metrics();
@@ -498,7 +506,11 @@
             }
             Effect::ReportOrganisations(reports) => self.metrics.report_organisations(&reports),
             Effect::OpenDisk => self.open_disk(),
-            Effect::Stopped => self.stopped = true,
+            Effect::Drain => {
+                let why = format!("{} calls wait for an answer", self.tickets.len());
+                self.note("draining", "", &why);
+                self.server.drain.send_replace(true);
+            }
         }
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -43,10 +43,9 @@
     pub(crate) commits: BTreeMap<Index, ReplyTo>,
     /// Whether the load balancer was told to send callers here.
     pub(crate) ready: bool,
-    /// Whether the process was asked to stop.
-    pub(crate) stopping: bool,
-    /// How long callers are still served after the process was asked to stop.
-    pub(crate) grace: Duration,
+    /// Plan of the stop, once the process was asked to stop.
+    pub(crate) stop: Option<stop::Plan>,
+    stop_limits: stop::Limits,
     /// Since when this leader has had no lease; `None` while it has one.
     lease_lapsed: Option<Time>,
     last_ping: Time,
@@ -72,7 +71,7 @@
         seeds: Vec<Name>,
         is_new_fleet: bool,
         scheduler: Scheduler,
-        grace: Duration,
+        stop_limits: stop::Limits,
     ) -> Self {
         let pending_calls = PendingCalls::new(&seeds);
         Self {
@@ -99,8 +98,8 @@
             organisation_labels: OrganisationLabels::default(),
             commits: BTreeMap::new(),
             ready: false,
-            stopping: false,
-            grace,
+            stop: None,
+            stop_limits,
             lease_lapsed: None,
             last_ping: Time::ZERO,
             last_introduction: Time::ZERO,
@@ -122,7 +121,7 @@
             }
             Event::Timer(Timer::Tick) => self.on_tick(now, unix, &mut effects),
             Event::Timer(Timer::Beat) => self.check_peers(now, unix, &mut effects),
-            Event::Timer(Timer::Grace) => effects.push(Effect::Stopped),
+            Event::Timer(Timer::Drain) => effects.push(Effect::Drain),
             Event::Peer { from, message } => {
                 self.on_peer(now, unix, from, message, &mut effects);
             }
@@ -130,8 +129,7 @@
                 self.step_quorum(now, unix, quorum::Event::Synced { term, index }, &mut effects);
             }
             Event::Call { ticket, call, timeout } => {
-                self.pending_calls.insert(ticket, call, now + timeout);
-                self.serve_or_forward(now, unix, ticket, &mut effects);
+                self.on_call(now, unix, ticket, call, timeout, &mut effects);
             }
             Event::InstanceAnswered { id, result, origin: Some((to, boot)) } => {
                 let message = Message::OrderResult { id, boot, result };
@@ -161,7 +159,7 @@
                 self.pending_calls.known.extend(seeds.iter().cloned());
                 self.seeds = seeds;
             }
-            Event::Stop => self.stop(&mut effects),
+            Event::Stop => self.stop(now, &mut effects),
         }
         self.update_leadership(now, unix, &mut effects);
         effects
@@ -182,15 +180,81 @@
         self.settled && self.quorum.as_ref().is_some_and(|quorum| quorum.has_leader_lease(now))
     }
 
-    /// Starts the grace period: callers are still served, but the load balancer is told to redirect
-    /// them.
-    fn stop(&mut self, effects: &mut Vec<Effect>) {
-        if self.stopping {
+    /// Takes a call of a client. While stopping, a call that arrives after the deadline of all calls
+    /// is refused.
+    fn on_call(
+        &mut self,
+        now: Time,
+        unix: job::UnixMs,
+        ticket: CallTicket,
+        call: Call,
+        timeout: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let until = self.stop.map_or(now + timeout, |stop| stop.bound(now + timeout));
+        if self.stop.is_some() && until <= now {
+            let answer = Answer::NotRun { retry: PendingCalls::RETRY_AFTER };
+            return self.give_up(now, ticket, call.subject(), answer, effects);
+        }
+        self.pending_calls.insert(ticket, call, until);
+        self.serve_or_forward(now, unix, ticket, effects);
+    }
+
+    /// Answers a call whose result this daemon does not wait for any longer.
+    fn give_up(
+        &self,
+        now: Time,
+        ticket: CallTicket,
+        subject: String,
+        answer: Answer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let why = format!("{answer:?}, leader {:?}", self.pending_calls.leader);
+        effects.push(match self.stop {
+            None => log::line("call-given-up", subject, &why),
+            Some(stop) => {
+                let age = now.saturating_sub(stop.asked_at).as_millis();
+                log::line("call-stopped", subject, &format!("{why}, {age} ms after the signal"))
+            }
+        });
+        effects.push(Effect::Answer { ticket, answer });
+    }
+
+    /// Starts the stop: callers are still served, but the load balancer is told to redirect them, and
+    /// every call has a deadline within the grace period.
+    fn stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.stop.is_some() {
             return;
         }
-        self.stopping = true;
+        let plan = stop::Plan::new(now, self.stop_limits);
+        self.stop = Some(plan);
+        self.pending_calls.bound(&plan);
+        let age = |at: Time| at.saturating_sub(now).as_millis();
+        let why = format!(
+            "asked to stop; drains after {} ms, answers calls within {:?} ms, ends within {:?} ms",
+            age(plan.drains_at()),
+            plan.call_deadline().map(age),
+            plan.end().map(age),
+        );
+        effects.push(log::line("stopping", String::new(), &why));
+        self.ready = false;
         effects.push(Effect::Ready(false));
-        effects.push(Effect::Subscribe { timer: Timer::Grace, after: self.grace });
+        effects.push(Effect::Subscribe { timer: Timer::Drain, after: plan.drains_at() - now });
+    }
+
+    /// Answers clients whose command is not committed by the deadline of all calls.
+    fn give_up_commits(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let is_due = |stop: stop::Plan| stop.call_deadline().is_some_and(|at| now >= at);
+        if !self.stop.is_some_and(is_due) {
+            return;
+        }
+        let is_client = |_: &Index, reply_to: &mut ReplyTo| matches!(reply_to, ReplyTo::Client(_));
+        let late: Vec<_> = self.commits.extract_if(.., is_client).collect();
+        for (index, reply_to) in late {
+            let ReplyTo::Client(ticket) = reply_to else { continue };
+            let subject = format!("entry {index}");
+            self.give_up(now, ticket, subject, Answer::Unknown, effects);
+        }
     }
 
     /// Stops taking part in the quorum after the disk failed. Data that was not durable counts as
@@ -233,10 +297,9 @@
             self.serve_or_forward(now, unix, ticket, effects);
         }
         for (ticket, call, answer) in self.pending_calls.take_expired(now) {
-            let why = format!("{answer:?}, leader {:?}", self.pending_calls.leader);
-            effects.push(log::line("call-given-up", call.subject(), &why));
-            effects.push(Effect::Answer { ticket, answer });
+            self.give_up(now, ticket, call.subject(), answer, effects);
         }
+        self.give_up_commits(now, effects);
     }
 
     /// Tells the scheduler which former leaders have restarted: a member that follows this leader
@@ -271,7 +334,7 @@
             .pending_calls
             .last_served
             .is_some_and(|at| now < at + PendingCalls::LEADERLESS_TIMEOUT)
-            && !self.stopping;
+            && self.stop.is_none();
         if ready != self.ready {
             self.ready = ready;
             effects.push(Effect::Ready(ready));
@@ -636,7 +699,7 @@
     /// Tells the scheduler when leadership starts and ends, and answers waiting clients when it
     /// ends.
     fn update_leadership(&mut self, now: Time, unix: job::UnixMs, effects: &mut Vec<Effect>) {
-        if self.stopping && self.quorum.as_ref().is_some_and(|quorum| quorum.is_leader()) {
+        if self.stop.is_some() && self.quorum.as_ref().is_some_and(|quorum| quorum.is_leader()) {
             // Hand leadership over now, instead of waiting until the others miss this leader and
             // elect another one.
             self.step_quorum(now, unix, quorum::Event::Yield, effects);
@@ -650,7 +713,7 @@
         {
             let why = if term > led {
                 format!("epoch {term} has begun")
-            } else if self.stopping {
+            } else if self.stop.is_some() {
                 "handed over".into()
             } else {
                 "no majority has answered in time".into()
--- a/crates/entry/src/timer.rs
+++ b/crates/entry/src/timer.rs
@@ -9,6 +9,6 @@
     Beat,
     /// The data folder is to be opened again.
     Disk,
-    /// The grace period after a stop request is over.
-    Grace,
+    /// The daemon was asked to stop, and is to drain.
+    Drain,
 }
--- a/crates/entry/tests/reducer/fleet.rs
+++ b/crates/entry/tests/reducer/fleet.rs
@@ -70,8 +70,7 @@
     ) {
         let seeds = VOTERS.iter().map(|name| Name::from(*name)).collect();
         let scheduler = Scheduler::new(job::Bounds::default());
-        let grace = Duration::from_secs(2);
-        let state = State::new(identity(name, boot), seeds, is_new_fleet, scheduler, grace);
+        let state = State::new(identity(name, boot), seeds, is_new_fleet, scheduler, STOP_LIMITS);
         let daemon = Daemon {
             state,
             timers: ::timer::Queue::default(),
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -10,13 +10,20 @@
 mod load;
 mod organisations;
 mod outbox;
+mod stopping;
+
+/// Durations of the daemons' stops: the deadline of all calls is 2 s after the signal.
+const STOP_LIMITS: stop::Limits = stop::Limits {
+    serving: Duration::from_millis(1000),
+    draining: Duration::from_millis(100),
+    grace: Some(Duration::from_millis(3000)),
+};
 
 /// A daemon without a disk that has heard from the leader `leader`.
 fn gateway(leader: &Name) -> State {
     let seeds = vec![leader.clone()];
     let scheduler = Scheduler::new(job::Bounds::default());
-    let mut state =
-        State::new(identity("10.0.0.9:1", 1), seeds, false, scheduler, Duration::from_secs(2));
+    let mut state = State::new(identity("10.0.0.9:1", 1), seeds, false, scheduler, STOP_LIMITS);
     pong(&mut state, ms(0), leader, ms(5000));
     state
 }
@@ -83,7 +90,7 @@
     let id: Name = "10.0.0.1:1".into();
     let scheduler = Scheduler::new(job::Bounds::default());
     let own = identity("10.0.0.1:1", 7);
-    let mut state = State::new(own, vec![id], true, scheduler, Duration::from_secs(2));
+    let mut state = State::new(own, vec![id], true, scheduler, STOP_LIMITS);
     let disk = Some(5);
     let restored = Box::new(quorum::PersistentState { disk, ..Default::default() });
     run(&mut state, ms(0), Event::DiskOpened { restored, boot: 1 });
@@ -103,7 +110,7 @@
 fn leader_of_two(now: Time) -> State {
     let own = identity("10.0.0.1:1", 7);
     let scheduler = Scheduler::new(job::Bounds::default());
-    let mut state = State::new(own, Vec::new(), false, scheduler, Duration::from_secs(2));
+    let mut state = State::new(own, Vec::new(), false, scheduler, STOP_LIMITS);
     let voter = |disk| quorum::Member { role: quorum::Role::Voter, disk: Some(disk) };
     let members = [("10.0.0.1:1".into(), voter(5)), (OTHER.into(), voter(6))];
     let members = Some(members.into_iter().collect());
