sardinevalved stops by the plan of crate stop, and its last answers close their connections

What callers saw: a request that ran when the platform killed a stopping daemon got no answer, since the daemon waited for it as long as its deadline allowed, whatever the platform gave. Callers kept connections to a stopping daemon and sent their next requests there, until the process was gone.

`tiny_http` leaves the header `Connection` out of every response.

Change: `stop-limit-ms` in `[daemon]`. The node plans its stop with `stop::Plan`; `route::Event::Bound` gives the requests that wait, and those to come, the deadline of the plan: not run (503) if they still wait for a slot, unknown (504) if they run. The daemon ends with the plan, and names the requests that it cuts off. From the signal on answers are written with `Connection: close`. Without the setting it waits as before.

Not run: chaos, claims and the other tests of bench.

--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -13,15 +13,14 @@
 /// Concurrent callers of the daemon that is stopped; the upstreams have as many slots, 8 each.
 const CALLERS: usize = 16;
 
-/// Starts three daemons that accept requests for `grace_ms` after a signal to stop, and upstreams
-/// that take `service_time_ms` per request.
-fn fleet(grace_ms: &str, service_time_ms: &str) -> Fleet {
+/// Starts three daemons with the settings `stop` for their stops, and upstreams that take
+/// `service_time_ms` per request.
+fn fleet(stop: &str, service_time_ms: &str) -> Fleet {
     let mut fleet = Fleet::new(3, 3).unwrap();
     for daemon in &fleet.daemons {
         let path = fleet.folder().join(format!("{}.ini", daemon.name));
         let text = fs::read_to_string(&path).unwrap();
-        let grace = format!("[daemon]\nstop-grace-ms = {grace_ms}\n");
-        fs::write(&path, text.replace("[daemon]\n", &grace)).unwrap();
+        fs::write(&path, text.replace("[daemon]\n", &format!("[daemon]\n{stop}\n"))).unwrap();
     }
     fleet.start().unwrap();
     fleet.apply(CONFIG).unwrap();
@@ -63,7 +62,7 @@
 
 #[test]
 fn requests_in_flight_are_answered() {
-    let mut fleet = fleet("1000", "200");
+    let mut fleet = fleet("stop-grace-ms = 1000", "200");
     let mut program = fleet.daemons[2].take_program().unwrap();
     let answered: usize = thread::scope(|scope| {
         let callers: Vec<_> =
@@ -78,7 +77,7 @@
 
 #[test]
 fn health_fails_before_requests_are_refused() {
-    let mut fleet = fleet("30000", "1");
+    let mut fleet = fleet("stop-grace-ms = 30000", "1");
     fleet.daemons[2].program().unwrap().signal("TERM").unwrap();
     wait_until("the health check fails", || !fleet.daemons[2].healthy()).unwrap();
     let response = fleet.daemons[2].call("quotes", "payout", "one card").unwrap();
@@ -88,7 +87,7 @@
 
 #[test]
 fn second_signal_stops_at_once_and_logs_the_cut_off_requests() {
-    let mut fleet = fleet("1000", "40000");
+    let mut fleet = fleet("stop-grace-ms = 1000", "40000");
     let address = fleet.daemons[2].callers.clone();
     let caller = thread::spawn(move || {
         let url = format!("http://{address}/call/quotes/");
@@ -113,3 +112,35 @@
     let ids = last["attributes"]["requests"].as_str().unwrap();
     assert!(ids.starts_with("daemon-3-"), "{ids}");
 }
+
+#[test]
+fn a_request_of_a_slow_upstream_is_answered_before_the_platform_kills_the_daemon() {
+    let mut fleet = fleet("stop-grace-ms = 1000\nstop-limit-ms = 3000", "40000");
+    let address = fleet.daemons[2].callers.clone();
+    let caller = thread::spawn(move || {
+        let url = format!("http://{address}/call/quotes/");
+        attohttpc::post(url).header("Sardinevalve-Kind", "payout").send()
+    });
+    wait_until("the request runs", || recorded(&fleet) == 1).unwrap();
+    let program = fleet.daemons[2].program().unwrap();
+    program.signal("TERM").unwrap();
+    assert_eq!(program.wait().unwrap(), Some(0));
+    let response = caller.join().unwrap().unwrap();
+    assert_eq!(response.status().as_u16(), 504);
+    assert_eq!(response.headers()["Sardinevalve-Outcome"], "unknown");
+    assert_eq!(response.headers()["Connection"], "close");
+}
+
+#[test]
+fn answers_of_a_stopping_daemon_close_their_connections() {
+    let mut fleet = fleet("stop-grace-ms = 30000", "1");
+    let response = fleet.daemons[2].call("quotes", "payout", "one card").unwrap();
+    assert!(!response.headers().contains_key("Connection"));
+    fleet.daemons[2].program().unwrap().signal("TERM").unwrap();
+    wait_until("the health check fails", || !fleet.daemons[2].healthy()).unwrap();
+    let response = fleet.daemons[2].call("quotes", "payout", "one card").unwrap();
+    assert_eq!(response.headers()["Sardinevalve-Outcome"], "run");
+    assert_eq!(response.headers()["Connection"], "close");
+    let answer: serde_json::Value = response.json().unwrap();
+    assert_eq!(answer["body"], "one card");
+}
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -123,9 +123,9 @@
         lock(&self.server.answer_cache).get(request).map_or(unknown, route::Fate::Run)
     }
 
-    /// Whether every accepted request has been answered.
-    pub(crate) fn is_idle(&self) -> bool {
-        self.server.in_flight.load(Ordering::Acquire) == 0
+    /// Number of accepted requests that have not been answered.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.server.in_flight.load(Ordering::Acquire) as usize
     }
 }
 
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -32,9 +32,10 @@
     pub(crate) fn run(mut self) {
         let mut timers = timer::Queue::default();
         let mut stopped = self.step(Event::Start, &mut timers).then(Instant::now);
-        while !stopped.is_some_and(|since| self.is_finished(since)) {
-            let longest = if stopped.is_some() { FINISH_POLL_INTERVAL } else { MAX_EVENT_WAIT };
+        while !self.is_finished(stopped) {
             let now = self.clock.now();
+            let drains = self.state.stop_plan().is_some_and(|plan| now >= plan.drains_at());
+            let longest = if drains { FINISH_POLL_INTERVAL } else { MAX_EVENT_WAIT };
             let due = timers.next_due().map(|at| at.saturating_sub(now));
             let has_stopped = match self.inbox.recv_timeout(due.unwrap_or(longest).min(longest)) {
                 Ok(event) => self.step(event, &mut timers),
@@ -61,14 +62,25 @@
         effects
     }
 
-    /// Whether a daemon that stopped at `since` may exit: it has refused requests for the minimum
-    /// time and has sent all answers, or has waited for the clients as long as allowed.
-    fn is_finished(&self, since: Instant) -> bool {
-        if since.elapsed() > MAX_FINISH_TIME {
+    /// Whether the daemon may exit, if its last request ended at `stopped`: it has refused requests
+    /// for the minimum time and has sent all answers, or has waited for the clients as long as
+    /// allowed.
+    fn is_finished(&self, stopped: Option<Instant>) -> bool {
+        let Some(plan) = self.state.stop_plan() else { return false };
+        let now = self.clock.now();
+        let unanswered = self.callers.in_flight();
+        let refused_for = stopped.map_or(Duration::ZERO, |since| since.elapsed());
+        if refused_for > MAX_FINISH_TIME {
             log::error!("clients did not read their answers in time");
             return true;
         }
-        since.elapsed() > MIN_REFUSAL_TIME && self.inbox.is_empty() && self.callers.is_idle()
+        let is_over = plan.phase(now) == stop::Phase::Over;
+        if is_over && unanswered > 0 {
+            let ids = self.callers.in_flight_ids()().join(" ");
+            log::error!(count = unanswered, requests = ids; "stop took too long, requests are cut off");
+        }
+        let has_refused = refused_for > MIN_REFUSAL_TIME && self.inbox.is_empty();
+        is_over || has_refused && plan.may_end(now, unanswered)
     }
 
     /// Handles one event and carries out its effects; returns whether the daemon has stopped.
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -100,7 +100,39 @@
     send(request, response);
 }
 
+/// Whether the daemon stops, so that connections are to close after their next answer.
+static STOPPING: AtomicBool = AtomicBool::new(false);
+
+/// From now on, asks clients to close their connections.
+pub(crate) fn close_connections() {
+    STOPPING.store(true, Ordering::Relaxed);
+}
+
 /// Sends `response` with a `Content-Length`, never chunked.
 pub(crate) fn send(request: tiny_http::Request, response: tiny_http::Response<Cursor<Vec<u8>>>) {
-    request.respond(response.with_chunked_threshold(usize::MAX)).ok();
+    let response = response.with_chunked_threshold(usize::MAX);
+    let sent = if STOPPING.load(Ordering::Relaxed) {
+        send_last(request, response)
+    } else {
+        request.respond(response)
+    };
+    if let Err(error) = sent {
+        log::debug!("answer not sent: {error}");
+    }
+}
+
+/// Sends `response` with `Connection: close`, a header that `tiny_http` leaves out.
+fn send_last(
+    request: tiny_http::Request,
+    response: tiny_http::Response<Cursor<Vec<u8>>>,
+) -> std::io::Result<()> {
+    let is_head = *request.method() == tiny_http::Method::Head;
+    let version = request.http_version().clone();
+    let mut bytes = Vec::new();
+    response.raw_print(&mut bytes, version, request.headers(), is_head, None)?;
+    let status_end = bytes.windows(2).position(|pair| pair == b"\r\n").map_or(0, |end| end + 2);
+    bytes.splice(status_end..status_end, *b"Connection: close\r\n");
+    let mut writer = request.into_writer();
+    writer.write_all(&bytes)?;
+    writer.flush()
 }
--- a/crates/daemon/src/initial_state.rs
+++ b/crates/daemon/src/initial_state.rs
@@ -9,12 +9,17 @@
     pub(crate) members: BTreeMap<Name, quorum::Role>,
     pub(crate) restored: quorum::PersistentState,
     pub(crate) stop_grace: Duration,
+    pub(crate) stop_limit: Option<Duration>,
 }
 
 impl InitialState {
     /// The state of a daemon that has just started.
     pub(crate) fn into_state(self) -> node::State {
         let quorum = quorum::State::new(self.id, self.members, self.restored, self.boot);
-        node::State::new(quorum, self.boot).with_stop_grace(self.stop_grace)
+        node::State::new(quorum, self.boot).with_stop_limits(stop::Limits {
+            serving: self.stop_grace,
+            draining: Duration::ZERO,
+            grace: self.stop_limit,
+        })
     }
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -56,6 +56,7 @@
         members: members(&settings),
         restored,
         stop_grace: settings.stop_grace,
+        stop_limit: settings.stop_limit,
     };
     let recording = record.map(|path| Recording::create(path, &initial_state)).transpose()?;
     let state = initial_state.into_state();
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -21,6 +21,7 @@
             if i > 0 {
                 exit_now(in_flight_ids());
             }
+            http::close_connections();
             log::info!("stopping after the requests in flight");
             events.send(Event::Stop).ok();
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -25,11 +25,9 @@
     log_clock_advanced_at: Time,
     /// Whether the view lease was valid at the last event.
     has_view_lease: bool,
-    /// Whether a graceful stop has begun.
-    stopping: bool,
-    /// Grace period of a graceful stop: requests are still accepted for this time after the health
-    /// check has begun to fail.
-    stop_grace: Duration,
+    /// Plan of the graceful stop, once it has begun.
+    stop: Option<stop::Plan>,
+    stop_limits: stop::Limits,
     /// Whether the grace period of a graceful stop is over, so that the daemon stops once no
     /// request is pending.
     grace_period_over: bool,
@@ -51,16 +49,24 @@
             controller: Controller::default(),
             log_clock_advanced_at: Duration::ZERO,
             has_view_lease: false,
-            stopping: false,
-            stop_grace: Duration::ZERO,
+            stop: None,
+            stop_limits: stop::Limits {
+                serving: Duration::ZERO,
+                draining: Duration::ZERO,
+                grace: None,
+            },
             grace_period_over: false,
         }
     }
 
-    /// Sets the grace period of a graceful stop, for which requests are still accepted after the
-    /// health check has begun to fail.
-    pub fn with_stop_grace(self, grace: Duration) -> Self {
-        Self { stop_grace: grace, ..self }
+    /// Sets the durations of a graceful stop.
+    pub fn with_stop_limits(self, stop_limits: stop::Limits) -> Self {
+        Self { stop_limits, ..self }
+    }
+
+    /// Plan of the graceful stop; `None` until it begins.
+    pub fn stop_plan(&self) -> Option<stop::Plan> {
+        self.stop
     }
 
     /// Expiry of the view lease, until which the daemon may act on its configuration.
@@ -83,7 +89,7 @@
             Event::Upstream { ticket, call } => self.on_upstream(now, ticket, call, &mut effects),
             Event::Platform(report) => self.on_platform_report(now, report, &mut effects),
             Event::Route(event) => self.step_route(now, event, &mut effects),
-            Event::Stop => self.stop(&mut effects),
+            Event::Stop => self.stop(now, &mut effects),
         }
         self.update_view_lease(now, &mut effects);
         if self.grace_period_over && self.route.pending() == 0 {
@@ -99,14 +105,18 @@
     }
 
     /// Starts a graceful stop. The health check fails first, so that the load balancer has time to
-    /// send callers elsewhere.
-    fn stop(&mut self, effects: &mut Vec<Effect>) {
-        if self.stopping {
+    /// send callers elsewhere, and every request gets a deadline before the process is killed.
+    fn stop(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.stop.is_some() {
             return;
         }
-        self.stopping = true;
+        let plan = stop::Plan::new(now, self.stop_limits);
+        self.stop = Some(plan);
         effects.push(Effect::Health(false));
-        effects.push(Effect::Subscribe { timer: Timer::Grace, after: self.stop_grace });
+        effects.push(Effect::Subscribe { timer: Timer::Grace, after: plan.drains_at() - now });
+        if let Some(deadline) = plan.call_deadline() {
+            self.step_route(now, route::Event::Bound(deadline), effects);
+        }
     }
 
     /// Lets request routing refuse new requests.
@@ -121,7 +131,7 @@
         let has_view_lease = self.quorum.has_view_lease(now);
         if has_view_lease != self.has_view_lease {
             self.has_view_lease = has_view_lease;
-            effects.push(Effect::Health(has_view_lease && !self.stopping));
+            effects.push(Effect::Health(has_view_lease && self.stop.is_none()));
             self.step_route(now, route::Event::View(has_view_lease), effects);
         }
     }
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -34,4 +34,6 @@
     View(bool),
     /// The daemon shuts down: refuse further requests.
     Stop,
+    /// The daemon shuts down: answer all requests by this time.
+    Bound(Time),
 }
--- a/crates/route/src/state.rs
+++ b/crates/route/src/state.rs
@@ -17,6 +17,8 @@
     pub(crate) view: bool,
     /// Whether new requests are refused because the daemon is shutting down.
     stopping: bool,
+    /// Deadline of all requests, because the daemon is shutting down.
+    bound: Option<Time>,
     /// Number of the last attempt.
     pub(crate) last_attempt: AttemptId,
     /// Requests without a final answer.
@@ -56,6 +58,7 @@
             roster: Arc::default(),
             view: false,
             stopping: false,
+            bound: None,
             last_attempt: 0,
             pending: Map::default(),
             claimed_outcomes: ClaimedOutcomes::default(),
@@ -88,11 +91,24 @@
             Event::NotServing(instance) => self.on_not_serving(&instance),
             Event::View(view) => self.set_view(now, view, &mut effects),
             Event::Stop => self.stopping = true,
+            Event::Bound(until) => self.bound_requests(now, until, &mut effects),
         }
         self.outbox.flush(now, self.boot, &self.dispatchers, &mut effects);
         effects
     }
 
+    /// Sets the deadline of all requests, those that wait and those to come.
+    fn bound_requests(&mut self, now: Time, until: Time, effects: &mut Vec<Effect>) {
+        self.bound = Some(until);
+        let late = self.pending.iter().filter(|(_, pending)| pending.deadline > until);
+        let mut late: Vec<_> = late.map(|(id, _)| *id).collect();
+        late.sort_unstable();
+        let after = until.saturating_sub(now);
+        effects.extend(
+            late.into_iter().map(|id| Effect::Subscribe { timer: Timer::Deadline(id), after }),
+        );
+    }
+
     /// Number of requests without a final answer.
     pub fn pending(&self) -> usize {
         self.pending.len()
@@ -155,8 +171,9 @@
         let id = request.id;
         let kind = self.config.kinds.get(&request.kind);
         let needs_claim = request.key.is_some() && !kind.is_some_and(|kind| kind.idempotent);
-        if self.stopping || !self.view {
-            let reason = if self.stopping { Reason::Stopping } else { Reason::NoView };
+        let stopping = self.stopping || self.is_bound(now);
+        if stopping || !self.view {
+            let reason = if stopping { Reason::Stopping } else { Reason::NoView };
             let outcome = if needs_claim { Outcome::Unknown(reason) } else { not_run(reason) };
             return Err((id, outcome));
         }
@@ -166,8 +183,9 @@
         let Some(kind) = kind else { return Err((id, not_run(Reason::UnknownKind))) };
         let (idempotent, max_deadline) = (kind.idempotent, kind.deadline);
         let dispatcher = self.dispatcher(now, &request.service);
+        let deadline = now + request.timeout.unwrap_or(max_deadline).min(max_deadline);
         Ok(Pending {
-            deadline: now + request.timeout.unwrap_or(max_deadline).min(max_deadline),
+            deadline: self.bound.map_or(deadline, |bound| bound.min(deadline)),
             request,
             dispatcher,
             idempotent,
@@ -317,11 +335,17 @@
         let outcome = match pending.phase {
             Phase::Claiming => Outcome::Unknown(Reason::Undecided),
             Phase::Asking { .. } | Phase::Running(_) => Outcome::Unknown(Reason::Late),
+            Phase::Waiting if self.is_bound(now) => not_run(Reason::Stopping),
             Phase::Waiting => not_run(Reason::NoSlot),
         };
         self.finish(now, request, outcome, effects);
     }
 
+    /// Whether all requests are to be answered by now, because the daemon is shutting down.
+    fn is_bound(&self, now: Time) -> bool {
+        self.bound.is_some_and(|bound| now >= bound)
+    }
+
     /// Sets whether this daemon has a view. Without one it may not send requests, so those that
     /// wait for a slot are refused.
     fn set_view(&mut self, now: Time, view: bool, effects: &mut Vec<Effect>) {
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -15,6 +15,8 @@
     /// Time after the stop signal during which new requests are still accepted. The health check
     /// fails from the signal on.
     pub stop_grace: Duration,
+    /// Time after the stop signal at which the platform kills the process; `None` if it does not.
+    pub stop_limit: Option<Duration>,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Address of the platform. Without it, no instance is rebooted.
@@ -55,6 +57,7 @@
     location: Option<Location>,
     data: Option<PathBuf>,
     stop_grace: Option<Duration>,
+    stop_limit: Option<Duration>,
     listen: Option<Listen>,
     platform: Option<SocketAddr>,
     keys: Option<Keys>,
@@ -83,6 +86,7 @@
         self.id = reader.required::<String>("id").map(Into::into);
         self.data = reader.optional("data");
         self.stop_grace = reader.milliseconds("stop-grace-ms");
+        self.stop_limit = reader.milliseconds("stop-limit-ms");
         let region = reader.required::<String>("region");
         let data_center = reader.required::<String>("data-center");
         let rack = reader.optional::<String>("rack").unwrap_or_else(|| "none".into());
@@ -159,6 +163,7 @@
             location: self.location?,
             data: self.data,
             stop_grace: self.stop_grace.unwrap_or(DEFAULT_STOP_GRACE),
+            stop_limit: self.stop_limit,
             listen: self.listen?,
             platform: self.platform,
             keys: self.keys?,
