--- a/crates/entry/tests/reducer/fleet.rs
+++ b/crates/entry/tests/reducer/fleet.rs
@@ -70,8 +70,8 @@
     ) {
         let seeds = VOTERS.iter().map(|name| Name::from(*name)).collect();
         let scheduler = Scheduler::new(job::Bounds::default());
-        let grace = Duration::from_secs(2);
-        let mut state = State::new(identity(name, boot), seeds, is_new_fleet, scheduler, grace);
+        let mut state =
+            State::new(identity(name, boot), seeds, is_new_fleet, scheduler, STOP_LIMITS);
         state.read_config = read_config;
         let daemon = Daemon {
             state,
--- a/crates/entry/tests/reducer/membership.rs
+++ b/crates/entry/tests/reducer/membership.rs
@@ -21,7 +21,7 @@
     let now = ms(60_000);
     let own = identity("10.0.0.1:1", 7);
     let scheduler = Scheduler::new(job::Bounds::default());
-    let mut state = State::new(own, Vec::new(), false, scheduler, Duration::from_secs(2));
+    let mut state = State::new(own, Vec::new(), false, scheduler, STOP_LIMITS);
     let voter = |disk| quorum::Member { role: quorum::Role::Voter, disk: Some(disk) };
     let observer = quorum::Member { role: quorum::Role::Observer, disk: None };
     let members = [
