Agreement: a leader keeps its lease while large entries are on their way

Cause, the half of it in the protocol: a heartbeat continues after the last entry that was sent, so its answer means something only once those entries have arrived. On a link that takes more than 500 ms for them the lease lapses, whatever the transport does.

Change: if entries to a member stay unanswered for a heartbeat interval, the leader adds a heartbeat that continues from index 0, which every log matches. Its answer matches up to 0, so it is never taken for one to entries, and the follower commits nothing by it. The heartbeat in the order of the log stays: it finds entries that were lost. A member that has answered everything gets one message for each interval, as before.

Test that failed before: a_leader_keeps_its_lease_while_large_entries_are_on_their_way (no lease after 500 ms; entries and what follows them are held for 3 s, everything else is delivered).

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -38,6 +38,9 @@
             return self.send_chunk(now, to, effects);
         };
         let entries = self.log.slice(progress.next, self.limits.max_message_bytes);
+        if !entries.is_empty() {
+            progress.unanswered_since.get_or_insert(now);
+        }
         progress.next += entries.len() as Index;
         progress.last_sent = now;
         let echo = progress.stamp.filter(|_| grants);
@@ -109,6 +112,7 @@
         }
         self.update_lease_and_forced(now);
         for to in self.heartbeats_due(now) {
+            self.send_unordered_heartbeat(now, &to, effects);
             self.replicate_to(now, &to, effects);
         }
         effects
@@ -126,6 +130,29 @@
         due.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Sends a heartbeat that may arrive before the entries on their way to `to`, if those have not
+    /// been answered for a heartbeat interval. It continues from index 0, which every log matches, so
+    /// that the answer says nothing about entries.
+    fn send_unordered_heartbeat(&self, now: Time, to: &Name, effects: &mut Vec<Effect>) {
+        let ElectionState::Leader { progress, .. } = &self.election else { return };
+        let Some(progress) = progress.get(to) else { return };
+        let since = progress.unanswered_since;
+        if since.is_none_or(|since| now < since + Timing::HEARTBEAT_INTERVAL) {
+            return;
+        }
+        let message = Message::Append {
+            term: self.term,
+            prev_index: 0,
+            prev_term: 0,
+            entries: Vec::new(),
+            commit: self.commit_index,
+            forced: self.forced,
+            sent: now,
+            echo: progress.stamp.filter(|_| self.may_grant_view_leases(now)),
+        };
+        effects.push(Effect::Send { to: to.clone(), message });
+    }
+
     /// Handles the answer to `Append`.
     pub(crate) fn on_appended(
         &mut self,
@@ -154,12 +181,9 @@
         // first of these rejections rewinds, since reacting to each would send the rest of the log
         // once per rejection.
         if matched {
-            peer.matched = peer.matched.max(index.min(last));
-            peer.next = peer.next.max(peer.matched + 1);
+            peer.record_match(now, index.min(last));
         } else if sent >= peer.rewound_at {
-            peer.matched = peer.matched.min(index);
-            peer.next = index.min(last) + 1;
-            peer.rewound_at = now;
+            peer.rewind(now, index, last);
         }
         let behind = peer.next <= last;
         self.commit_majority(now, effects);
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -13,6 +13,8 @@
     pub applied: Index,
     /// Time of the last message sent to the member.
     pub last_sent: Time,
+    /// Since when entries that were sent have not been answered; `None` if all were.
+    pub unanswered_since: Option<Time>,
     /// Time of the last rewind of `next` after a mismatch; answers to earlier messages cause no
     /// further rewind.
     pub rewound_at: Time,
@@ -35,6 +37,7 @@
             next,
             applied: 0,
             last_sent: Time::ZERO,
+            unanswered_since: None,
             rewound_at: Time::ZERO,
             last_acked_send: None,
             stamp: None,
@@ -42,4 +45,22 @@
             transfer: None,
         }
     }
+
+    /// Records an answer that the log of the member matches up to `index`.
+    pub(crate) fn record_match(&mut self, now: Time, index: Index) {
+        if index > self.matched {
+            self.matched = index;
+            self.unanswered_since = Some(now);
+        }
+        self.next = self.next.max(self.matched + 1);
+        self.unanswered_since = self.unanswered_since.filter(|_| self.matched + 1 < self.next);
+    }
+
+    /// Records an answer that the log of the member must be sent again from `index` on.
+    pub(crate) fn rewind(&mut self, now: Time, index: Index, last: Index) {
+        self.matched = self.matched.min(index);
+        self.next = index.min(last) + 1;
+        self.rewound_at = now;
+        self.unanswered_since = None;
+    }
 }
--- a/crates/quorum/tests/replication.rs
+++ b/crates/quorum/tests/replication.rs
@@ -88,6 +88,38 @@
     assert_eq!(b.last_index(), last);
 }
 
+/// Guards against a leader that steps down for entries that are still on their way.
+#[test]
+fn a_leader_keeps_its_lease_while_large_entries_are_on_their_way() {
+    let (mut a, mut b) = leader_and_follower();
+    let mut now = 5 * SECOND + Timing::HEARTBEAT_INTERVAL;
+    let heartbeat = step(&mut a, now, Event::Timer(Timer::Heartbeat));
+    assert_eq!(heartbeat.len(), 1, "a heartbeat to a member that has answered is one message");
+    exchange(&mut a, &mut b, now, heartbeat);
+    let known = b.last_index();
+    let mut ordered = step(&mut a, now, Event::Propose(vec![0; 2_000_000]));
+    let until = now + 6 * Timing::LEADER_LEASE;
+    while now < until {
+        now += Timing::HEARTBEAT_INTERVAL;
+        let sent = step(&mut a, now, Event::Timer(Timer::Heartbeat));
+        // Whatever follows the entries arrives after them.
+        let is_ordered = |message: &Message| {
+            matches!(message, Message::Append { prev_index, entries, .. }
+                if *prev_index > known || !entries.is_empty())
+        };
+        let (later, overtaking): (VecDeque<_>, _) = sent.into_iter().partition(is_ordered);
+        ordered.extend(later);
+        exchange(&mut a, &mut b, now, overtaking);
+        assert!(a.is_leader() && a.has_leader_lease(now));
+        assert_eq!((b.last_index(), b.commit_index()), (known, known));
+    }
+    assert!(a.has_leader_lease(now));
+    assert_eq!(a.commit_index(), known);
+    assert_eq!(exchange(&mut a, &mut b, now, ordered), 1, "the entry is sent once");
+    assert_eq!(a.commit_index(), known + 1);
+    assert_eq!(b.last_index(), known + 1);
+}
+
 #[test]
 fn leadership_transfer_elects_a_voter_with_a_complete_log_at_once() {
     let (mut a, mut b) = leader_and_follower();
