Peers: heartbeats, votes and answers don't wait behind bulk

Cause: all messages to a peer went through one stream in order, so a heartbeat behind 2 MB on a link of 2 Mbit/s came 8 s late, and the lease is 500 ms.

Change: a frame is urgent or bulk. Each class has a queue, bounded in bytes, frames and time, and a QUIC stream, the urgent one with the higher priority. Large contents are bulk, and so are entries and heartbeats that continue what the member has not confirmed; everything else is urgent, also the heartbeat outside the order of the log. An empty queue takes any frame, as before. What waited too long is counted, with a log line.

--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -1,4 +1,4 @@
-use super::*;
+use {super::*, wire::Class};
 
 /// Messages between daemons. Encoded by position: new variants go to the end.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -102,5 +102,46 @@
     },
 }
 
+impl Message {
+    /// Maximum size of the contents of an urgent message, in bytes.
+    const MAX_URGENT_BYTES: usize = 8 * 1024;
+
+    /// Class to send it in to a daemon whose log is known to match that of this one up to `matched`.
+    /// Entries that follow others on their way stay behind them: the receiver would reject them, and
+    /// get all of them again.
+    pub(crate) fn class(&self, matched: Index) -> Class {
+        match self {
+            Self::Quorum(quorum::Message::Append { prev_index, .. }) if *prev_index > matched => {
+                Class::Bulk
+            }
+            message if message.is_large() => Class::Bulk,
+            _ => Class::Urgent,
+        }
+    }
+
+    /// Whether it delays messages that follow it.
+    pub(crate) fn is_large(&self) -> bool {
+        self.content_bytes() > Self::MAX_URGENT_BYTES
+    }
+
+    /// Size of what can be large in it, in bytes.
+    fn content_bytes(&self) -> usize {
+        match self {
+            Self::Quorum(quorum::Message::Append { entries, .. }) => {
+                entries.iter().map(|entry| entry.command.len()).sum()
+            }
+            Self::Quorum(quorum::Message::Chunk { data, .. }) => data.len(),
+            Self::Forward { call: Call::Publish(document), .. } => document.text.len(),
+            Self::Forward { call: Call::Submit { spec: Ok(spec), .. }, .. } => spec.payload.len(),
+            Self::Answer { answer: Answer::Config(text), .. } => text.len(),
+            Self::Order {
+                call: InstanceCall { order: job::Order::Start { payload, .. }, .. },
+                ..
+            } => payload.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// Leader that a carried order belongs to, and the process of the leader.
 pub(crate) type Origin = (Name, u64);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -290,8 +290,8 @@
         self.processor_seconds.get_or_create(&label).inc_by(spent.as_secs_f64());
     }
 
-    pub(crate) fn count_dropped_frame(&self) {
-        self.frames_dropped.inc();
+    pub(crate) fn count_dropped_frames(&self, frames: u64) {
+        self.frames_dropped.inc_by(frames);
     }
 
     pub(crate) fn set_ready(&self, ready: bool) {
--- a/crates/entry/src/outbox.rs
+++ b/crates/entry/src/outbox.rs
@@ -2,7 +2,7 @@
 //! sides about as much processor time as handling its message. Messages that come in numbers and are
 //! not urgent are held for a moment, so that more of them share a frame.
 
-use super::*;
+use {super::*, wire::Class};
 
 /// Messages by receiver.
 #[derive(Debug, Default)]
@@ -92,6 +92,25 @@
         self.next_due = self.bundles.values().map(|bundle| bundle.due).min();
         due
     }
+
+    /// Splits the messages to one daemon into urgent ones and bulk, if the former would wait otherwise;
+    /// messages share a frame as long as no bulk is on its way. `matched` is as in [`Message::class`].
+    pub(crate) fn split(
+        messages: Vec<Message>,
+        matched: Index,
+        bulk_is_idle: bool,
+    ) -> [(Class, Vec<Message>); 2] {
+        let is_urgent = |message: &Message| message.class(matched) == Class::Urgent;
+        let delays = !bulk_is_idle || messages.iter().any(Message::is_large);
+        let (urgent, bulk) = if messages.iter().all(is_urgent) {
+            (messages, Vec::new())
+        } else if delays {
+            messages.into_iter().partition(is_urgent)
+        } else {
+            (Vec::new(), messages)
+        };
+        [(Class::Urgent, urgent), (Class::Bulk, bulk)]
+    }
 }
 
 /// Adds a message to the last one of the consensus protocol, if both append entries; returns it
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,6 +4,7 @@
     http_client::HttpClient,
     log::Log,
     tokio::task::spawn_local,
+    wire::{Class, Expired},
 };
 
 /// Exit code for invalid settings.
@@ -20,6 +21,9 @@
 /// Timeout of a request to the platform about machines.
 const MACHINE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Maximum size of an urgent frame, in bytes.
+const MAX_URGENT_FRAME_BYTES: usize = 64 * 1024;
+
 /// Environment variable with the path of the settings file, used if no argument is given.
 const SETTINGS_VARIABLE: &str = "SARDINEVALVE_CONFIG";
 
@@ -539,35 +543,58 @@
     /// Sends the messages that are due; those to one daemon share a frame.
     fn send_due(&mut self) {
         for (to, messages) in self.outbox.take_due(self.clock.now()) {
-            self.send_frame(&to, &messages);
+            let Ok(address) = to.parse::<SocketAddr>() else { continue };
+            let bulk_is_idle = self.mesh.is_idle(address, Class::Bulk);
+            let matched = self.state.quorum.as_ref().map_or(0, |quorum| quorum.matched(&to));
+            for (class, messages) in Outbox::split(messages, matched, bulk_is_idle) {
+                if !messages.is_empty() {
+                    self.send_frame(address, class, &messages);
+                }
+            }
             self.account.charge(self.clock.now(), Activity::Encoding);
         }
+        for ((address, class), Expired { frames, bytes }) in self.mesh.take_expired() {
+            self.metrics.count_dropped_frames(frames);
+            let name = class.name();
+            let why = format!("{frames} of {bytes} bytes waited for too long as {name}");
+            self.note("frame-dropped", &address.to_string(), &why);
+        }
     }
 
-    fn send_frame(&mut self, to: &Name, messages: &[Message]) {
-        let Ok(address) = to.parse::<SocketAddr>() else { return };
+    fn send_frame(&mut self, to: SocketAddr, class: Class, messages: &[Message]) {
         match wire::Codec::encode(&messages) {
-            Ok(body) => {
-                let bytes = body.len();
-                if !self.mesh.send(address, body) {
-                    self.metrics.count_dropped_frame();
-                    let why = format!("no room for {bytes} bytes in the queue");
-                    self.note("frame-dropped", to, &why);
+            // Messages whose size was not known before.
+            Ok(body) if class == Class::Urgent && body.len() > MAX_URGENT_FRAME_BYTES => {
+                match messages {
+                    [_] => self.send_body(to, Class::Bulk, body),
+                    _ => self.send_halves(to, class, messages),
                 }
             }
+            Ok(body) => self.send_body(to, class, body),
             // The frame would be too large.
-            Err(_) if messages.len() > 1 => {
-                for message in messages {
-                    self.send_frame(to, std::slice::from_ref(message));
-                }
-            }
+            Err(_) if messages.len() > 1 => self.send_halves(to, class, messages),
             Err(error) => {
-                self.metrics.count_dropped_frame();
-                self.note("message-not-sent", to, &error.to_string());
+                self.metrics.count_dropped_frames(1);
+                self.note("message-not-sent", &to.to_string(), &error.to_string());
             }
         }
     }
 
+    fn send_halves(&mut self, to: SocketAddr, class: Class, messages: &[Message]) {
+        let (first, second) = messages.split_at(messages.len() / 2);
+        self.send_frame(to, class, first);
+        self.send_frame(to, class, second);
+    }
+
+    fn send_body(&mut self, to: SocketAddr, class: Class, body: Vec<u8>) {
+        let bytes = body.len();
+        if !self.mesh.send(to, class, body) {
+            self.metrics.count_dropped_frames(1);
+            let why = format!("no room for {bytes} bytes in the queue for {}", class.name());
+            self.note("frame-dropped", &to.to_string(), &why);
+        }
+    }
+
     fn note(&mut self, what: &'static str, about: &str, why: &str) {
         self.write(&Note { what, about: about.into(), why: why.into() });
     }
--- a/crates/entry/tests/reducer/outbox.rs
+++ b/crates/entry/tests/reducer/outbox.rs
@@ -60,27 +60,68 @@
     assert_eq!(outbox.take_due(ms(90)).len(), 1);
 }
 
-#[test]
-fn the_news_of_a_commit_waits_for_the_next_entries_but_not_for_long() {
-    let append = |entries| quorum::Message::Append {
+fn append(prev_index: Index, entries: Vec<quorum::Entry>) -> Message {
+    Message::Quorum(quorum::Message::Append {
         term: 1,
-        prev_index: 1,
+        prev_index,
         prev_term: 1,
         entries,
         commit: 1,
         forced: 0,
         sent: ms(0),
         echo: None,
-    };
-    let entry = quorum::Entry { term: 1, command: vec![1], members: None };
+    })
+}
+
+fn entry(bytes: usize) -> quorum::Entry {
+    quorum::Entry { term: 1, command: vec![1; bytes], members: None }
+}
+
+#[test]
+fn the_news_of_a_commit_waits_for_the_next_entries_but_not_for_long() {
     let mut outbox = Outbox::default();
     let member: Name = "10.0.0.2:1".into();
-    outbox.push(ms(0), &member, Message::Quorum(append(Vec::new())));
+    outbox.push(ms(0), &member, append(1, Vec::new()));
     assert_eq!(outbox.next_due(), Some(ms(10)));
-    outbox.push(ms(4), &member, Message::Quorum(append(vec![entry])));
+    outbox.push(ms(4), &member, append(1, vec![entry(1)]));
     let sent = outbox.take_due(ms(4));
     let [Message::Quorum(quorum::Message::Append { entries, .. })] = &sent[0].1[..] else {
         panic!("{sent:?}")
     };
     assert_eq!(entries.len(), 1);
 }
+
+/// Numbers of messages in the urgent and in the bulk frame.
+fn frames(messages: Vec<Message>, matched: Index, bulk_is_idle: bool) -> [usize; 2] {
+    Outbox::split(messages, matched, bulk_is_idle).map(|(_, messages)| messages.len())
+}
+
+/// Guards against heartbeats and answers that wait for a configuration to the same daemon.
+#[test]
+fn urgent_messages_share_no_frame_with_what_delays_them() {
+    let heartbeat = || append(0, Vec::new());
+    let configuration = || append(4, vec![entry(2_000_000)]);
+    assert_eq!(frames(vec![configuration(), heartbeat(), ping()], 4, true), [2, 1]);
+    let after_it = || append(5, Vec::new());
+    assert_eq!(frames(vec![heartbeat(), after_it(), order_result(1)], 4, false), [2, 1]);
+    let text: std::sync::Arc<str> = " ".repeat(2_000_000).into();
+    let forward = |text| {
+        let call = Call::Publish(job::Document { version: 1, text });
+        Message::Forward { ticket: 1, call, deadline: None }
+    };
+    let answer = Message::Answer { ticket: 1, answer: Answer::Config(text.clone()) };
+    assert_eq!(frames(vec![forward(text), answer, ping()], 0, true), [1, 2]);
+    assert_eq!(frames(vec![forward("{}".into()), ping()], 0, false), [2, 0]);
+}
+
+/// Guards against more frames on days without large messages.
+#[test]
+fn messages_share_a_frame_while_no_bulk_is_on_its_way() {
+    let entries = || append(5, vec![entry(100)]);
+    assert_eq!(frames(vec![entries(), order_result(1)], 5, true), [2, 0]);
+    assert_eq!(
+        frames(vec![entries(), order_result(1)], 4, true),
+        [0, 2],
+        "entries keep their order"
+    );
+}
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -130,6 +130,12 @@
         Some(progress.get(member)?.stamp?.boot)
     }
 
+    /// On the leader, the highest index at which the log of a member is known to match; 0 otherwise.
+    pub fn matched(&self, member: &Name) -> Index {
+        let ElectionState::Leader { progress, .. } = &self.election else { return 0 };
+        progress.get(member).map_or(0, |progress| progress.matched)
+    }
+
     /// Latest membership in the log, committed or not.
     pub fn members(&self) -> &Members {
         &self.members
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod authority;
 mod certificate;
+mod class;
 mod codec;
 mod error;
 mod frame;
@@ -30,12 +31,21 @@
 mod identity;
 mod link;
 mod mesh;
+mod queue;
 mod transport;
 
 use hello::Hello;
 pub use {
-    authority::Authority, certificate::Certificate, codec::Codec, error::Error, frame::Frame,
-    identity::Identity, mesh::Mesh, transport::Transport,
+    authority::Authority,
+    certificate::Certificate,
+    class::Class,
+    codec::Codec,
+    error::Error,
+    frame::Frame,
+    identity::Identity,
+    mesh::Mesh,
+    queue::{Expired, Queue},
+    transport::Transport,
 };
 
 /// Result of this crate's fallible functions.
--- a/crates/wire/tests/mesh.rs
+++ b/crates/wire/tests/mesh.rs
@@ -40,12 +40,13 @@
         let (frames, _inbox) = mpsc::unbounded_channel();
         let mesh = wire::Mesh::start(other, frames).expect("an address");
         while on_connected.try_recv().is_err() {
-            mesh.send(blocked, vec![1]);
+            mesh.send(blocked, wire::Class::Bulk, vec![1]);
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         let mut queued = 0;
         for _ in 0..FRAMES {
-            queued += usize::from(mesh.send(blocked, vec![0; FRAME_BYTES])) * FRAME_BYTES;
+            queued += usize::from(mesh.send(blocked, wire::Class::Bulk, vec![0; FRAME_BYTES]))
+                * FRAME_BYTES;
             tokio::time::sleep(Duration::from_micros(100)).await;
         }
         result_sender.send(queued).expect("the test waits");
@@ -73,7 +74,7 @@
         let mesh = wire::Mesh::start(sender, frames).expect("an address");
         // The protocols above repeat what gets no answer.
         loop {
-            mesh.send(receiver, vec![0; wire::Frame::MAX_BYTES]);
+            mesh.send(receiver, wire::Class::Bulk, vec![0; wire::Frame::MAX_BYTES]);
             tokio::time::sleep(Duration::from_secs(1)).await;
         }
     });
