Store: the files of a data folder stand behind a trait

A full disk, a failed sync and a loss of power could not be played in a test: one write at one moment failed, by a link to a device.

--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -1,76 +1,87 @@
 use super::*;
 
-/// The data folder, locked by this process.
+/// A data folder on disk, locked by this process.
 #[derive(Debug)]
-pub(crate) struct Folder {
-    pub(crate) path: PathBuf,
+pub struct Folder {
+    path: PathBuf,
     /// The folder itself, open to lock and sync it.
     file: File,
+    /// File used last.
+    open: Option<(String, File)>,
 }
 
 impl Folder {
-    const LOG: &str = "log-";
-    const TEMPORARY: &str = ".tmp";
-    /// Log file of format version 1.
-    const VERSION_1_LOG: &str = "log";
-
+    /// Opens the folder at `path`, which is created if it is missing.
     pub(crate) fn open(path: &Path) -> Result<Self> {
         fs::create_dir_all(path).map_err(Error::file(path))?;
         let file = File::open(path).map_err(Error::file(path))?;
         let path = path.to_path_buf();
         match file.try_lock() {
-            Ok(()) => {}
-            Err(fs::TryLockError::WouldBlock) => return Err(Error::Locked { path }),
-            Err(fs::TryLockError::Error(source)) => return Err(Error::file(&path)(source)),
-        }
-        if path.join(Self::VERSION_1_LOG).exists() {
-            return Err(Error::Version { path, found: 1, expected: Header::VERSION });
+            Ok(()) => Ok(Self { path, file, open: None }),
+            Err(fs::TryLockError::WouldBlock) => Err(Error::Locked { path }),
+            Err(fs::TryLockError::Error(source)) => Err(Error::file(&path)(source)),
         }
-        Ok(Self { path, file })
     }
 
-    /// Numbers of the log files, in ascending order.
-    pub(crate) fn logs(&self) -> Result<Vec<u64>> {
-        let mut numbers = Vec::new();
-        for entry in fs::read_dir(&self.path).map_err(Error::file(&self.path))? {
-            let name = entry.map_err(Error::file(&self.path))?.file_name();
-            let number = name.to_str().and_then(|name| name.strip_prefix(Self::LOG));
-            numbers.extend(number.and_then(|number| number.parse::<u64>().ok()));
-        }
-        numbers.sort_unstable();
-        Ok(numbers)
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        let open = self.open.take().filter(|(open, _)| open == name);
+        let (name, file) = match open {
+            Some(open) => open,
+            None => {
+                let file = OpenOptions::new().append(true).open(self.path.join(name))?;
+                (name.to_string(), file)
+            }
+        };
+        Ok(&mut self.open.insert((name, file)).1)
     }
+}
 
-    pub(crate) fn log_path(&self, number: u64) -> PathBuf {
-        self.path.join(format!("{}{number:010}", Self::LOG))
+impl Medium for Folder {
+    fn path(&self) -> &Path {
+        &self.path
     }
 
-    /// Creates a log file atomically: it appears under its name only once all of it is durable.
-    pub(crate) fn create(&self, number: u64, bytes: &[u8]) -> Result<File> {
-        let path = self.log_path(number);
-        let temporary = path.with_added_extension(&Self::TEMPORARY[1..]);
-        let mut file = File::create(&temporary).map_err(Error::file(&temporary))?;
-        file.write_all(bytes).map_err(Error::file(&temporary))?;
-        file.sync_all().map_err(Error::file(&temporary))?;
-        fs::rename(&temporary, &path).map_err(Error::file(&path))?;
-        self.sync()?;
-        Ok(file)
+    fn names(&self) -> io::Result<Vec<String>> {
+        let names = fs::read_dir(&self.path)?.map(|entry| Ok(entry?.file_name()));
+        let names = names.filter_map(|name| name.map(|name| name.into_string().ok()).transpose());
+        names.collect()
     }
 
-    /// Removes the files that a crash may have left behind: logs other than `number`, and temporary
-    /// files.
-    pub(crate) fn remove_stale_logs(&self, number: u64) -> Result {
-        for entry in fs::read_dir(&self.path).map_err(Error::file(&self.path))? {
-            let path = entry.map_err(Error::file(&self.path))?.path();
-            let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
-            if name.starts_with(Self::LOG) && path != self.log_path(number) {
-                fs::remove_file(&path).map_err(Error::file(&path))?;
-            }
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.open = Some((name.to_string(), File::create(self.path.join(name))?));
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))?;
+        if let Some((name, _)) = self.open.as_mut().filter(|(name, _)| name == from) {
+            *name = to.to_string();
         }
-        self.sync()
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open.take_if(|(open, _)| open == name);
+        fs::remove_file(self.path.join(name))
     }
 
-    fn sync(&self) -> Result {
-        self.file.sync_all().map_err(Error::file(&self.path))
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.file.sync_all()
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,6 +13,7 @@
     quorum::{PersistentState, Record},
     serde::{Deserialize, Serialize},
     std::{
+        fmt,
         fs::{self, File, OpenOptions},
         io::{self, Write},
         path::{Path, PathBuf},
@@ -23,10 +24,11 @@
 mod folder;
 mod frame;
 mod header;
+mod medium;
 mod store;
 
-pub use {error::Error, store::Store};
-use {folder::Folder, frame::Frame, header::Header};
+pub use {error::Error, folder::Folder, medium::Medium, store::Store};
+use {frame::Frame, header::Header};
 
 /// Result of this crate's fallible functions.
 pub type Result<T = (), E = Error> = std::result::Result<T, E>;
