A voter syncs what it reads back when it opens its log

A disk that was full at the sync, or a kill between a write and its sync, leaves a whole frame that isn't durable. The voter read it back, reported it to the leader, and it counted for a majority; a loss of power before the next sync took it away, so that an acknowledged change could be gone. If the next write reached the disk and this one did not, the gap looked like damage, and the voter refused its log for good. Cause: Store::reopen synced the log only if it had cut a truncated frame. A cut whose own sync had failed was not synced by the next attempt either. Evidence: an_entry_read_back_after_a_kill_survives_a_loss_of_power (entry 2 is gone) and an_entry_lost_with_the_power_is_not_taken_for_damage (Damaged, offset 61) both failed before. Fix: the log is synced at every opening, before anything read from it is reported or written after it.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -95,8 +95,9 @@
         }
         if !rest.is_empty() {
             medium.truncate(&name, length).map_err(Error::file(&path))?;
-            medium.sync(&name).map_err(Error::file(&path))?;
         }
+        // The process may have ended between a write and its sync.
+        medium.sync(&name).map_err(Error::file(&path))?;
         remove_stale_logs(&mut medium, number)?;
         let vote = Some(Record::Vote { term: restored.term, vote: restored.vote.clone() });
         let store = Self { medium, header, number, batch: Vec::new(), vote, failed: false };
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -102,3 +102,37 @@
     drop(store);
     assert_eq!(last_index(&restored(&memory)), 3);
 }
+
+/// What a voter reads back when it starts, it reports to the leader as durable.
+#[test]
+fn an_entry_read_back_after_a_kill_survives_a_loss_of_power() {
+    let (memory, mut store) = folder();
+    memory.set_fault(Fault::Sync);
+    write(&mut store, entry(2)).expect_err("the sync fails");
+    drop(store);
+    memory.set_fault(Fault::None);
+    let reported = restored(&memory);
+    memory.lose_power(|| false);
+    assert_eq!(restored(&memory), reported);
+}
+
+#[test]
+fn an_entry_lost_with_the_power_is_not_taken_for_damage() {
+    let (memory, mut store) = folder();
+    memory.set_fault(Fault::Sync);
+    write(&mut store, entry(2)).expect_err("the sync fails");
+    drop(store);
+    memory.set_fault(Fault::None);
+    let (mut store, _) = open(&memory).expect("the folder opens");
+    memory.set_fault(Fault::Sync);
+    write(&mut store, entry(3)).expect_err("the sync fails");
+    drop(store);
+    // Only the last write has reached the disk.
+    let mut writes = 0;
+    memory.lose_power(|| {
+        writes += 1;
+        writes == 2
+    });
+    memory.set_fault(Fault::None);
+    open(&memory).expect("the folder opens");
+}
