A log is removed only once the name of the next one is durable

The sync of the folder fails on a full disk after a new log has got its name. The voter opens its folder again, takes the new log and removes the former one, and only then syncs the names. If it loses power at that moment, the removal may be kept and the name lost: the folder holds no log, and the voter starts as a new disk. Cause: reopen removed stale logs before it made the name of the current one durable. Evidence: a_log_is_not_removed_before_the_name_of_the_next_one_is_durable failed before (no entry left). Fix: reopen syncs the names first, and again only if it has removed any.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -98,6 +98,7 @@
         }
         // The process may have ended between a write and its sync.
         medium.sync(&name).map_err(Error::file(&path))?;
+        sync_names(&mut medium)?;
         remove_stale_logs(&mut medium, number)?;
         let vote = Some(Record::Vote { term: restored.term, vote: restored.vote.clone() });
         let store = Self { medium, header, number, batch: Vec::new(), vote, failed: false };
@@ -161,12 +162,12 @@
 /// files.
 fn remove_stale_logs<M: Medium>(medium: &mut M, number: u64) -> Result {
     let current = log_name(number);
-    for name in names(medium)? {
-        if name.starts_with(LOG) && name != current {
-            medium.remove(&name).map_err(Error::file(&medium.path().join(&name)))?;
-        }
+    let is_stale = |name: &String| name.starts_with(LOG) && *name != current;
+    let stale: Vec<_> = names(medium)?.into_iter().filter(is_stale).collect();
+    for name in &stale {
+        medium.remove(name).map_err(Error::file(&medium.path().join(name)))?;
     }
-    sync_names(medium)
+    if stale.is_empty() { Ok(()) } else { sync_names(medium) }
 }
 
 fn sync_names<M: Medium>(medium: &mut M) -> Result {
--- a/crates/store/tests/faults.rs
+++ b/crates/store/tests/faults.rs
@@ -136,3 +136,20 @@
     memory.set_fault(Fault::None);
     open(&memory).expect("the folder opens");
 }
+
+#[test]
+fn a_log_is_not_removed_before_the_name_of_the_next_one_is_durable() {
+    let (memory, mut store) = folder();
+    memory.set_fault(Fault::SyncNames);
+    write(&mut store, snapshot(1)).expect_err("the sync fails");
+    drop(store);
+    open(&memory).expect_err("the sync fails");
+    // The removal has reached the disk, but not the new name.
+    let mut changes = 0;
+    memory.lose_power(|| {
+        changes += 1;
+        changes != 1
+    });
+    memory.set_fault(Fault::None);
+    assert_eq!(last_index(&restored(&memory)), 1);
+}
