Entry: a simulated fleet with disks that are full in turn

The simulated fleet now has the daemon's own disk queue and store on a medium in memory, instead of a disk on which every write succeeds at once. An operator sends a change at a time: it is acknowledged within 4 s at any moment while only disks are disturbed, and within 4 s after restarts, whoever of the voters leads then; after a loss of power of all voters nothing acknowledged is gone.

--- a/crates/entry/src/disk.rs
+++ b/crates/entry/src/disk.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// Handle of a thread that writes records to disk, one batch at a time.
+/// Records and messages that wait for the disk; a [`Writer`] writes one batch at a time.
 pub(crate) struct Disk {
     /// Distinguishes this disk from earlier ones that failed.
     pub(crate) number: u64,
@@ -27,32 +27,28 @@
 }
 
 impl Disk {
+    /// Starts a thread that writes to `store`.
     pub(crate) fn start(
-        mut store: store::Store,
+        store: store::Store,
         number: u64,
         synced: mpsc::UnboundedSender<Synced>,
     ) -> Self {
-        let (batches, inbox) = crossbeam::channel::unbounded::<Vec<quorum::Record>>();
-        std::thread::spawn(move || {
-            for records in inbox {
-                for record in records {
-                    store.append(record);
-                }
-                let result = store.sync().map_err(|error| error.to_string());
-                let failed = result.is_err();
-                if synced.send((number, result)).is_err() || failed {
-                    return;
-                }
-            }
-        });
-        Self {
+        let (disk, writer) = Self::new(store, number);
+        std::thread::spawn(move || writer.run(number, &synced));
+        disk
+    }
+
+    pub(crate) fn new<M: store::Medium>(store: store::Store<M>, number: u64) -> (Self, Writer<M>) {
+        let (batches, inbox) = crossbeam::channel::unbounded();
+        let disk = Self {
             number,
             batches,
             waiting: Vec::new(),
             writing: None,
             after_writing: Vec::new(),
             after_waiting: Vec::new(),
-        }
+        };
+        (disk, Writer { store, batches: inbox })
     }
 
     pub(crate) fn persist(&mut self, record: quorum::Record) {
@@ -89,6 +85,33 @@
     }
 }
 
+/// Writes batches to the store.
+pub(crate) struct Writer<M> {
+    store: store::Store<M>,
+    pub(crate) batches: crossbeam::channel::Receiver<Vec<quorum::Record>>,
+}
+
+impl<M: store::Medium> Writer<M> {
+    /// Writes batches until one fails or the disk is given up.
+    fn run(mut self, number: u64, synced: &mpsc::UnboundedSender<Synced>) {
+        while let Ok(records) = self.batches.recv() {
+            let result = self.write(records);
+            let failed = result.is_err();
+            if synced.send((number, result)).is_err() || failed {
+                return;
+            }
+        }
+    }
+
+    /// Makes a batch durable.
+    pub(crate) fn write(&mut self, records: Vec<quorum::Record>) -> Result<(), String> {
+        for record in records {
+            self.store.append(record);
+        }
+        self.store.sync().map_err(|error| error.to_string())
+    }
+}
+
 fn last_entry(record: &quorum::Record) -> Option<(quorum::Term, Index)> {
     let quorum::Record::Entries { first, entries } = record else { return None };
     Some((entries.last()?.term, first + entries.len() as Index - 1))
--- a/crates/entry/tests/reducer/fleet.rs
+++ b/crates/entry/tests/reducer/fleet.rs
@@ -4,43 +4,79 @@
 use {
     super::{
         access::{config_of, key, submission},
+        memory::Memory,
         *,
     },
     std::collections::BTreeMap,
 };
 
-const VOTERS: [&str; 3] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
-const GATEWAY: &str = "10.0.0.9:1";
+pub(super) const VOTERS: [&str; 3] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
+pub(super) const GATEWAY: &str = "10.0.0.9:1";
 /// Time that a message takes.
 const LATENCY: Duration = Duration::from_millis(2);
+/// Time that a batch takes on disk.
+const SYNC_TIME: Duration = Duration::from_millis(4);
 /// Wall clock at the start of the simulation.
 const START_UNIX: job::UnixMs = 1_700_000_000_000;
 
-struct Daemon {
-    state: State,
+pub(super) struct Daemon {
+    pub(super) state: State,
     timers: ::timer::Queue<Timer>,
-    /// What is on its disk.
-    disk: quorum::PersistentState,
+    /// What its disk is on; `None` for a daemon without one.
+    pub(super) medium: Option<Memory>,
+    disk: Option<(disk::Disk, disk::Writer<Memory>)>,
+    disks_opened: u64,
+    /// Results of batches that were written, and when they are known.
+    written: VecDeque<(Time, disk::Synced)>,
     boot: u64,
-    is_paused: bool,
+    pub(super) is_paused: bool,
+}
+
+impl Daemon {
+    /// Opens the data folder; returns the event that results.
+    fn open_disk(&mut self) -> Option<Event> {
+        self.disks_opened += 1;
+        let boot = self.boot + self.disks_opened;
+        Some(match store::Store::open_medium(self.medium.clone()?, &self.state.id, boot) {
+            Ok((store, restored)) => {
+                self.disk = Some(disk::Disk::new(store, self.disks_opened));
+                Event::DiskOpened { restored: Box::new(restored), boot }
+            }
+            Err(_) => Event::DiskLost,
+        })
+    }
+
+    /// Writes the batch that waits.
+    fn flush(&mut self, now: Time) {
+        let Some((disk, writer)) = &mut self.disk else { return };
+        disk.flush();
+        if let Ok(records) = writer.batches.try_recv() {
+            self.written.push_back((now + SYNC_TIME, (disk.number, writer.write(records))));
+        }
+    }
+
+    /// The result of a batch, if one is known by now.
+    fn synced(&mut self, now: Time) -> Option<disk::Synced> {
+        self.written.pop_front_if(|(at, _)| *at <= now).map(|(_, synced)| synced)
+    }
 }
 
 /// Daemons that exchange messages.
-struct Fleet {
-    now: Time,
-    daemons: BTreeMap<Name, Daemon>,
+pub(super) struct Fleet {
+    pub(super) now: Time,
+    pub(super) daemons: BTreeMap<Name, Daemon>,
     /// Messages on their way, by time and number.
     messages: BTreeMap<(Time, u64), (Name, Name, Message)>,
     sent: u64,
     /// Daemons whose messages, from and to them, are lost.
     cut: BTreeSet<Name>,
     last_ticket: CallTicket,
-    answers: BTreeMap<CallTicket, Answer>,
+    pub(super) answers: BTreeMap<CallTicket, Answer>,
 }
 
 impl Fleet {
     /// Starts a fleet and puts a configuration with the organisation `a` and its keys in force.
-    fn start(keys: &[u8]) -> Self {
+    pub(super) fn start(keys: &[u8]) -> Self {
         let mut fleet = Self {
             now: ms(0),
             daemons: BTreeMap::new(),
@@ -51,76 +87,71 @@
             answers: BTreeMap::new(),
         };
         for (i, name) in VOTERS.iter().enumerate() {
-            let disk = quorum::PersistentState { disk: Some(5 + i as u64), ..Default::default() };
-            fleet.start_daemon(name, Some(disk), 100 + i as u64, true);
+            fleet.start_daemon(name, Some(Memory::default()), 100_000 * (i as u64 + 1), true);
         }
-        fleet.start_daemon(GATEWAY, None, 200, false);
+        fleet.start_daemon(GATEWAY, None, 900_000, false);
         fleet.run_until("a leader serves", |fleet| fleet.leader().is_some());
         fleet.run(1500);
         fleet.configure(1, keys);
         fleet
     }
 
-    fn start_daemon(
-        &mut self,
-        name: &str,
-        disk: Option<quorum::PersistentState>,
-        boot: u64,
-        is_new_fleet: bool,
-    ) {
+    fn start_daemon(&mut self, name: &str, medium: Option<Memory>, boot: u64, is_new_fleet: bool) {
         let seeds = VOTERS.iter().map(|name| Name::from(*name)).collect();
         let scheduler = Scheduler::new(job::Bounds::default());
         let grace = Duration::from_secs(2);
         let state = State::new(identity(name, boot), seeds, is_new_fleet, scheduler, grace);
-        let daemon = Daemon {
+        let mut daemon = Daemon {
             state,
             timers: ::timer::Queue::default(),
-            disk: disk.clone().unwrap_or_default(),
+            medium,
+            disk: None,
+            disks_opened: 0,
+            written: VecDeque::new(),
             boot,
             is_paused: false,
         };
+        let opened = daemon.open_disk();
         self.daemons.insert(name.into(), daemon);
-        if let Some(restored) = disk.map(Box::new) {
-            self.step(&name.into(), Event::DiskOpened { restored, boot });
+        if let Some(opened) = opened {
+            self.step(&name.into(), opened);
         }
         self.step(&name.into(), Event::Start);
     }
 
     /// Restarts a voter from its disk; messages to its earlier run are lost.
-    fn restart(&mut self, name: &Name) {
+    pub(super) fn restart(&mut self, name: &Name) {
         let daemon = self.daemons.remove(name).expect("a daemon");
         self.messages.retain(|_, (_, to, _)| to != name);
-        self.start_daemon(name, Some(daemon.disk), daemon.boot + 1000, false);
+        self.start_daemon(name, daemon.medium, daemon.boot + 1000, false);
+    }
+
+    pub(super) fn set_paused(&mut self, name: &Name, is_paused: bool) {
+        self.daemons.get_mut(name).expect("a daemon").is_paused = is_paused;
     }
 
     fn step(&mut self, name: &Name, event: Event) {
         let now = self.now;
         let unix = START_UNIX + now.as_millis() as u64;
         let daemon = self.daemons.get_mut(name).expect("a daemon");
+        let mut sends = Vec::new();
         let mut effects = VecDeque::from(daemon.state.reduce(now, unix, event));
         while let Some(effect) = effects.pop_front() {
             match effect {
                 Effect::Persist(record) => {
-                    let written = match &record {
-                        quorum::Record::Entries { first, entries } => {
-                            let term = entries.last().expect("a record has entries").term;
-                            Some((term, first + entries.len() as Index - 1))
-                        }
-                        _ => None,
-                    };
-                    daemon.disk.apply_record(record);
-                    if let Some((term, index)) = written {
-                        effects.extend(daemon.state.reduce(
-                            now,
-                            unix,
-                            Event::Synced { term, index },
-                        ));
+                    if let Some((disk, _)) = &mut daemon.disk {
+                        disk.persist(record);
                     }
                 }
-                Effect::Send { to, message } | Effect::SendDurable { to, message } => {
-                    self.sent += 1;
-                    let at = (now + LATENCY, self.sent);
-                    self.messages.insert(at, (name.clone(), to, message));
+                Effect::SendDurable { to, message } => sends.extend(match &mut daemon.disk {
+                    Some((disk, _)) => disk.hold(to, message),
+                    None => Some((to, message)),
+                }),
+                Effect::Send { to, message } => sends.push((to, message)),
+                Effect::OpenDisk => {
+                    if let Some(opened) = daemon.open_disk() {
+                        effects.extend(daemon.state.reduce(now, unix, opened));
+                    }
                 }
                 Effect::Subscribe { timer, after } => daemon.timers.schedule(timer, now + after),
                 Effect::Answer { ticket, answer } => {
@@ -129,10 +160,36 @@
                 _ => {}
             }
         }
+        daemon.flush(now);
+        self.send_messages(name, sends);
+    }
+
+    fn send_messages(&mut self, from: &Name, messages: Vec<(Name, Message)>) {
+        for (to, message) in messages {
+            self.sent += 1;
+            self.messages.insert((self.now + LATENCY, self.sent), (from.clone(), to, message));
+        }
+    }
+
+    /// Handles the result of a batch.
+    fn on_synced(&mut self, name: &Name, (number, result): disk::Synced) {
+        let daemon = self.daemons.get_mut(name).expect("a daemon");
+        let disk = daemon.disk.as_mut().filter(|(disk, _)| disk.number == number);
+        let Some((disk, _)) = disk else { return };
+        if result.is_err() {
+            daemon.disk = None;
+            return self.step(name, Event::DiskLost);
+        }
+        let disk::Durable { messages, last } = disk.synced();
+        daemon.flush(self.now);
+        self.send_messages(name, messages);
+        if let Some((term, index)) = last {
+            self.step(name, Event::Synced { term, index });
+        }
     }
 
     /// Advances by a millisecond: messages arrive, then timers expire.
-    fn advance(&mut self) {
+    pub(super) fn advance(&mut self) {
         self.now += ms(1);
         while let Some(((at, number), (from, to, message))) = self.messages.pop_first() {
             if at > self.now {
@@ -146,6 +203,11 @@
             }
         }
         for name in self.daemons.keys().cloned().collect::<Vec<_>>() {
+            while let Some(result) =
+                self.daemons.get_mut(&name).and_then(|daemon| daemon.synced(self.now))
+            {
+                self.on_synced(&name, result);
+            }
             while let Some(timer) = self.due_timer(&name) {
                 self.step(&name, Event::Timer(timer));
             }
@@ -157,11 +219,11 @@
         daemon.timers.pop(self.now)
     }
 
-    fn run(&mut self, ms: u64) {
+    pub(super) fn run(&mut self, ms: u64) {
         (0..ms).for_each(|_| self.advance());
     }
 
-    fn run_until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+    pub(super) fn run_until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
         let end = self.now + Duration::from_secs(20);
         while !condition(self) {
             assert!(self.now < end, "timed out waiting until {what}");
@@ -170,7 +232,7 @@
     }
 
     /// The daemon that serves calls, among those that are not paused.
-    fn leader(&self) -> Option<Name> {
+    pub(super) fn leader(&self) -> Option<Name> {
         let mut serving = self
             .daemons
             .iter()
@@ -178,7 +240,7 @@
         serving.next().map(|(name, _)| name.clone())
     }
 
-    fn send(&mut self, to: &Name, call: Call) -> CallTicket {
+    pub(super) fn send(&mut self, to: &Name, call: Call) -> CallTicket {
         self.last_ticket += 1;
         let ticket = self.last_ticket;
         self.step(to, Event::Call { ticket, call, timeout: ms(1800) });
@@ -186,7 +248,7 @@
     }
 
     /// Calls a daemon and waits for the answer.
-    fn call(&mut self, to: &str, call: Call) -> Answer {
+    pub(super) fn call(&mut self, to: &str, call: Call) -> Answer {
         let ticket = self.send(&to.into(), call);
         self.run_until("a call is answered", |fleet| fleet.answers.contains_key(&ticket));
         self.answers[&ticket].clone()
--- /dev/null
+++ b/crates/entry/tests/reducer/full_disks.rs
@@ -0,0 +1,187 @@
+//! Changes of the configuration in a fleet of three voters and a gateway, whose disks are full one
+//! after another.
+
+use {
+    super::{
+        fleet::{Fleet, GATEWAY, VOTERS},
+        memory::Fault,
+        *,
+    },
+    rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom},
+};
+
+/// Time within which a change has to be acknowledged.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Number of times that disks are full in a run.
+const TURNS: usize = 9;
+
+/// An operator who sends a new version as soon as the last one is acknowledged, and sends a version
+/// again, to another daemon, until it is.
+struct Operator {
+    rng: StdRng,
+    /// Size of a configuration, in bytes.
+    size: usize,
+    /// Version that was acknowledged last.
+    acknowledged: u64,
+    ticket: Option<CallTicket>,
+    /// When the version is sent again unless it was answered.
+    retry_at: Time,
+    /// Since when the next version has not been acknowledged.
+    since: Time,
+    /// Longest time until an acknowledgement.
+    longest: Duration,
+}
+
+impl Operator {
+    /// Time that a client waits for an answer.
+    const TIMEOUT: Duration = Duration::from_secs(2);
+    /// Delay before a version that was refused is sent again.
+    const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+    fn new(fleet: &Fleet, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        Self {
+            // The large one makes snapshots frequent.
+            size: if rng.random() { 10 } else { 300_000 },
+            rng,
+            acknowledged: 1,
+            ticket: None,
+            retry_at: fleet.now,
+            since: fleet.now,
+            longest: Duration::ZERO,
+        }
+    }
+
+    /// Lets time pass, in which the operator sends and hears.
+    fn run(&mut self, fleet: &mut Fleet, ms: u64) {
+        for _ in 0..ms {
+            fleet.advance();
+            self.longest = self.longest.max(fleet.now - self.since);
+            let answer = self.ticket.and_then(|ticket| fleet.answers.remove(&ticket));
+            if answer == Some(Answer::Done) {
+                self.acknowledged += 1;
+                self.since = fleet.now;
+            }
+            if answer.is_some() {
+                self.ticket = None;
+                self.retry_at = self.retry_at.min(fleet.now + Self::RETRY_DELAY);
+            }
+            if fleet.now >= self.retry_at {
+                self.send(fleet);
+            }
+        }
+    }
+
+    fn send(&mut self, fleet: &mut Fleet) {
+        let version = self.acknowledged + 1;
+        let text = "0".repeat(self.size) + &version.to_string();
+        let config = job::Config { text: text.into(), ..config(version) };
+        let running = fleet.daemons.iter().filter(|(_, daemon)| !daemon.is_paused);
+        let daemons: Vec<Name> = running.map(|(name, _)| name.clone()).collect();
+        let to = daemons.choose(&mut self.rng).expect("there are daemons");
+        self.ticket = Some(fleet.send(to, Call::Configure(Box::new(config))));
+        self.retry_at = fleet.now + Self::TIMEOUT;
+    }
+}
+
+/// What happens to a random voter while a disk is full.
+#[derive(Debug, Clone, Copy)]
+enum Disruption {
+    None,
+    Restart,
+    /// The voter leads no more, if it did.
+    Pause,
+}
+
+/// The leader's disk, or that of any voter, is full for some time.
+fn fill_disk(fleet: &mut Fleet, operator: &mut Operator, disruptions: &[Disruption]) {
+    let voters = VOTERS.map(Name::from);
+    let mut any = || voters.choose(&mut operator.rng).expect("there are voters").clone();
+    let (victim, other) = (any(), any());
+    let victim = if operator.rng.random() { fleet.leader().unwrap_or(victim) } else { victim };
+    let medium = fleet.daemons[&victim].medium.as_ref().expect("voters have disks");
+    let room = Fault::Room(medium.size() + operator.rng.random_range(0..200));
+    let faults = Fault::ALL.into_iter().chain([room]).collect::<Vec<_>>();
+    medium.set_fault(*faults.choose(&mut operator.rng).expect("there are faults"));
+    let before = operator.rng.random_range(100..2500);
+    operator.run(fleet, before);
+    match *disruptions.choose(&mut operator.rng).expect("there are disruptions") {
+        Disruption::None => {}
+        Disruption::Restart => fleet.restart(&other),
+        Disruption::Pause => {
+            fleet.set_paused(&other, true);
+            let paused = operator.rng.random_range(100..2000);
+            operator.run(fleet, paused);
+            fleet.set_paused(&other, false);
+        }
+    }
+    let after = operator.rng.random_range(100..2500);
+    operator.run(fleet, after);
+    let medium = fleet.daemons[&victim].medium.as_ref().expect("voters have disks");
+    medium.set_fault(Fault::None);
+    let gap = operator.rng.random_range(0..2) * operator.rng.random_range(0..1500);
+    operator.run(fleet, gap);
+}
+
+/// All voters lose power, but no acknowledged version.
+fn lose_power(fleet: &mut Fleet, operator: &mut Operator) {
+    for name in VOTERS.map(Name::from) {
+        let medium = fleet.daemons[&name].medium.clone().expect("voters have disks");
+        medium.lose_power(|| operator.rng.random());
+        fleet.restart(&name);
+    }
+    fleet.run_until("a leader serves", |fleet| fleet.leader().is_some());
+    // The gateway hears of the leader.
+    fleet.run(1000);
+    let answer = fleet.call(GATEWAY, Call::Config);
+    let Answer::Config(text) = answer else { panic!("{answer:?}") };
+    let version: u64 = text.parse().expect("the text is the version");
+    assert!(version >= operator.acknowledged, "{version}, {} acknowledged", operator.acknowledged);
+}
+
+/// Seeds that CI runs; `FULL_DISK_SEEDS=N` runs N.
+const SEEDS: u64 = 10;
+
+fn for_each_seed(run: impl Fn(&mut Fleet, &mut Operator)) {
+    let seeds = std::env::var("FULL_DISK_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
+    for seed in 0..seeds.unwrap_or(SEEDS) {
+        let mut fleet = Fleet::start(&[1]);
+        let mut operator = Operator::new(&fleet, seed);
+        run(&mut fleet, &mut operator);
+        println!("seed {seed}: {} versions, {:?}", operator.acknowledged, operator.longest);
+        assert!(operator.longest <= ACKNOWLEDGEMENT_TIMEOUT);
+        lose_power(&mut fleet, &mut operator);
+    }
+}
+
+/// Guards against changes that wait for a disk while a majority has room.
+#[test]
+fn changes_are_acknowledged_while_disks_are_full_in_turn() {
+    for_each_seed(|fleet, operator| {
+        for _ in 0..TURNS {
+            fill_disk(fleet, operator, &[Disruption::None]);
+        }
+    });
+}
+
+/// Guards against a voter that takes no more part once its disk has been full, whoever leads then.
+#[test]
+fn changes_are_acknowledged_after_full_disks_and_restarts() {
+    for_each_seed(|fleet, operator| {
+        for _ in 0..TURNS {
+            let disruptions = [Disruption::None, Disruption::Restart, Disruption::Pause];
+            fill_disk(fleet, operator, &disruptions);
+        }
+        (operator.longest, operator.since) = (Duration::ZERO, fleet.now);
+        operator.run(fleet, 4001);
+        // Each voter needs both others, or one of them and itself.
+        for name in VOTERS.map(Name::from) {
+            fleet.set_paused(&name, true);
+            operator.since = fleet.now;
+            operator.run(fleet, 4001);
+            fleet.set_paused(&name, false);
+            operator.run(fleet, 500);
+        }
+    });
+}
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -7,7 +7,10 @@
 mod carriers;
 mod fleet;
 mod forwarding;
+mod full_disks;
 mod load;
+#[path = "../../../store/tests/memory/mod.rs"]
+mod memory;
 mod organisations;
 mod outbox;
 
