A new leader does not remove a voter before it has been silent for long

The leader's disk was full; the next leader removed it from the voters 0.2 s after its election. Its own disk was full then, and since it was one of two voters, the removed one, whose disk had room again, could not stand in. Whoever was away for a moment at a change of leader was replaced, the former leader nearly always. Cause: silence was counted from the last answer in this term, and from the start of the process if there was none, which is over 4 s ago for any but a young process. Evidence: a_voter_whose_disk_was_full_for_a_moment_is_not_removed failed before (removed at 5.458 s). Fix: progress says since when the leader tracks a member, and silence counts from there at the earliest.

--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -16,7 +16,7 @@
 impl Membership {
     /// Target number of voters; more would slow down every commit.
     const TARGET_VOTERS: usize = 5;
-    /// A voter that has not answered for this long may be replaced.
+    /// A voter that has not answered this leader for this long may be replaced.
     const VOTER_TIMEOUT: Duration = Duration::from_millis(4000);
     /// How long a new fleet waits for all seeds to join before a majority of them suffices.
     const SEED_WAIT: Duration = Duration::from_secs(2);
@@ -64,7 +64,8 @@
         let standby: Vec<_> =
             observers.map(|(name, _)| name.clone()).filter(|name| alive(name)).collect();
         let unresponsive = |name: &&Name| {
-            let answered = progress.get(*name).map(|peer| peer.last_acked_send.unwrap_or_default());
+            let answered =
+                progress.get(*name).map(|peer| peer.last_acked_send.unwrap_or(peer.since));
             answered.is_some_and(|at| now > at + Self::VOTER_TIMEOUT)
         };
         let voters = members.voters().count();
--- a/crates/entry/tests/reducer/fleet.rs
+++ b/crates/entry/tests/reducer/fleet.rs
@@ -10,7 +10,8 @@
     std::collections::BTreeMap,
 };
 
-pub(super) const VOTERS: [&str; 3] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
+const VOTERS: [&str; 3] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
+const STANDBY: &str = "10.0.0.4:1";
 pub(super) const GATEWAY: &str = "10.0.0.9:1";
 /// Time that a message takes.
 const LATENCY: Duration = Duration::from_millis(2);
@@ -119,6 +120,17 @@
         self.step(&name.into(), Event::Start);
     }
 
+    /// Starts another daemon with a disk.
+    pub(super) fn start_standby(&mut self) {
+        self.start_daemon(STANDBY, Some(Memory::default()), 500_000, false);
+    }
+
+    /// The daemons with a disk.
+    pub(super) fn with_disk(&self) -> Vec<Name> {
+        let with_disk = self.daemons.iter().filter(|(_, daemon)| daemon.medium.is_some());
+        with_disk.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Restarts a voter from its disk; messages to its earlier run are lost.
     pub(super) fn restart(&mut self, name: &Name) {
         let daemon = self.daemons.remove(name).expect("a daemon");
--- a/crates/entry/tests/reducer/full_disks.rs
+++ b/crates/entry/tests/reducer/full_disks.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        fleet::{Fleet, GATEWAY, VOTERS},
+        fleet::{Fleet, GATEWAY},
         memory::Fault,
         *,
     },
@@ -96,7 +96,7 @@
 
 /// The leader's disk, or that of any voter, is full for some time.
 fn fill_disk(fleet: &mut Fleet, operator: &mut Operator, disruptions: &[Disruption]) {
-    let voters = VOTERS.map(Name::from);
+    let voters = fleet.with_disk();
     let mut any = || voters.choose(&mut operator.rng).expect("there are voters").clone();
     let (victim, other) = (any(), any());
     let victim = if operator.rng.random() { fleet.leader().unwrap_or(victim) } else { victim };
@@ -126,7 +126,7 @@
 
 /// All voters lose power, but no acknowledged version.
 fn lose_power(fleet: &mut Fleet, operator: &mut Operator) {
-    for name in VOTERS.map(Name::from) {
+    for name in fleet.with_disk() {
         let medium = fleet.daemons[&name].medium.clone().expect("voters have disks");
         medium.lose_power(|| operator.rng.random());
         fleet.restart(&name);
@@ -148,6 +148,11 @@
     for seed in 0..seeds.unwrap_or(SEEDS) {
         let mut fleet = Fleet::start(&[1]);
         let mut operator = Operator::new(&fleet, seed);
+        if seed % 2 == 1 {
+            // One that replaces a voter that does not answer for long.
+            fleet.start_standby();
+            operator.run(&mut fleet, 1000);
+        }
         run(&mut fleet, &mut operator);
         println!("seed {seed}: {} versions, {:?}", operator.acknowledged, operator.longest);
         assert!(operator.longest <= ACKNOWLEDGEMENT_TIMEOUT);
@@ -176,7 +181,7 @@
         (operator.longest, operator.since) = (Duration::ZERO, fleet.now);
         operator.run(fleet, 4001);
         // Each voter needs both others, or one of them and itself.
-        for name in VOTERS.map(Name::from) {
+        for name in fleet.with_disk() {
             fleet.set_paused(&name, true);
             operator.since = fleet.now;
             operator.run(fleet, 4001);
@@ -185,3 +190,29 @@
         }
     });
 }
+
+fn members(fleet: &Fleet, name: &Name) -> quorum::Members {
+    let quorum = fleet.daemons[name].state.quorum.as_ref();
+    quorum.expect("the daemon has a log").members().clone()
+}
+
+/// Guards against a voter that is removed as soon as it has not answered a new leader at once.
+#[test]
+fn a_voter_whose_disk_was_full_for_a_moment_is_not_removed() {
+    let mut fleet = Fleet::start(&[1]);
+    let mut operator = Operator::new(&fleet, 0);
+    fleet.start_standby();
+    operator.run(&mut fleet, 1000);
+    let former = fleet.leader().expect("a leader");
+    let medium = fleet.daemons[&former].medium.clone().expect("voters have disks");
+    medium.set_fault(Fault::All);
+    for _ in 0..2500 {
+        operator.run(&mut fleet, 1);
+        if let Some(leader) = fleet.leader() {
+            assert!(members(&fleet, &leader).is_voter(&former), "removed at {:?}", fleet.now);
+        }
+    }
+    medium.set_fault(Fault::None);
+    operator.run(&mut fleet, 4000);
+    assert!(operator.longest <= ACKNOWLEDGEMENT_TIMEOUT);
+}
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -103,9 +103,8 @@
         let bootstrapped = self.members.is_bootstrapped();
         let members = (!bootstrapped).then(|| self.members.with_voter_disks(votes));
         let next = self.log.last_index() + 1;
-        let view_lease_bound = now + Timing::VIEW_LEASE + Timing::CLOCK_DRIFT;
         let progress = self.other_members().into_iter();
-        let progress = progress.map(|name| (name, Progress::new(next, view_lease_bound))).collect();
+        let progress = progress.map(|name| (name, Progress::new(now, next))).collect();
         self.election = ElectionState::Leader { term_start: next, progress };
         self.leader = Some(self.id.clone());
         self.last_leader_contact = now;
--- a/crates/quorum/src/membership.rs
+++ b/crates/quorum/src/membership.rs
@@ -53,8 +53,7 @@
         let ElectionState::Leader { progress, .. } = &mut self.election else { return };
         progress.retain(|name, _| others.contains(name));
         for name in others {
-            let view_lease_bound = now + Timing::VIEW_LEASE + Timing::CLOCK_DRIFT;
-            progress.entry(name).or_insert_with(|| Progress::new(next, view_lease_bound));
+            progress.entry(name).or_insert_with(|| Progress::new(now, next));
         }
     }
 
--- a/crates/quorum/src/progress.rs
+++ b/crates/quorum/src/progress.rs
@@ -3,6 +3,8 @@
 /// Replication progress of another member, tracked by the leader.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Progress {
+    /// Time since which the leader has tracked the member.
+    pub since: Time,
     /// Disk that the member last reported.
     pub disk: Option<DiskId>,
     /// Highest index known to match the leader's log.
@@ -28,8 +30,9 @@
 }
 
 impl Progress {
-    pub(crate) fn new(next: Index, view_lease_bound: Time) -> Self {
+    pub(crate) fn new(now: Time, next: Index) -> Self {
         Self {
+            since: now,
             disk: None,
             matched: 0,
             next,
@@ -38,7 +41,7 @@
             rewound_at: Time::ZERO,
             last_acked_send: None,
             stamp: None,
-            view_lease_bound,
+            view_lease_bound: now + Timing::VIEW_LEASE + Timing::CLOCK_DRIFT,
             transfer: None,
         }
     }
