A silent voter is removed after its replacement has become a voter

A follower's disk was full for 4 s; 0.05 s after it had room again the leader removed it, and then the leader's own disk was full. The removal was in the log of the third voter: of the two voters left, one could not vote, while the removed one and the daemon in reserve worked. Cause: the voter was removed first, and the replacement promoted 0.2 s later or, if the leader was lost in between, once the next one leads. Fix: the replacement becomes a voter first, and the silent one is removed from the even number that results. Three of four voters are needed meanwhile, and the one that was silent counts if it answers again.

--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -69,16 +69,18 @@
             answered.is_some_and(|at| now > at + Self::VOTER_TIMEOUT)
         };
         let voters = members.voters().count();
-        if !standby.is_empty()
-            && voters > 1
-            && let Some(name) = members.voters().find(unresponsive)
-        {
+        let silent =
+            members.voters().find(unresponsive).filter(|_| !standby.is_empty() || voters > 2);
+        // The replacement becomes a voter first. With fewer voters, the next one that fails would leave
+        // no majority, even if the silent one answers again.
+        if let Some(name) = silent.filter(|_| voters.is_multiple_of(2)) {
             return Some(quorum::Change::Remove(name.clone()));
         }
         // With two voters, the data survives the loss of one disk. Beyond that, an even number of
         // voters only makes the majority larger.
         let wanted = voters == 1
             || voters.is_multiple_of(2)
+            || silent.is_some()
             || standby.len() >= 2 && voters < Self::TARGET_VOTERS;
         let ready = standby.into_iter().find(|_| wanted)?;
         Some(quorum::Change::Voter(ready))
--- a/crates/entry/tests/reducer/full_disks.rs
+++ b/crates/entry/tests/reducer/full_disks.rs
@@ -216,3 +216,23 @@
     operator.run(&mut fleet, 4000);
     assert!(operator.longest <= ACKNOWLEDGEMENT_TIMEOUT);
 }
+
+/// Guards against a moment at which a single further loss leaves no majority, though four disks work.
+#[test]
+fn a_voter_is_not_removed_before_its_replacement_is_a_voter() {
+    let mut fleet = Fleet::start(&[1]);
+    let mut operator = Operator::new(&fleet, 0);
+    fleet.start_standby();
+    operator.run(&mut fleet, 1000);
+    let leader = fleet.leader().expect("a leader");
+    let silent = fleet.with_disk().into_iter().find(|name| *name != leader).expect("a voter");
+    let medium = fleet.daemons[&silent].medium.clone().expect("voters have disks");
+    medium.set_fault(Fault::All);
+    for _ in 0..6000 {
+        operator.run(&mut fleet, 1);
+        let voters = members(&fleet, &leader).voters().count();
+        assert!(voters >= 3, "{voters} voters at {:?}", fleet.now);
+    }
+    assert!(!members(&fleet, &leader).is_voter(&silent), "it is replaced in the end");
+    assert_eq!(members(&fleet, &leader).voters().count(), 3);
+}
