A daemon that no leader knows any more asks to join again

A leader adds a daemon as an observer, or as a voter again after it was replaced, and loses its disk or its links before a majority has the entry. The next leader does not know the daemon, and the daemon waited for the former leader to the end of its process: it was missing as a voter and in reserve, without a line in any log, so that the loss of one more disk could leave no majority for good. Cause: a member that may not stand for election has no timeout; it kept the last leader that it had heard, and a daemon asks to join only while it knows no leader.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -303,7 +303,7 @@
         if leader_overdue && self.pending_calls.leader.is_some() {
             // The leader may be gone, so other peers have to be asked as well.
             self.pending_calls.leader =
-                self.quorum.as_ref().and_then(|quorum| quorum.leader().cloned());
+                self.quorum.as_ref().and_then(|quorum| quorum.recent_leader(now).cloned());
         }
     }
 
@@ -316,7 +316,7 @@
     /// that have restarted as well, so that only the members can bring them together.
     fn introduce(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let Some(quorum) = &self.quorum else { return };
-        let leader = quorum.leader().cloned();
+        let leader = quorum.recent_leader(now).cloned();
         if leader.is_none() || now < self.last_introduction + INTRODUCTION_INTERVAL {
             return;
         }
@@ -358,7 +358,7 @@
     /// Offers to start the log of a new fleet, or asks to join an existing one.
     fn request_membership(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let Some(quorum) = self.quorum.as_ref().filter(|_| self.disk.is_some()) else { return };
-        if quorum.leader().is_some() || quorum.is_leader() {
+        if quorum.recent_leader(now).is_some() {
             return;
         }
         let is_empty = quorum.last_index() == 0 && !quorum.members().is_bootstrapped();
@@ -557,7 +557,7 @@
     /// The leader, as far as this daemon knows.
     pub(crate) fn leader(&self, now: Time) -> Option<Name> {
         match &self.quorum {
-            Some(quorum) => quorum.leader().cloned(),
+            Some(quorum) => quorum.recent_leader(now).cloned(),
             // Only a recent report is passed on: an old one could direct others to a daemon that no
             // longer leads.
             None => self.pending_calls.recent_leader(now),
--- a/crates/entry/tests/reducer/fleet.rs
+++ b/crates/entry/tests/reducer/fleet.rs
@@ -11,7 +11,7 @@
 };
 
 const VOTERS: [&str; 3] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
-const STANDBY: &str = "10.0.0.4:1";
+pub(super) const STANDBY: &str = "10.0.0.4:1";
 pub(super) const GATEWAY: &str = "10.0.0.9:1";
 /// Time that a message takes.
 const LATENCY: Duration = Duration::from_millis(2);
@@ -70,7 +70,7 @@
     messages: BTreeMap<(Time, u64), (Name, Name, Message)>,
     sent: u64,
     /// Daemons whose messages, from and to them, are lost.
-    cut: BTreeSet<Name>,
+    pub(super) cut: BTreeSet<Name>,
     last_ticket: CallTicket,
     pub(super) answers: BTreeMap<CallTicket, Answer>,
 }
--- a/crates/entry/tests/reducer/full_disks.rs
+++ b/crates/entry/tests/reducer/full_disks.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        fleet::{Fleet, GATEWAY},
+        fleet::{Fleet, GATEWAY, STANDBY},
         memory::Fault,
         *,
     },
@@ -236,3 +236,25 @@
     assert!(!members(&fleet, &leader).is_voter(&silent), "it is replaced in the end");
     assert_eq!(members(&fleet, &leader).voters().count(), 3);
 }
+
+/// Guards against a daemon that waits for good for a leader whose entry about it was lost.
+#[test]
+fn a_daemon_that_was_added_by_a_former_leader_alone_joins_the_next_one() {
+    let mut fleet = Fleet::start(&[1]);
+    let former = fleet.leader().expect("a leader");
+    fleet.start_standby();
+    fleet.run(55);
+    let others = fleet.with_disk().into_iter().filter(|name| *name != former && **name != *STANDBY);
+    fleet.cut = others.collect();
+    fleet.run(300);
+    let standby = STANDBY.into();
+    assert!(members(&fleet, &standby).get(&standby).is_some(), "the former leader has added it");
+    fleet.set_paused(&former, true);
+    fleet.cut.clear();
+    fleet.run_until("another daemon leads", |fleet| fleet.leader().is_some());
+    fleet.set_paused(&former, false);
+    fleet.run_until("it has joined", |fleet| {
+        let leader = fleet.leader();
+        leader.is_some_and(|leader| members(fleet, &leader).get(&standby).is_some())
+    });
+}
--- a/crates/quorum/src/state.rs
+++ b/crates/quorum/src/state.rs
@@ -140,6 +140,13 @@
         self.leader.as_ref()
     }
 
+    /// The leader, if this member leads, or has heard from the leader within a view lease. A member
+    /// that may not stand for election keeps the leader that it knew last.
+    pub fn recent_leader(&self, now: Time) -> Option<&Name> {
+        let is_recent = self.is_leader() || now < self.last_leader_contact + Timing::VIEW_LEASE;
+        self.leader.as_ref().filter(|_| is_recent)
+    }
+
     /// On the leader, the members whose view lease has certainly expired; empty on other members.
     pub fn members_without_view_lease(&self, now: Time) -> Vec<Name> {
         let ElectionState::Leader { progress, .. } = &self.election else { return Vec::new() };
