Logs say when a disk works again, and that a leader resigned for its disk

a_leader_whose_disk_fails_says_so_when_it_resigns failed before ("no majority has answered in time").

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -388,6 +388,12 @@
             Ok((store, restored)) => {
                 self.disks_opened += 1;
                 self.disk = Some(disk::Disk::start(store, self.disks_opened, self.synced.clone()));
+                let quorum::PersistentState { disk, term, entries, .. } = &restored;
+                let why = format!(
+                    "disk {disk:?}, term {term}, {} entries after the snapshot",
+                    entries.len()
+                );
+                self.note("disk-opened", &folder.display().to_string(), &why);
                 self.step(Event::DiskOpened { restored: Box::new(restored), boot });
             }
             Err(error) => {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -648,7 +648,9 @@
         if let Some(led) = self.leader_term
             && (!leads || led != term)
         {
-            let why = if term > led {
+            let why = if self.quorum.is_none() {
+                "its disk has failed".into()
+            } else if term > led {
                 format!("epoch {term} has begun")
             } else if self.stopping {
                 "handed over".into()
--- a/crates/entry/tests/reducer/account.rs
+++ b/crates/entry/tests/reducer/account.rs
@@ -41,6 +41,13 @@
     assert_eq!(logged(&effects, "resigned"), ["epoch 9 has begun"]);
 }
 
+#[test]
+fn a_leader_whose_disk_fails_says_so_when_it_resigns() {
+    let mut state = leader_of_two(ms(1000));
+    let effects = run(&mut state, ms(1100), Event::DiskLost);
+    assert_eq!(logged(&effects, "resigned"), ["its disk has failed"]);
+}
+
 /// Reasons of the log lines of a kind.
 fn logged(effects: &[Effect], kind: &str) -> Vec<String> {
     let notes = effects.iter().filter_map(|effect| match effect {
