--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -11,14 +11,12 @@
     join_requests: BTreeMap<Name, Time>,
     /// When this leader first checked whether the fleet has settled.
     settling_since: Option<Time>,
-    /// Term in which this daemon leads, and when it first asked for a change in it.
-    leading_since: Option<(quorum::Term, Time)>,
 }
 
 impl Membership {
     /// Target number of voters; more would slow down every commit.
     const TARGET_VOTERS: usize = 5;
-    /// A voter that has not answered for this long may be replaced.
+    /// A voter that has not answered this leader for this long may be replaced.
     const VOTER_TIMEOUT: Duration = Duration::from_millis(4000);
     /// How long a new fleet waits for all seeds to join before a majority of them suffices.
     const SEED_WAIT: Duration = Duration::from_secs(2);
@@ -65,27 +63,24 @@
         let observers = members.iter().filter(|(_, member)| member.role == quorum::Role::Observer);
         let standby: Vec<_> =
             observers.map(|(name, _)| name.clone()).filter(|name| alive(name)).collect();
-        // A member that has not answered this leader yet may have answered the former one.
-        let leading_since = match self.leading_since {
-            Some((term, since)) if term == quorum.term() => since,
-            _ => self.leading_since.insert((quorum.term(), now)).1,
-        };
         let unresponsive = |name: &&Name| {
             let answered =
-                progress.get(*name).map(|peer| peer.last_acked_send.unwrap_or(leading_since));
+                progress.get(*name).map(|peer| peer.last_acked_send.unwrap_or(peer.since));
             answered.is_some_and(|at| now > at + Self::VOTER_TIMEOUT)
         };
         let voters = members.voters().count();
-        if !standby.is_empty()
-            && voters > 1
-            && let Some(name) = members.voters().find(unresponsive)
-        {
+        let silent =
+            members.voters().find(unresponsive).filter(|_| !standby.is_empty() || voters > 2);
+        // The replacement becomes a voter first. With fewer voters, the next one that fails would leave
+        // no majority, even if the silent one answers again.
+        if let Some(name) = silent.filter(|_| voters.is_multiple_of(2)) {
             return Some(quorum::Change::Remove(name.clone()));
         }
         // With two voters, the data survives the loss of one disk. Beyond that, an even number of
         // voters only makes the majority larger.
         let wanted = voters == 1
             || voters.is_multiple_of(2)
+            || silent.is_some()
             || standby.len() >= 2 && voters < Self::TARGET_VOTERS;
         let ready = standby.into_iter().find(|_| wanted)?;
         Some(quorum::Change::Voter(ready))
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -8,8 +8,11 @@
 mod configuration;
 mod fleet;
 mod forwarding;
+mod full_disks;
 mod load;
 mod membership;
+#[path = "../../../store/tests/memory/mod.rs"]
+mod memory;
 mod odd;
 mod organisations;
 mod outbox;
