An answer to a call of a gateway's former process is not taken for one of the new process

What callers would see: 200 for a job that nobody has, if a leader answers late while a gateway restarts. Not seen with real daemons; shown on the reducer.

Cause: a gateway numbered its calls from 1 at each start, and `Answer`, `NotLeader` and `ClockUnknown` name only that number.

Change: the numbers of a process begin at its random boot number, in a type `Tickets` of their own. An answer to a call of another process finds no call. A field with the boot in each message would cost more bytes and the same protection: numbers of two processes meet only if their random 64-bit starts are closer than the calls of one process.

Measured, before: with numbers from 1 the test an_answer_to_a_call_of_the_former_process_is_not_taken_for_one_of_the_new fails, [Done] is taken. Not run: a restart of real gateways beside a leader that answers late.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -56,6 +56,7 @@
 mod serving;
 mod state;
 mod surplus;
+mod tickets;
 mod timer;
 
 #[cfg(test)]
@@ -86,9 +87,10 @@
     reply_to::ReplyTo,
     state::{Identity, State},
     surplus::Surplus,
+    tickets::Tickets,
     timer::Timer,
 };
 
-/// Id of a call that a client of this daemon waits for; unrelated to the tickets of admission
-/// permits.
+/// Id of a call that a client of this daemon waits for, different from those of earlier processes;
+/// unrelated to the tickets of admission permits.
 type CallTicket = u64;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -146,8 +146,7 @@
         inbox: Inbox::default(),
         outbox: Outbox::default(),
         events,
-        tickets: BTreeMap::new(),
-        last_ticket: 0,
+        tickets: Tickets::new(boot),
     };
     event_loop.note("started", &settings.id, &format!("boot {boot:x}"));
     event_loop.run(inbox, calls_in, durable, pending).await?;
@@ -226,8 +225,7 @@
     outbox: Outbox,
     events: mpsc::UnboundedSender<Event>,
     /// Where to send the answers to open calls.
-    tickets: BTreeMap<CallTicket, oneshot::Sender<Answer>>,
-    last_ticket: CallTicket,
+    tickets: Tickets,
 }
 
 /// A call, its timeout, and where to send the answer.
@@ -365,9 +363,8 @@
     }
 
     fn on_call(&mut self, (call, timeout, sender): IncomingCall) {
-        self.last_ticket += 1;
-        self.tickets.insert(self.last_ticket, sender);
-        self.push(Event::Call { ticket: self.last_ticket, call, timeout });
+        let ticket = self.tickets.insert(sender);
+        self.push(Event::Call { ticket, call, timeout });
     }
 
     fn on_frame(&mut self, from: SocketAddr, body: &[u8]) {
@@ -462,7 +459,7 @@
             Effect::Send { to, message } => self.outbox.push(now, &to, message),
             Effect::Subscribe { timer, after } => self.timers.schedule(timer, now + after),
             Effect::Answer { ticket, answer } => {
-                if let Some(sender) = self.tickets.remove(&ticket) {
+                if let Some(sender) = self.tickets.take(ticket) {
                     sender.send(answer).ok();
                 }
             }
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -11,6 +11,7 @@
 mod organisations;
 mod outbox;
 mod stopping;
+mod tickets;
 
 /// Durations of the daemons' stops: the deadline of all calls is 2 s after the signal.
 const STOP_LIMITS: stop::Limits = stop::Limits {
