The line of a stop says its times in plain words

Cause: the line `stopping` showed optional times as `Some(5000)`. Change: `within 5000 ms`, or `at any time` without a limit.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -229,12 +229,15 @@
         let plan = stop::Plan::new(now, self.stop_limits);
         self.stop = Some(plan);
         self.pending_calls.bound(&plan);
-        let age = |at: Time| at.saturating_sub(now).as_millis();
+        let after = |at: Option<Time>| match at {
+            Some(at) => format!("within {} ms", at.saturating_sub(now).as_millis()),
+            None => "at any time".into(),
+        };
         let why = format!(
-            "asked to stop; drains after {} ms, answers calls within {:?} ms, ends within {:?} ms",
-            age(plan.drains_at()),
-            plan.call_deadline().map(age),
-            plan.end().map(age),
+            "asked to stop; drains {}, answers calls {}, ends {}",
+            after(Some(plan.drains_at())),
+            after(plan.call_deadline()),
+            after(plan.end()),
         );
         effects.push(log::line("stopping", String::new(), &why));
         self.ready = false;
