--- a/crates/entry/tests/reducer/full_disks.rs
+++ b/crates/entry/tests/reducer/full_disks.rs
@@ -76,8 +76,7 @@
     fn send(&mut self, fleet: &mut Fleet) {
         let version = self.acknowledged + 1;
         let Call::Configure(mut config) = configuration(config(version)) else { unreachable!() };
-        // What follows the configuration in the text is not read.
-        config.text = (config.text.to_string() + &"00".repeat(self.size / 2)).into();
+        config.text = format!("{} {}", config.text, "0".repeat(self.size)).into();
         let running = fleet.daemons.iter().filter(|(_, daemon)| !daemon.is_paused);
         let daemons: Vec<Name> = running.map(|(name, _)| name.clone()).collect();
         let to = daemons.choose(&mut self.rng).expect("there are daemons");
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -17,6 +17,7 @@
 mod organisations;
 mod outbox;
 mod stopping;
+mod tickets;
 
 /// Durations of the daemons' stops: the deadline of all calls is 2 s after the signal.
 const STOP_LIMITS: stop::Limits = stop::Limits {
@@ -157,10 +158,11 @@
     Call::Configure(Box::new(job::Config { text: text.into(), ..config }))
 }
 
-/// Reads what [`configuration`] wrote.
+/// Reads what [`configuration`] wrote; the rest of a text from a space on is ignored.
 fn read_config(text: &str) -> Result<job::Config, String> {
-    let byte = |i| u8::from_str_radix(&text[i..i + 2], 16).map_err(|error| error.to_string());
-    let bytes: Vec<_> = (0..text.len()).step_by(2).map(byte).collect::<Result<_, _>>()?;
+    let hex = text.split(' ').next().unwrap_or_default();
+    let byte = |i| u8::from_str_radix(&hex[i..i + 2], 16).map_err(|error| error.to_string());
+    let bytes: Vec<_> = (0..hex.len()).step_by(2).map(byte).collect::<Result<_, _>>()?;
     let config: job::Config = postcard::from_bytes(&bytes).map_err(|error| error.to_string())?;
     Ok(job::Config { text: text.into(), ..config })
 }
