--- a/crates/job/src/isolation.rs
+++ b/crates/job/src/isolation.rs
@@ -89,14 +89,11 @@
     /// not list it.
     pub(crate) fn lapse_reasons(&self, is_unlisted: bool) -> BTreeMap<TaskId, EndReason> {
         let is_gone = self.announcement.is_none() && is_unlisted;
-        let broke_at_start = |task: &TaskId| {
-            let broken_since = self.broken_since.filter(|_| !is_gone);
-            broken_since.is_some_and(|at| at < self.attempts[task].started + PROBATION)
-        };
         let mut reasons = self.crash_reasons(self.broken_since);
         reasons.retain(|task, _| {
-            let is_moved = self.attempts[task].end_if_absent != EndReason::Lost;
-            is_gone || is_moved || broke_at_start(task)
+            let Attempt { started, end_if_absent, .. } = &self.attempts[task];
+            let broke_at_start = self.broken_since.is_some_and(|at| at < *started + PROBATION);
+            is_gone || broke_at_start || *end_if_absent != EndReason::Lost
         });
         reasons
     }
