--- a/review/common-2/leave.rs
+++ b/review/common-2/leave.rs
@@ -4,7 +4,7 @@
 use crate::{
     Case, Record, Verdict,
     fleet::{CONTROL, Fleet, config, job},
-    runner::Runners,
+    runner::{Cut, Runners},
     sleep, trouble, wait,
 };
 use std::time::Duration;
@@ -34,7 +34,7 @@
         return Err(format!("acknowledged: {acknowledged}"));
     }
     sleep(1500);
-    runners.set_cut(leaving, false);
+    runners.set_cut(leaving, Cut::None);
     sleep(3000);
     let starts = runners.starts(JOB);
     let Some(twice) = starts.iter().find(|start| !start.also_on.is_empty()) else {
--- a/review/common-2/runner.rs
+++ b/review/common-2/runner.rs
@@ -1,7 +1,7 @@
 //! Runners as `PROTOCOL.md` describes them, and the platform's list of their machines.
 //!
-//! All that a runner and the system send each other passes links, which can be cut in the direction
-//! to the runner: what the system sends is held, and no new connection comes about.
+//! All that a runner and the system send each other passes links, which can be cut in both directions,
+//! or in the direction to the runner only: what is sent is held, and no new connection comes about.
 
 use crate::{
     Record, http,
@@ -14,7 +14,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicU8, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -27,6 +27,15 @@
 /// How long a runner that says that it ends waits for the acknowledgement.
 pub const LINGER: Duration = Duration::from_millis(4000);
 
+/// State of the links of a runner.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    None,
+    /// Nothing of the system reaches the runner; what it sends over open connections arrives.
+    ToRunner,
+    Both,
+}
+
 struct Run {
     number: u64,
     ends: Option<Instant>,
@@ -67,8 +76,8 @@
     record: Record,
     net: u8,
     world: Arc<Mutex<World>>,
-    /// For each runner, whether the links towards it are cut.
-    cut: Arc<Vec<AtomicBool>>,
+    /// For each runner, a [`Cut`] of its links.
+    cut: Arc<Vec<AtomicU8>>,
     /// For each runner, the addresses at which it finds the system.
     control: Arc<Vec<Vec<SocketAddr>>>,
 }
@@ -132,7 +141,7 @@
     /// Starts `count` runners of the service `desk` in the net of the system, whose control addresses
     /// are given, and the machine list at `cloud`.
     pub fn start(record: &Record, net: u8, count: usize, control: &[SocketAddr], cloud: SocketAddr) -> Result<Self, String> {
-        let cut: Arc<Vec<_>> = Arc::new((0..count).map(|_| AtomicBool::new(false)).collect());
+        let cut: Arc<Vec<_>> = Arc::new((0..count).map(|_| AtomicU8::new(0)).collect());
         let mut ways = Vec::new();
         for i in 0..count {
             let mut way = Vec::new();
@@ -221,10 +230,16 @@
         self.record.line(&format!("runner {i} {why}; it ran {}", tasks.join(" ")));
     }
 
-    /// Cuts what the system sends to a runner, or lets it pass again.
-    pub fn set_cut(&self, i: usize, cut: bool) {
-        self.cut[i].store(cut, Ordering::SeqCst);
-        let what = if cut { "cut: nothing of the system reaches it" } else { "whole again" };
+    /// Cuts the links of a runner, or makes them whole again.
+    pub fn set_cut(&self, i: usize, cut: Cut) {
+        if self.cut[i].swap(cut as u8, Ordering::SeqCst) == cut as u8 {
+            return;
+        }
+        let what = match cut {
+            Cut::None => "whole again",
+            Cut::ToRunner => "cut one way: nothing of the system reaches it",
+            Cut::Both => "cut",
+        };
         self.record.line(&format!("link to runner {i} is {what}"));
     }
 
@@ -284,7 +299,7 @@
             clients[j].call("POST", "control", &path, &body, Duration::from_secs(1));
         }
         if cut {
-            self.set_cut(i, true);
+            self.set_cut(i, Cut::ToRunner);
         }
         let Some(body) = self.say(i) else { return false };
         let path = format!("/sardinevalve/Instances.Deregister/i-{i}");
@@ -515,12 +530,12 @@
     }
 }
 
-/// Listens at `own` and passes connections on to `target`. While `cut[i]` is set, bytes towards the
-/// runner are held and no new connection comes about. `to_runner` tells whether `target` is the runner.
+/// Listens at `own` and passes connections on to `target`. While `cut[i]` is set, bytes are held as it
+/// says and no new connection comes about. `to_runner` tells whether `target` is the runner.
 fn link(
     own: SocketAddr,
     target: SocketAddr,
-    cut: Arc<Vec<AtomicBool>>,
+    cut: Arc<Vec<AtomicU8>>,
     i: usize,
     to_runner: bool,
 ) -> std::io::Result<()> {
@@ -530,7 +545,7 @@
             let Ok(near) = accepted else { continue };
             let cut = cut.clone();
             thread::spawn(move || {
-                while cut[i].load(Ordering::SeqCst) {
+                while cut[i].load(Ordering::SeqCst) != Cut::None as u8 {
                     sleep(10);
                 }
                 let Ok(far) = TcpStream::connect_timeout(&target, Duration::from_secs(1)) else {
@@ -550,11 +565,12 @@
     Ok(())
 }
 
-/// Passes bytes on; `held` tells whether they go towards the runner.
-fn relay(mut from: TcpStream, mut to: TcpStream, cut: &[AtomicBool], i: usize, held: bool) {
+/// Passes bytes on; `to_runner` tells whether they go towards the runner.
+fn relay(mut from: TcpStream, mut to: TcpStream, cut: &[AtomicU8], i: usize, to_runner: bool) {
+    let holds = |cut: u8| cut == Cut::Both as u8 || to_runner && cut == Cut::ToRunner as u8;
     let mut buffer = [0; 16 * 1024];
     while let Ok(length) = from.read(&mut buffer) {
-        while held && cut[i].load(Ordering::SeqCst) {
+        while holds(cut[i].load(Ordering::SeqCst)) {
             sleep(10);
         }
         if length == 0 || to.write_all(&buffer[..length]).is_err() {
--- a/review/common-2/standin.rs
+++ b/review/common-2/standin.rs
@@ -13,7 +13,7 @@
 mod crash;
 mod gang;
 mod leave;
-mod rename;
+mod pending;
 mod replace;
 
 use std::{
@@ -93,8 +93,8 @@
         "replace" => replace::run(&record),
         "leave" => leave::run(&record),
         "crash" => crash::run(&record),
+        "pending" => pending::run(&record),
         "gang" => gang::run(&record),
-        "rename" => rename::run(&record),
         other => Err(format!("no case {other}")),
     };
     let (code, text) = match result {
