review: accepted jobs with many occurrences take the memory of every voter

Cause: the state of all occurrences of a job is made at its acceptance, and nothing bounds the sum over jobs. The case on jobs given up after crashes is dropped, since an earlier one names its verdict and its code.

--- a/review/common-2/fleet.rs
+++ b/review/common-2/fleet.rs
@@ -28,6 +28,11 @@
 const LEASE_MS: u64 = 3000;
 const GRACE_S: u64 = 6;
 
+/// Roles of the deploy file, in the order of the processes of a machine.
+const ROLES: [&str; 2] = ["voter", "gateway"];
+/// Delay before the platform starts a process again.
+const RESTART_MS: u64 = 500;
+
 /// Host of every route.
 pub const HOST: &str = "shop.example";
 
@@ -61,7 +66,7 @@
     pub fn new(record: &Record, machines: u8) -> Result<Self, String> {
         let deploy = fs::read_to_string("deploy/system.toml").map_err(|e| e.to_string())?;
         let template = fs::read_to_string("deploy/settings.ini").map_err(|e| e.to_string())?;
-        let commands = ["voter", "gateway"].map(|role| command(&deploy, role));
+        let commands = ROLES.map(|role| command(&deploy, role));
         let [Some(voter), Some(gateway)] = commands else { return Err("no roles".into()) };
         if !std::path::Path::new(&voter[0]).exists() {
             return Err(format!("{} is not built", voter[0]));
@@ -109,56 +114,91 @@
 
     /// Starts the processes of a machine. `seeds` are machines, `bootstrap` as in the settings.
     pub fn start(&mut self, number: u8, seeds: &[u8], bootstrap: bool) -> Result<(), String> {
+        for role in 0..ROLES.len() {
+            self.start_process(number, role, seeds, bootstrap)?;
+        }
+        self.record.line(&format!("machine {number} starts, bootstrap {bootstrap}"));
+        Ok(())
+    }
+
+    fn start_process(&mut self, number: u8, role: usize, seeds: &[u8], bootstrap: bool) -> Result<(), String> {
         let seeds: Vec<_> = seeds.iter().map(|n| self.address(*n, CONTROL).to_string()).collect();
         let cloud = self.cloud().to_string();
-        let (folder, template) = (self.folder.clone(), self.template.clone());
-        let commands = self.commands.clone();
+        let (name, words) = (ROLES[role], &self.commands[role]);
+        let is_voter = name == "voter";
         let machine = self.machines.iter_mut().find(|m| m.number == number).expect("a machine");
         let ip = &machine.ip;
-        for (role, words) in ["voter", "gateway"].iter().zip(&commands) {
-            let is_voter = *role == "voter";
-            let at = |wanted: bool, port: u16| if wanted { format!("{ip}:{port}") } else { String::new() };
-            let data = if is_voter { machine.data.display().to_string() } else { String::new() };
-            let values = [
-                ("node", format!("edge-{number}")),
-                ("zone", "zone-a".into()),
-                ("data-dir", data),
-                ("listen-addrs.front", at(!is_voter, FRONT)),
-                ("listen-addrs.ready", at(!is_voter, READY)),
-                ("listen-addrs.control", at(is_voter, CONTROL)),
-                ("ip", ip.clone()),
-                ("internal-ports.0", INTERNAL.to_string()),
-                ("seeds", seeds.join(",")),
-                ("bootstrap", bootstrap.to_string()),
-                ("cloud.address", cloud.clone()),
-                ("cloud.duty-per-s", "64".into()),
-                ("advice", String::new()),
-                ("bounds.max-hold-ms", MAX_HOLD_MS.to_string()),
-                ("bounds.lease-ms", LEASE_MS.to_string()),
-                ("bounds.grace-s", GRACE_S.to_string()),
-            ];
-            let mut text = template.clone();
-            for (name, value) in values {
-                text = text.replace(&format!("{{{{{name}}}}}"), &value);
-            }
-            let settings = folder.join(format!("{role}-{number}.ini"));
-            fs::write(&settings, text).map_err(|e| e.to_string())?;
-            let log = folder.join(format!("{role}-{number}.log"));
-            let log = File::options().create(true).append(true).open(log).map_err(|e| e.to_string())?;
-            let child = Command::new(&words[0])
-                .args(&words[1..])
-                .env("SARDINEVALVE_CONFIG", &settings)
-                .stdin(Stdio::null())
-                .stdout(log.try_clone().map_err(|e| e.to_string())?)
-                .stderr(log)
-                .spawn()
-                .map_err(|e| e.to_string())?;
-            machine.processes.push(child);
+        let at = |wanted: bool, port: u16| if wanted { format!("{ip}:{port}") } else { String::new() };
+        let data = if is_voter { machine.data.display().to_string() } else { String::new() };
+        let values = [
+            ("node", format!("edge-{number}")),
+            ("zone", "zone-a".into()),
+            ("data-dir", data),
+            ("listen-addrs.front", at(!is_voter, FRONT)),
+            ("listen-addrs.ready", at(!is_voter, READY)),
+            ("listen-addrs.control", at(is_voter, CONTROL)),
+            ("ip", ip.clone()),
+            ("internal-ports.0", INTERNAL.to_string()),
+            ("seeds", seeds.join(",")),
+            ("bootstrap", bootstrap.to_string()),
+            ("cloud.address", cloud),
+            ("cloud.duty-per-s", "64".into()),
+            ("advice", String::new()),
+            ("bounds.max-hold-ms", MAX_HOLD_MS.to_string()),
+            ("bounds.lease-ms", LEASE_MS.to_string()),
+            ("bounds.grace-s", GRACE_S.to_string()),
+        ];
+        let mut text = self.template.clone();
+        for (name, value) in values {
+            text = text.replace(&format!("{{{{{name}}}}}"), &value);
         }
-        self.record.line(&format!("machine {number} starts, bootstrap {bootstrap}"));
+        let settings = self.folder.join(format!("{name}-{number}.ini"));
+        fs::write(&settings, text).map_err(|e| e.to_string())?;
+        let log = self.folder.join(format!("{name}-{number}.log"));
+        let log = File::options().create(true).append(true).open(log).map_err(|e| e.to_string())?;
+        let child = Command::new(&words[0])
+            .args(&words[1..])
+            .env("SARDINEVALVE_CONFIG", &settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().map_err(|e| e.to_string())?)
+            .stderr(log)
+            .spawn()
+            .map_err(|e| e.to_string())?;
+        machine.processes.insert(role.min(machine.processes.len()), child);
         Ok(())
     }
 
+    /// Does what the platform does with a process that uses more memory than its machine allows: kills
+    /// it, and starts it again after a short delay. Returns the machines whose voter was killed.
+    pub fn enforce_memory(&mut self, megabytes: u64) -> Result<Vec<u8>, String> {
+        let mut over = Vec::new();
+        for machine in &self.machines {
+            for (role, child) in machine.processes.iter().enumerate() {
+                let used = resident_megabytes(child.id());
+                if used > megabytes {
+                    over.push((machine.number, role, used));
+                }
+            }
+        }
+        for (number, role, used) in &over {
+            let machine = self.machines.iter_mut().find(|m| m.number == *number).expect("a machine");
+            let mut child = machine.processes.remove(*role);
+            child.kill().ok();
+            child.wait().ok();
+            let name = ROLES[*role];
+            self.record.line(&format!("platform: {name} of machine {number} uses {used} MB, killed"));
+            sleep(RESTART_MS);
+            let seeds: Vec<_> = self.machines.iter().map(|m| m.number).take(3).collect();
+            self.start_process(*number, *role, &seeds, false)?;
+        }
+        Ok(over.into_iter().filter(|(_, role, _)| ROLES[*role] == "voter").map(|over| over.0).collect())
+    }
+
+    /// Memory of the voters, for the record.
+    pub fn voter_megabytes(&self) -> Vec<u64> {
+        self.machines.iter().filter_map(|m| m.processes.first()).map(|c| resident_megabytes(c.id())).collect()
+    }
+
     /// Sends SIGTERM to a machine, waits for its end within the grace period, and kills it after that.
     pub fn terminate(&mut self, number: u8) {
         self.record.line(&format!("machine {number}: SIGTERM"));
@@ -284,6 +324,14 @@
     }
 }
 
+/// Resident memory of a process; 0 if it has ended.
+fn resident_megabytes(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kilobytes.unwrap_or_default() / 1024
+}
+
 /// A configuration with one service and one route.
 pub fn config(version: u64, route: &str) -> String {
     format!(
--- a/review/common-2/standin.rs
+++ b/review/common-2/standin.rs
@@ -10,9 +10,9 @@
 mod json;
 mod runner;
 
-mod crash;
 mod gang;
 mod leave;
+mod occurrences;
 mod pending;
 mod replace;
 
@@ -92,7 +92,7 @@
     let result = match case.as_str() {
         "replace" => replace::run(&record),
         "leave" => leave::run(&record),
-        "crash" => crash::run(&record),
+        "occurrences" => occurrences::run(&record),
         "pending" => pending::run(&record),
         "gang" => gang::run(&record),
         other => Err(format!("no case {other}")),
