A reported end of an instance no longer ends its attempts

Cause: `Scheduler::on_announced` took the report for the end and ended every attempt on board as lost. The report announces an end that comes after its acknowledgement, or some seconds later without one.

Change: the report stops what runs on the instance, requests a report at once and the list of machines soon, and grants no further lease; nothing starts there, also if an earlier announcement arrives late, and under the next leader. Attempts end by a report, a later incarnation, the list, or the lease. To win the wait back, leases on a draining instance are half as long, and tasks that would not end in the time that it says it has are stopped 1 s before that is over.

Same cause on a related path: pages of a list of machines counted as of the request of each page. All count from the request of the first page now.

--- a/crates/entry/tests/reducer/odd.rs
+++ b/crates/entry/tests/reducer/odd.rs
@@ -18,6 +18,7 @@
         capacity: model::Resources { millicores: 16_000, memory_mb: 1000, accelerators: 0 },
         labels: Vec::new().into(),
         condition: job::Condition::Ready,
+        remaining: None,
         clock: 700,
         sequence,
     }
--- a/crates/job/src/announcement.rs
+++ b/crates/job/src/announcement.rs
@@ -19,6 +19,8 @@
     pub labels: Arc<[Name]>,
     /// Whether the instance accepts tasks.
     pub condition: Condition,
+    /// Least time until a draining instance ends, if it says so.
+    pub remaining: Option<Duration>,
     /// Monotonic clock of the instance when it sent this.
     pub clock: InstanceMs,
     /// Increases with each announcement of an incarnation.
@@ -32,7 +34,7 @@
     Ready,
     /// It accepts no new tasks, and ends after those that it has.
     Draining,
-    /// It has ended.
+    /// It has reported that it ends, and may work until it has.
     Gone,
 }
 
@@ -44,13 +46,19 @@
 
     /// Whether `later` says the same as this, at a later time.
     pub(crate) fn is_repeated_by(&self, later: &Self) -> bool {
-        let Self { clock, sequence, .. } = *self;
-        Self { clock, sequence, ..later.clone() } == *self
+        let Self { clock, sequence, remaining, .. } = *self;
+        Self { clock, sequence, remaining, ..later.clone() } == *self
     }
 
-    /// Whether this is newer than `other`, an announcement of the same instance.
+    /// Whether this is newer than `other`, an announcement of the same instance. Nothing that an
+    /// incarnation said before the report of its end, and that arrives later, supersedes the report.
     pub fn supersedes(&self, other: &Self) -> bool {
-        let key = |a: &Self| (a.incarnation.born, a.sequence, a.condition == Condition::Gone);
+        let key = |a: &Self| (a.incarnation.born, a.condition == Condition::Gone, a.sequence);
         key(self) > key(other)
     }
+
+    /// Whether the instance has reported its end.
+    pub(crate) fn is_departure(&self) -> bool {
+        self.condition == Condition::Gone
+    }
 }
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -52,11 +52,12 @@
         let Some(instance) = self.instances.get_mut(incarnation) else {
             return self.pending_ends.push(lost);
         };
+        let is_departing = instance.is_departing();
         let attempt = instance.attempts.get_mut(&task);
         let Some(attempt) = attempt.filter(|a| a.number == number) else {
             return self.pending_ends.push(lost);
         };
-        let Some(record) = record.filter(|record| !record.state.is_terminal()) else {
+        let Some(record) = record.filter(|r| !r.state.is_terminal() && !is_departing) else {
             attempt.stage = Stage::Ending;
             return self.pending_ends.push(lost);
         };
@@ -183,10 +184,11 @@
             let Some(instance) = self.instances.get_mut(&incarnation) else { continue };
             // An instance that does not answer must not get a longer lease with every retry, or its
             // lease would never be known to have expired.
-            let granted = if instance.unresponsive && now < instance.lease_expires {
+            let is_silent = instance.unresponsive && now < instance.lease_expires;
+            let granted = if is_silent || instance.is_departing() {
                 Some(instance.lease)
             } else {
-                instance.extend_lease(now, Self::LEASE)
+                instance.extend_lease(now, instance.lease_length())
             };
             let Some(lease) = granted else { continue };
             let acknowledged = instance.acknowledged;
@@ -324,7 +326,7 @@
     }
 
     fn renewal_is_due(&self, now: Time) -> bool {
-        let unknown = !self.fenced || self.unresponsive;
+        let unknown = (!self.fenced || self.unresponsive) && !self.is_departing();
         let needed = !self.attempts.is_empty() || unknown || self.received > self.acknowledged;
         // The instance repeats ends in every report until a renewal acknowledges them, so the next
         // renewal waits until the ends received are committed.
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -54,6 +54,8 @@
     pub(crate) last_busy: Time,
     /// Whether its machine is being drained; no new attempts are placed here.
     pub(crate) draining: bool,
+    /// Earliest time at which it ends, as far as it has said so.
+    pub(crate) ends_from: Option<Time>,
     /// Whether its machine goes to another pool as soon as its attempts have ended; no new attempts
     /// are placed here.
     pub(crate) lending: bool,
@@ -158,6 +160,7 @@
             avoid_count: 0,
             last_busy: now,
             draining: false,
+            ends_from: None,
             lending: false,
         }
     }
@@ -255,6 +258,32 @@
         ready && self.fenced && !self.unresponsive && !self.draining && now >= self.avoided_until
     }
 
+    /// Whether it has reported its end, and may work until it has ended.
+    pub(crate) fn is_departing(&self) -> bool {
+        self.announcement.as_ref().is_some_and(Announcement::is_departure)
+    }
+
+    /// Whether it has reported its end, nothing runs there, and it has no ends to acknowledge.
+    pub(crate) fn has_departed(&self) -> bool {
+        self.is_departing() && self.attempts.is_empty() && self.received <= self.acknowledged
+    }
+
+    /// Whether it may end as soon as what runs there could have been stopped.
+    pub(crate) fn ends_soon(&self, now: Time) -> bool {
+        !self.attempts.is_empty()
+            && self.ends_from.is_some_and(|ends_from| now + Attempt::STOP_TIME >= ends_from)
+    }
+
+    /// Length of its next lease. A lease that outlives the instance keeps its tasks waiting, so that
+    /// of an instance that is about to end is shorter.
+    pub(crate) fn lease_length(&self) -> Duration {
+        let condition = self.announcement.as_ref().map(|announcement| announcement.condition);
+        match condition {
+            Some(Condition::Draining) => Scheduler::LEASE / 2,
+            _ => Scheduler::LEASE,
+        }
+    }
+
     /// How long nothing has been heard from it, for the log.
     pub(crate) fn silence(&self, now: Time) -> String {
         let silent = now.saturating_sub(self.last_heard).as_millis();
@@ -286,7 +315,7 @@
 
 impl Attempt {
     /// Longest time from a stop request to the report of the end.
-    const STOP_TIME: Duration = Duration::from_millis(1000);
+    pub(crate) const STOP_TIME: Duration = Duration::from_millis(1000);
 
     pub(crate) fn new(
         number: AttemptNumber,
--- a/crates/job/src/lending.rs
+++ b/crates/job/src/lending.rs
@@ -130,7 +130,7 @@
     }
 
     /// Estimated time until an attempt ends.
-    fn remaining_time(
+    pub(crate) fn remaining_time(
         &self,
         now: Time,
         table: &Table,
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -55,6 +55,9 @@
     list_urgent: bool,
     /// List request in flight and when it was sent.
     list_in_flight: Option<(CallId, Time)>,
+    /// When the first page of the list that is being read was requested. The platform may answer
+    /// every page from its state at that time.
+    list_began: Time,
     /// Orders to commit in the next batch.
     uncommitted: Vec<MachineOrder>,
     /// Orders in the batch being committed.
@@ -302,6 +305,7 @@
             .is_none_or(|list_requested_at| now >= list_requested_at + interval);
         if self.machines.list_in_flight.is_none() && due {
             self.machines.list_requested_at = Some(now);
+            self.machines.list_began = now;
             self.machines.list_urgent = false;
             self.request_list(now, None, effects);
         }
@@ -365,9 +369,9 @@
         effects: &mut Vec<Effect>,
     ) {
         if self.machines.list_in_flight.is_some_and(|(list_in_flight, _)| list_in_flight == id) {
-            let sent = self.machines.list_in_flight.take().map_or(now, |(_, sent)| sent);
+            self.machines.list_in_flight = None;
             if let Ok(MachineReply::Listed { machines, next }) = result {
-                self.on_listed(now, sent, machines, effects);
+                self.on_listed(now, self.machines.list_began, machines, effects);
                 self.machines.complete |= next.is_none();
                 if next.is_some() {
                     self.request_list(now, next, effects);
@@ -451,7 +455,7 @@
         instance.renew_at = now;
     }
 
-    /// Handles a list of machines that was requested at `sent`.
+    /// Handles a page of a list of machines that was requested at `sent`.
     fn on_listed(
         &mut self,
         now: Time,
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -267,7 +267,7 @@
             }
             Event::MaxQueries(max_queries) => self.on_max_queries(max_queries),
             Event::Tick => {
-                self.check_instances(now, &mut effects);
+                self.check_instances(now, table, &mut effects);
                 if self.leads() {
                     self.check_machines(now, &mut effects);
                     self.advance_waves(now, table);
@@ -291,7 +291,7 @@
     }
 
     /// Finds the instances with renewals, stops and lease expiries that are due by time.
-    fn check_instances(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    fn check_instances(&mut self, now: Time, table: &Table, effects: &mut Vec<Effect>) {
         let interval = Self::CHECK_INTERVAL_PER_HUNDRED * self.hundreds_of_instances();
         if now < self.last_instance_check + interval {
             return;
@@ -299,7 +299,9 @@
         self.last_instance_check = now;
         let due = self.instances.iter().filter(|(_, instance)| instance.needs_check(now));
         self.touched.extend(due.map(|(incarnation, _)| incarnation.clone()));
+        self.vacate_instances(now, table, effects);
         self.expire_leases(now, effects);
+        self.remove_departed(now, effects);
     }
 
     /// Takes over as leader: every attempt claimed in the table may be running.
@@ -318,7 +320,7 @@
         let lease_expires = Instance::lease_expiry_after(now, self.bounds.max_lease);
         for (announcement, heard) in self.announcements.values() {
             let recent = now < *heard + Self::ANNOUNCEMENT_VALIDITY;
-            if recent && announcement.condition != Condition::Gone {
+            if recent {
                 let mut instance = Instance::new(Some(announcement.clone()), *heard, lease_expires);
                 instance.renew_at = now;
                 self.instances.insert(announcement.incarnation.clone(), Box::new(instance));
@@ -349,6 +351,11 @@
         for incarnation in replaced {
             self.end_incarnation(now, &incarnation, Departure::Replaced, effects);
         }
+        let leaving = self.instances.iter().filter(|(_, instance)| instance.is_departing());
+        for incarnation in leaving.map(|(incarnation, _)| incarnation.clone()).collect::<Vec<_>>() {
+            self.stop_leaving(now, &incarnation);
+        }
+        self.remove_departed(now, effects);
         self.needs_planning = true;
     }
 
@@ -398,8 +405,8 @@
             return;
         }
         let incarnation = announcement.incarnation.clone();
-        if announcement.condition == Condition::Gone {
-            return self.end_incarnation(now, &incarnation, Departure::Reported, effects);
+        if announcement.is_departure() {
+            return self.on_departure(now, announcement, effects);
         }
         if self.current_starts.insert(name.clone(), incarnation.born) != Some(incarnation.born) {
             let earlier = |other: &&Incarnation| other.name == name && **other < incarnation;
@@ -429,7 +436,78 @@
         record_latest(&mut self.latest_on_machine, &announcement);
         self.touched.insert(incarnation);
         instance.update_clock(announcement.clock, now);
+        if let Some(remaining) = announcement.remaining {
+            let ends_from = now.saturating_add(remaining);
+            instance.ends_from = Some(instance.ends_from.map_or(ends_from, |at| at.min(ends_from)));
+        }
+        instance.announcement = Some(announcement);
+    }
+
+    /// Handles the report of an instance that it is about to end. Until it has ended it may work on, and
+    /// its report does not tell when that is: what runs there is stopped, and starts elsewhere only
+    /// once its end is known.
+    fn on_departure(&mut self, now: Time, announcement: Announcement, effects: &mut Vec<Effect>) {
+        let incarnation = announcement.incarnation.clone();
+        let Some(instance) = self.instances.get_mut(&incarnation) else { return };
+        instance.record_contact(now);
         instance.announcement = Some(announcement);
+        let why = instance.on_board(now);
+        effects.push(note("instance-leaving", incarnation.to_string(), why));
+        self.stop_leaving(now, &incarnation);
+        self.machines.expect_crash();
+        self.needs_planning = true;
+    }
+
+    /// Requests the stop of everything on an instance that has reported its end, and a report of what
+    /// still runs there.
+    fn stop_leaving(&mut self, now: Time, incarnation: &Incarnation) {
+        let Some(instance) = self.instances.get_mut(incarnation) else { return };
+        let tasks: Vec<_> = instance.attempts.keys().copied().collect();
+        for task in tasks {
+            instance.request_stop(&task);
+        }
+        // The renewal in flight may be held open for long.
+        instance.renewal_in_flight = false;
+        instance.renew_at = now;
+        self.touched.insert(incarnation.clone());
+    }
+
+    /// Removes the instances that have reported their end and on which nothing runs any more.
+    fn remove_departed(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let departed = self.instances.iter().filter(|(_, instance)| instance.has_departed());
+        let departed: Vec<_> = departed.map(|(incarnation, _)| incarnation.clone()).collect();
+        for incarnation in departed {
+            self.end_incarnation(now, &incarnation, Departure::Reported, effects);
+        }
+    }
+
+    /// Requests the stop of the tasks that would not end before their instance does.
+    fn vacate_instances(&mut self, now: Time, table: &Table, effects: &mut Vec<Effect>) {
+        let Some(config) = &table.config else { return };
+        let mut due = Vec::new();
+        for (incarnation, instance) in &self.instances {
+            if !instance.ends_soon(now) {
+                continue;
+            }
+            let unfinished = instance.attempts.iter().filter(|(task, attempt)| {
+                let remaining = self.remaining_time(now, table, config, **task, attempt);
+                attempt.stage == Stage::Running
+                    && !attempt.needs_stop()
+                    && (attempt.long_lived
+                        || remaining.is_none_or(|left| left > Attempt::STOP_TIME))
+            });
+            let unfinished = unfinished.map(|(task, attempt)| (*task, attempt.number));
+            due.extend(unfinished.map(|(task, number)| (incarnation.clone(), task, number)));
+        }
+        for (incarnation, task, number) in due {
+            if let Some(instance) = self.instances.get_mut(&incarnation) {
+                instance.request_stop(&task);
+            }
+            let about = format!("{task} {number} {incarnation}");
+            let why = "would not end before its instance, which drains".into();
+            effects.push(note("task-vacated", about, why));
+            self.touched.insert(incarnation);
+        }
     }
 
     /// Drops the announcements of instances that have not been heard from for long.
@@ -505,7 +583,7 @@
         let Some(announcement) = &instance.announcement else { return instance.draining };
         let heard_before = |ordered: Time| instance.last_heard <= ordered;
         instance.draining
-            || announcement.condition == Condition::Draining
+            || announcement.condition != Condition::Ready
             || self.machines.away.get(&announcement.machine).is_some_and(|at| heard_before(*at))
     }
 
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -135,6 +135,10 @@
     pub clock_ahead_ms: u64,
     /// Whether the platform leaves requests for the list of machines unanswered.
     pub list_unavailable: bool,
+    /// If not zero, the list of machines has an empty page first, which takes this long.
+    pub page_delay_ms: u64,
+    /// The machines when the first page of the list was requested.
+    list: Vec<Machine>,
     /// Number of starts of each task after each crash of an instance that ran it, by crash.
     pub starts_after_crashes: BTreeMap<TaskId, Vec<u32>>,
     /// Tasks whose successful end was committed.
@@ -188,6 +192,8 @@
             deadly: BTreeMap::new(),
             restarts_after_crash: false,
             list_unavailable: false,
+            page_delay_ms: 0,
+            list: Vec::new(),
             clock_ahead_ms: 0,
             starts_after_crashes: BTreeMap::new(),
             done: BTreeSet::new(),
@@ -259,6 +265,20 @@
         self.step(Event::Announced(announcement));
     }
 
+    /// Announces that an instance drains, with the least time that is left to it.
+    pub fn drain(&mut self, incarnation: &Incarnation, remaining_ms: u64) {
+        let Some(instance) = self.instances.get_mut(incarnation) else { return };
+        instance.announcement.condition = Condition::Draining;
+        instance.announcement.remaining = Some(Duration::from_millis(remaining_ms));
+        self.announce(incarnation);
+    }
+
+    /// Reports that an instance is about to end; it works on until [`Self::crash`].
+    pub fn report_departure(&mut self, incarnation: &Incarnation) {
+        let announcement = self.instances[incarnation].announcement.clone();
+        self.step(Event::Announced(Announcement { condition: Condition::Gone, ..announcement }));
+    }
+
     /// Ends an incarnation. With `restart`, the instance restarts under the same name.
     pub fn crash(&mut self, incarnation: &Incarnation, restart: bool) {
         self.trace(|| format!("crash of {incarnation}, restart: {restart}"));
--- a/crates/job/tests/world/platform.rs
+++ b/crates/job/tests/world/platform.rs
@@ -37,6 +37,7 @@
             capacity: machine.capacity,
             labels: machine.labels.clone().into(),
             condition: Condition::Ready,
+            remaining: None,
             clock: 0,
             sequence: 0,
         };
@@ -51,8 +52,17 @@
         self.trace(|| format!("platform receives {order:?} of epoch {epoch}"));
         let (machine, pool, absence_ms) = match order.clone() {
             MachineOrder::List { .. } if self.list_unavailable => return,
-            MachineOrder::List { .. } => {
-                let machines = self.machines.values().cloned().collect();
+            MachineOrder::List { page: None } if self.page_delay_ms > 0 => {
+                self.list = self.machines.values().cloned().collect();
+                let result = Ok(MachineReply::Listed { machines: vec![], next: Some("1".into()) });
+                self.platform_answers.insert(id, result);
+                return self.schedule(self.page_delay_ms, SimEvent::PlatformAnswer { epoch, id });
+            }
+            MachineOrder::List { page } => {
+                let machines = match page {
+                    Some(_) => self.list.clone(),
+                    None => self.machines.values().cloned().collect(),
+                };
                 let result = Ok(MachineReply::Listed { machines, next: None });
                 if epoch == self.epoch {
                     self.step(Event::PlatformAnswered { id, result });
