A voter that is told to stop hands its vote to a daemon that has caught up

Cause: a daemon that had caught up stayed an observer until a voter had been silent for 4 s. A voter that stopped kept its vote for that long after its end, so that of three voters one had ended and another lost its disk.

Change: a voter that stops tells all members, with the run of its process (Message::Leaving, every 200 ms). The leader makes an observer a voter and then removes the one that stops; a leader that stops yields first. The statement stands until the voter answers in another run. A stopping daemon does not ask to join. With two voters the replacement votes before the other one is removed.

Related path: a voter that was killed for good was replaced 4 s after the next leader first missed it, later than a new machine has to catch up; now after 2 s.

--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -55,6 +55,7 @@
                 | Message::FounderOffer
                 | Message::FounderVote(_)
                 | Message::Join
+                | Message::Leaving { .. }
                 | Message::Ping { .. }
                 | Message::Pong { .. } => Self::Agreement,
             },
--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -1,6 +1,6 @@
 //! Manages the voters, on the leader: daemons with a disk join as observers, become voters once
-//! they have caught up, and replace voters that do not answer or have lost their disk. Members
-//! change one at a time, and the number of voters is kept odd where possible.
+//! they have caught up, and replace voters that are about to end, do not answer, or have lost their
+//! disk. Members change one at a time, and the number of voters is kept odd where possible.
 
 use super::*;
 
@@ -9,6 +9,8 @@
 pub(crate) struct Membership {
     /// Daemons that asked to join, and when they last did.
     join_requests: BTreeMap<Name, Time>,
+    /// Members that have said that their process ends, and the run of the process.
+    leaving: BTreeMap<Name, u64>,
     /// When this leader first checked whether the fleet has settled.
     settling_since: Option<Time>,
 }
@@ -16,8 +18,11 @@
 impl Membership {
     /// Target number of voters; more would slow down every commit.
     const TARGET_VOTERS: usize = 5;
-    /// A voter that has not answered this leader for this long may be replaced.
-    const VOTER_TIMEOUT: Duration = Duration::from_millis(4000);
+    /// A voter that has not answered this leader for this long may be replaced. With an election and
+    /// two changes of the members, this takes less time than a new machine is given to catch up.
+    const VOTER_TIMEOUT: Duration = Duration::from_millis(2000);
+    /// An observer that has not answered this leader for this long does not become a voter.
+    const STANDBY_TIMEOUT: Duration = Duration::from_millis(1000);
     /// How long a new fleet waits for all seeds to join before a majority of them suffices.
     const SEED_WAIT: Duration = Duration::from_secs(2);
     /// How long a join request stays valid.
@@ -36,6 +41,12 @@
         self.join_requests.insert(from, now);
     }
 
+    /// Records that the process of a member ends in its run `boot`. Also recorded by members that do
+    /// not lead, since each may lead before that process has ended.
+    pub(crate) fn leave(&mut self, name: Name, boot: u64) {
+        self.leaving.insert(name, boot);
+    }
+
     /// The next membership change, if one is due.
     pub(crate) fn next_change(
         &mut self,
@@ -44,6 +55,12 @@
     ) -> Option<quorum::Change> {
         self.join_requests.retain(|_, heard| now < *heard + Self::JOIN_VALIDITY);
         let members = quorum.members();
+        // A process that runs again has another boot number, and is here to stay.
+        self.leaving.retain(|name, boot| {
+            let known = quorum.boot_of(name);
+            members.get(name).is_some() && known.is_none_or(|known| known == *boot)
+        });
+        let is_leaving = |name: &Name| self.leaving.contains_key(name);
         let progress: BTreeMap<_, _> = quorum.progress().into_iter().collect();
         let lost_disk = |name: &&Name| {
             let peer = progress.get(*name);
@@ -58,29 +75,36 @@
         }
         let alive = |name: &Name| {
             let answered = progress.get(name).and_then(|peer| peer.last_acked_send);
-            answered.is_some_and(|at| now < at + Self::VOTER_TIMEOUT / 4)
+            answered.is_some_and(|at| now < at + Self::STANDBY_TIMEOUT)
         };
         let observers = members.iter().filter(|(_, member)| member.role == quorum::Role::Observer);
-        let standby: Vec<_> =
-            observers.map(|(name, _)| name.clone()).filter(|name| alive(name)).collect();
+        let mut standby: Vec<_> = observers
+            .map(|(name, _)| name.clone())
+            .filter(|name| alive(name) && !is_leaving(name))
+            .collect();
+        standby.sort_by_key(|name| Reverse(quorum.matched(name)));
         let unresponsive = |name: &&Name| {
             let answered =
                 progress.get(*name).map(|peer| peer.last_acked_send.unwrap_or(peer.since));
             answered.is_some_and(|at| now > at + Self::VOTER_TIMEOUT)
         };
         let voters = members.voters().count();
-        let silent =
-            members.voters().find(unresponsive).filter(|_| !standby.is_empty() || voters > 2);
+        // A leader that is about to end hands its leadership over before its vote.
+        let ends = |name: &&Name| is_leaving(name) && quorum.leader() != Some(*name);
+        let replaceable =
+            members.voters().find(unresponsive).or_else(|| members.voters().find(ends));
+        let replaceable = replaceable.filter(|_| !standby.is_empty() || voters > 2);
         // The replacement becomes a voter first. With fewer voters, the next one that fails would leave
         // no majority, even if the silent one answers again.
-        if let Some(name) = silent.filter(|_| voters.is_multiple_of(2)) {
+        let is_replaced = voters.is_multiple_of(2) && voters > 2;
+        if let Some(name) = replaceable.filter(|_| is_replaced) {
             return Some(quorum::Change::Remove(name.clone()));
         }
         // With two voters, the data survives the loss of one disk. Beyond that, an even number of
         // voters only makes the majority larger.
         let wanted = voters == 1
             || voters.is_multiple_of(2)
-            || silent.is_some()
+            || replaceable.is_some()
             || standby.len() >= 2 && voters < Self::TARGET_VOTERS;
         let ready = standby.into_iter().find(|_| wanted)?;
         Some(quorum::Change::Voter(ready))
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -100,6 +100,11 @@
         /// Answer of the instance.
         result: Result<job::Reply, job::CallError>,
     },
+    /// The process of the sender, a member, is about to end.
+    Leaving {
+        /// The run of the process.
+        boot: u64,
+    },
 }
 
 impl Message {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -254,6 +254,20 @@
         self.ready = false;
         effects.push(Effect::Ready(false));
         effects.push(Effect::Subscribe { timer: Timer::Drain, after: plan.drains_at() - now });
+        self.announce_stop(effects);
+    }
+
+    /// While stopping, tells the other members, so that another daemon gets the vote of this one while it
+    /// still counts.
+    fn announce_stop(&mut self, effects: &mut Vec<Effect>) {
+        let Some(quorum) = self.quorum.as_ref().filter(|_| self.stop.is_some()) else { return };
+        let boot = quorum.boot();
+        self.membership.leave(self.id.clone(), boot);
+        let others = quorum.members().iter().filter(|(name, _)| **name != self.id);
+        effects.extend(
+            others
+                .map(|(to, _)| Effect::Send { to: to.clone(), message: Message::Leaving { boot } }),
+        );
     }
 
     /// Answers clients whose command is not committed by the deadline of all calls.
@@ -336,6 +350,7 @@
     fn check_peers(&mut self, now: Time, unix: job::UnixMs, effects: &mut Vec<Effect>) {
         effects.push(Effect::Subscribe { timer: Timer::Beat, after: PEER_CHECK_INTERVAL });
         self.request_membership(now, effects);
+        self.announce_stop(effects);
         self.update_members(now, unix, effects);
         self.ping(now, effects);
         self.introduce(now, effects);
@@ -438,7 +453,7 @@
     /// Offers to start the log of a new fleet, or asks to join an existing one.
     fn request_membership(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let Some(quorum) = self.quorum.as_ref().filter(|_| self.disk.is_some()) else { return };
-        if quorum.recent_leader(now).is_some() {
+        if quorum.recent_leader(now).is_some() || self.stop.is_some() {
             return;
         }
         let is_empty = quorum.last_index() == 0 && !quorum.members().is_bootstrapped();
@@ -585,6 +600,10 @@
             Message::Announced(announcement) => {
                 self.step_scheduler(now, unix, job::Event::Announced(announcement), effects);
             }
+            Message::Leaving { boot } => {
+                self.membership.leave(from, boot);
+                self.update_members(now, unix, effects);
+            }
         }
     }
 
--- a/crates/entry/tests/reducer/fleet.rs
+++ b/crates/entry/tests/reducer/fleet.rs
@@ -10,7 +10,7 @@
     std::collections::BTreeMap,
 };
 
-const VOTERS: [&str; 3] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
+pub(super) const VOTERS: [&str; 3] = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
 pub(super) const STANDBY: &str = "10.0.0.4:1";
 pub(super) const GATEWAY: &str = "10.0.0.9:1";
 /// Time that a message takes.
@@ -126,6 +126,37 @@
         self.start_daemon(STANDBY, Some(Memory::default()), 500_000, false);
     }
 
+    /// Starts a daemon with an empty disk, at a new address or after the loss of its disk.
+    pub(super) fn start_empty(&mut self, name: &Name) {
+        self.end(name);
+        let boot = 1_000_000 + self.now.as_millis() as u64 * 100;
+        self.start_daemon(name, Some(Memory::default()), boot, false);
+    }
+
+    /// Asks a daemon to stop.
+    pub(super) fn stop(&mut self, name: &Name) {
+        self.step(name, Event::Stop);
+    }
+
+    /// Ends a daemon; messages to it are lost. Returns what was on its disk.
+    pub(super) fn end(&mut self, name: &Name) -> Option<Memory> {
+        self.messages.retain(|_, (_, to, _)| to != name);
+        self.daemons.remove(name)?.medium
+    }
+
+    /// Starts a daemon that was ended, with its disk.
+    pub(super) fn start_again(&mut self, name: &Name, medium: Option<Memory>) {
+        let boot = 1_000_000 + self.now.as_millis() as u64 * 100;
+        self.start_daemon(name, medium, boot, false);
+    }
+
+    /// The voters, as the leader knows them.
+    pub(super) fn voters(&self) -> BTreeSet<Name> {
+        let Some(leader) = self.leader() else { return BTreeSet::new() };
+        let quorum = self.daemons[&leader].state.quorum.as_ref().expect("a leader has a log");
+        quorum.members().voters().cloned().collect()
+    }
+
     /// The daemons with a disk.
     pub(super) fn with_disk(&self) -> Vec<Name> {
         let with_disk = self.daemons.iter().filter(|(_, daemon)| daemon.medium.is_some());
@@ -268,7 +299,7 @@
     }
 
     /// Puts a configuration in force that gives the organisation `a` these keys.
-    fn configure(&mut self, version: u64, keys: &[u8]) {
+    pub(super) fn configure(&mut self, version: u64, keys: &[u8]) {
         let config = config_of(version, &[("a", 100, keys), ("b", 100, &[2])]);
         self.run_until("a leader serves", |fleet| fleet.leader().is_some());
         let leader = self.leader().expect("a leader");
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -16,6 +16,7 @@
 mod odd;
 mod organisations;
 mod outbox;
+mod replacements;
 mod stopping;
 mod tickets;
 
