Accepted jobs take bounded memory on every voter

Cause: a job had a state for each task of each round from its acceptance on, and nothing bounded the sum of what is accepted.

Change: a round has a state of its own from its first claim until it is done. An ended job loses its description and its task states after 2 s; a digest recognizes its submission. What the table takes is estimated and summed up in it, and the leader refuses a job beyond an eighth of the memory of the process (--memory-mb, SARDINEVALVE_MEMORY_MB from the deploy file) before it proposes it: 503 with a Retry-After, 400 if it could never fit. A planning pass looks at 100 waiting rounds of a job.

The simulated world keeps the descriptions that it checks itself, since the table drops them; its checks are the same.

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -48,6 +48,15 @@
         if let Some(retry) = self.overload.retry_after() {
             return Some(Answer::NotRun { retry });
         }
+        match self.budget.excess(unix, &self.table, spec) {
+            Some(Excess::Alone) => {
+                let limit = self.budget.limit();
+                let why = format!("job takes more than the {limit} bytes that all jobs may take");
+                return Some(Answer::Invalid(why));
+            }
+            Some(Excess::Beside(retry)) => return Some(Answer::NotRun { retry }),
+            None => {}
+        }
         let (name, config) = (organisation?, self.table.config.as_ref()?);
         let limits = config.organisation(name)?;
         if let Some(group) = limits.group_over_limit(spec) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod access;
 mod account;
 mod bootstrap;
+mod budget;
 mod carriers;
 mod carrying;
 mod clock;
@@ -67,6 +68,7 @@
 use {
     account::{Account, Activity},
     bootstrap::Bootstrap,
+    budget::{Budget, Excess},
     carriers::Carriers,
     clock::Clock,
     effect::Effect,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -131,6 +131,8 @@
     process_seconds: Counter<f64, AtomicU64>,
     ready: Gauge,
     leads: Gauge,
+    jobs_bytes: Gauge,
+    jobs_bytes_limit: Gauge,
     queues: RefCell<BTreeSet<Name>>,
     organisations: OrganisationMetrics,
 }
@@ -155,6 +157,8 @@
             process_seconds: Counter::default(),
             ready: Gauge::default(),
             leads: Gauge::default(),
+            jobs_bytes: Gauge::default(),
+            jobs_bytes_limit: Gauge::default(),
             queues: RefCell::default(),
             organisations: OrganisationMetrics::default(),
             registry: Registry::default(),
@@ -177,6 +181,10 @@
         registry.register("process_seconds", help, metrics.process_seconds.clone());
         registry.register("ready", "Whether callers should come here", metrics.ready.clone());
         registry.register("leads", "Whether this daemon leads", metrics.leads.clone());
+        let help = "Estimated memory of accepted jobs and the configuration";
+        registry.register("jobs_bytes", help, metrics.jobs_bytes.clone());
+        let help = "Memory of accepted jobs above which further ones are refused";
+        registry.register("jobs_bytes_limit", help, metrics.jobs_bytes_limit.clone());
         metrics.organisations.register(&mut registry);
         Self { registry, ..metrics }
     }
@@ -302,6 +310,11 @@
         self.leads.set(leads.into());
     }
 
+    pub(crate) fn set_jobs_bytes(&self, used: usize, limit: usize) {
+        self.jobs_bytes.set(used as i64);
+        self.jobs_bytes_limit.set(limit as i64);
+    }
+
     /// Encodes all metrics as text.
     pub(crate) fn text(&self) -> String {
         let process = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
--- a/crates/entry/src/organisations.rs
+++ b/crates/entry/src/organisations.rs
@@ -125,6 +125,10 @@
         let organisation = organisation.cloned();
         let kind = if submits { "job-refused" } else { "call-refused" };
         let mut why = format!("{answer:?}, configuration {:?}", self.version());
+        if submits && matches!(answer, Answer::NotRun { .. }) {
+            let (used, limit) = (self.table.footprint(), self.budget.limit());
+            why.push_str(&format!(", jobs take {used} of {limit} bytes"));
+        }
         if let Some(name) = &organisation {
             why.push_str(&format!(", organisation `{name}`"));
         }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -28,6 +28,9 @@
 /// Environment variable with the path of the settings file, used if no argument is given.
 const SETTINGS_VARIABLE: &str = "SARDINEVALVE_CONFIG";
 
+/// Environment variable with the memory of the process, used if no argument is given.
+const MEMORY_VARIABLE: &str = "SARDINEVALVE_MEMORY_MB";
+
 /// Fleet capacity and maintenance manager: the daemon of one entry instance.
 #[derive(Debug, Parser)]
 #[command(name = "sardinevalve-entry", version)]
@@ -41,6 +44,9 @@
     /// Take calls only, beside a voter of the same instance: no data folder, next port for peers
     #[arg(long)]
     gateway: bool,
+    /// Memory above which the platform ends this process, in megabytes
+    #[arg(long, env = MEMORY_VARIABLE, default_value_t = Budget::DEFAULT_MEMORY_MB)]
+    memory_mb: u32,
 }
 
 /// Runs the daemon until it is asked to stop.
@@ -103,7 +109,8 @@
     };
     let identity = Identity { id, boot, data_center: settings.data_center.clone() };
     let scheduler = Scheduler::new(bounds).with_mechanisms(settings.mechanisms.clone());
-    let state = State::new(identity, seeds, settings.founding, scheduler, stop_limits);
+    let mut state = State::new(identity, seeds, settings.founding, scheduler, stop_limits);
+    state.budget = Budget::new(arguments.memory_mb);
     let (frames, inbox) = mpsc::unbounded_channel();
     let mesh = wire::Mesh::start(peers, frames)?;
     let (calls, calls_in) = mpsc::unbounded_channel();
@@ -626,6 +633,8 @@
     fn write(&mut self, note: &Note) {
         self.metrics.count_log_entry(note.what);
         self.metrics.set_leads(self.state.leads());
+        let (used, limit) = (self.state.table.footprint(), self.state.budget.limit());
+        self.metrics.set_jobs_bytes(used, limit);
         self.log.write(Clock::unix(), note);
     }
 }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -262,6 +262,9 @@
         if let Some(reply_to) = reply_to {
             self.commits.entry(index).or_default().push(reply_to);
         }
+        if let Command::Submit { spec, .. } = &command {
+            self.budget.propose(index, spec);
+        }
         match postcard::to_stdvec(&command) {
             Ok(command) => self.step_quorum(now, unix, quorum::Event::Propose(command), effects),
             Err(error) => {
@@ -291,6 +294,7 @@
             }
             _ => {}
         }
+        self.budget.apply(index);
         let command = self.read(command);
         let outcomes = self.table.apply(command);
         for reply_to in self.commits.remove(&index).unwrap_or_default() {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -38,6 +38,7 @@
     pub(crate) carriers: Carriers,
     pub(crate) overload: Overload,
     pub(crate) surplus: Surplus,
+    pub(crate) budget: Budget,
     /// Reads the text of a configuration.
     pub(crate) read_config: fn(&str) -> Result<job::Config, String>,
     /// The configuration that this leader proposed last and the index of its entry, until that is
@@ -100,6 +101,7 @@
             carriers: Carriers::default(),
             overload: Overload::default(),
             surplus: Surplus::default(),
+            budget: Budget::default(),
             read_config: platform::read_config,
             proposed_config: None,
             organisation_labels: OrganisationLabels::default(),
@@ -763,6 +765,7 @@
             self.lease_lapsed = None;
             self.batch = None;
             self.proposed_config = None;
+            self.budget.resign();
             self.carriers.resign();
             self.step_scheduler(now, unix, job::Event::Resign, effects);
             for reply_to in std::mem::take(&mut self.commits).into_values().flatten() {
--- a/crates/entry/tests/reducer/mod.rs
+++ b/crates/entry/tests/reducer/mod.rs
@@ -4,6 +4,7 @@
 
 mod access;
 mod account;
+mod budget;
 mod carriers;
 mod configuration;
 mod fleet;
--- a/crates/job/src/config.rs
+++ b/crates/job/src/config.rs
@@ -38,6 +38,12 @@
 }
 
 impl Config {
+    /// Estimated memory that it takes, in bytes: its text, and several times as much for what was read
+    /// from that.
+    pub(crate) fn footprint(&self) -> usize {
+        self.text.len() * 4
+    }
+
     /// Finds the queue with the longest matching prefix for `host` and `path`, and returns it with
     /// the rest of the path.
     pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
--- a/crates/job/src/due.rs
+++ b/crates/job/src/due.rs
@@ -14,6 +14,10 @@
 }
 
 impl<'a> DueRound<'a> {
+    /// Rounds with waiting tasks that are looked at of one job. A job may have any number of them due,
+    /// and later ones start no sooner than these.
+    const MAX_WAITING: usize = 100;
+
     /// Rounds that are due by the time that `by` returns for their queue. A queue for which it
     /// returns `None` is skipped.
     pub(crate) fn all(
@@ -41,9 +45,13 @@
             // A job that does not recur is due even if the leader that accepted it had a clock that
             // was ahead.
             let is_due = move |number| record.spec.due(number).is_none_or(|at| at <= by);
-            let rounds = record.rounds.iter().zip(0..);
-            let due = rounds.take_while(move |(_, number)| is_due(*number));
-            due.map(move |(round, number)| {
+            let due = record.rounds.iter_open().take_while(move |(number, _)| is_due(*number));
+            let mut waiting = 0;
+            let due = due.take_while(move |(_, round)| {
+                waiting += usize::from(round.waiting.iter().any(|waiting| *waiting > 0));
+                waiting <= Self::MAX_WAITING
+            });
+            due.map(move |(number, round)| {
                 let at = record.spec.due(number).unwrap_or(record.accepted_at);
                 Self { job, number, at, record, round, queue }
             })
--- a/crates/job/src/group.rs
+++ b/crates/job/src/group.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// A group of identical tasks of a job.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Group {
     /// Number of tasks.
     pub count: u16,
--- a/crates/job/src/isolation.rs
+++ b/crates/job/src/isolation.rs
@@ -161,7 +161,7 @@
     if record.crashed_at == 0 {
         return notes;
     }
-    for (round, groups) in (0..).zip(&record.rounds) {
+    for (round, groups) in record.rounds.iter_begun() {
         for (group, tasks) in (0..).zip(&groups.groups) {
             for (index, task_state) in (0..).zip(tasks) {
                 let Crashes { proven, possible } = task_state.crashes;
--- a/crates/job/src/lib.rs
+++ b/crates/job/src/lib.rs
@@ -12,7 +12,7 @@
     model::{Map, Mechanism, Mechanisms, Name, Resources, Set, Time},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
         time::Duration,
     },
@@ -65,9 +65,11 @@
 mod recurrence;
 mod reply;
 mod round;
+mod rounds;
 mod scheduler;
 mod shares;
 mod spec;
+mod spec_digest;
 mod table;
 mod task_id;
 mod task_state;
@@ -87,6 +89,7 @@
     order_budget::OrderBudget,
     rates::Rates,
     round::Round,
+    rounds::Rounds,
     shares::Filling,
     wait_causes::WaitCauses,
 };
@@ -123,6 +126,7 @@
     reply::{CallError, EndedAttempt, MachineReply, Reply, RunningAttempt},
     scheduler::Scheduler,
     spec::Spec,
+    spec_digest::SpecDigest,
     table::Table,
     task_id::TaskId,
     task_state::TaskState,
--- a/crates/job/src/maintenance.rs
+++ b/crates/job/src/maintenance.rs
@@ -95,7 +95,7 @@
             return true;
         };
         let Some(record) = table.jobs.get(&task.job) else { return true };
-        let Some(round) = record.rounds.get(task.round as usize) else { return true };
+        let Some(round) = record.rounds.get(task.round) else { return true };
         let task_states = round.groups[usize::from(task.group)].iter().enumerate();
         let unavailable = task_states.filter(|(index, task_state)| {
             let sibling = TaskId { index: *index as u16, ..task };
--- a/crates/job/src/planning.rs
+++ b/crates/job/src/planning.rs
@@ -29,7 +29,7 @@
     /// Number of tasks that wait to be started.
     fn waiting_tasks(&self) -> usize {
         let GroupId { round, group, .. } = self.group_id;
-        let round = self.record.rounds.get(round as usize);
+        let round = self.record.rounds.get(round);
         round.map_or(0, |round| usize::from(round.waiting[usize::from(group)]))
     }
 
@@ -59,7 +59,7 @@
     /// Number of its tasks that wait, also those that are being claimed.
     pub(crate) fn waiting(&self) -> u16 {
         let GroupId { round, group, .. } = self.group_id;
-        let round = self.record.rounds.get(round as usize);
+        let round = self.record.rounds.get(round);
         round.map_or(0, |round| round.waiting[usize::from(group)])
     }
 
@@ -491,7 +491,7 @@
         if self.is_held_as_late(ready_group) {
             return;
         }
-        let Some(state) = ready_group.record.rounds.get(round as usize) else { return };
+        let Some(state) = ready_group.record.rounds.get(round) else { return };
         let task_states = &state.groups[usize::from(position)];
         if group.gang && usize::from(state.waiting[usize::from(position)]) < task_states.len() {
             return;
@@ -583,7 +583,7 @@
         };
         ledger.retain_alone(|name, GroupId { job, round, group }| {
             let Some(record) = table.jobs.get(&job) else { return false };
-            let state = record.rounds.get(round as usize);
+            let state = record.rounds.get(round);
             let waits = state.is_some_and(|state| state.waiting[usize::from(group)] > 0);
             let declared = &record.spec.groups[usize::from(group)];
             let is_live = !record.state.is_terminal() && waits;
--- a/crates/job/src/recurrence.rs
+++ b/crates/job/src/recurrence.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// Schedule of a recurring job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Recurrence {
     /// When the first round is due.
     pub first: UnixMs,
--- a/crates/job/src/round.rs
+++ b/crates/job/src/round.rs
@@ -22,6 +22,15 @@
         }
     }
 
+    /// Estimated memory of a round of a job, in bytes: a claimed task also takes the name of its
+    /// instance.
+    pub(crate) fn footprint(spec: &Spec) -> usize {
+        const NAME_BYTES: usize = 48;
+        const GROUP_BYTES: usize = size_of::<Vec<TaskState>>() + 2 * size_of::<u16>();
+        let tasks: usize = spec.groups.iter().map(|group| usize::from(group.count)).sum();
+        tasks * (size_of::<TaskState>() + NAME_BYTES) + spec.groups.len() * GROUP_BYTES
+    }
+
     /// Whether every task waits and every attempt so far was lost.
     pub(crate) fn is_untouched(&self) -> bool {
         let untouched =
--- a/crates/job/src/spec.rs
+++ b/crates/job/src/spec.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// A job as described by its caller.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Spec {
     /// Passed unchanged to every task.
     pub payload: Arc<str>,
@@ -49,6 +49,18 @@
         works.fold(0, u64::saturating_add)
     }
 
+    /// Estimated memory that it takes, in bytes.
+    pub fn footprint(&self) -> usize {
+        const NAME_BYTES: usize = 48;
+        let names = |group: &Group| {
+            [&group.requirement, &group.data_rack, &group.image].into_iter().flatten().count()
+        };
+        let group = |group: &Group| {
+            size_of::<Group>() + size_of_val(&group.after[..]) + names(group) * NAME_BYTES
+        };
+        self.payload.len() + self.groups.iter().map(group).sum::<usize>()
+    }
+
     /// Describes the first problem with the job, if there is one.
     pub fn validation_error(&self) -> Option<String> {
         if self.groups.is_empty() {
--- a/crates/job/src/table.rs
+++ b/crates/job/src/table.rs
@@ -19,7 +19,12 @@
     /// Daemons that have led, each in its last run as leader, in the order of their last takeover.
     pub leaders: Vec<Leader>,
     /// Ended jobs in the order in which they ended, until they are forgotten.
-    ended: std::collections::VecDeque<(UnixMs, JobId)>,
+    ended: VecDeque<(UnixMs, JobId)>,
+    /// Number of these, from the first one on, whose content has been dropped or is dropped as soon
+    /// as they have no attempts without an end.
+    dropped: usize,
+    /// Estimated memory that all jobs take, in bytes.
+    footprint: usize,
 }
 
 impl Table {
@@ -27,6 +32,8 @@
     pub const REMEMBERED: Duration = Duration::from_secs(240);
     /// Number of daemons that are remembered as leaders, several times that of voters.
     const MAX_LEADERS: usize = 32;
+    /// How long the content of a job is kept after it ended, for the log.
+    pub const CONTENT_KEPT: Duration = Duration::from_secs(2);
 
     /// Applies a committed command.
     pub fn apply(&mut self, command: Command) -> Vec<Outcome> {
@@ -51,6 +58,17 @@
         self.jobs.get(&id).map(|record| &**record).filter(|record| *record.queue == *queue)
     }
 
+    /// Estimated memory that jobs and configuration take on each voter, in bytes.
+    pub fn footprint(&self) -> usize {
+        self.footprint + self.config.as_ref().map_or(0, Config::footprint)
+    }
+
+    /// When the content of the next ended job is dropped; `None` if no ended job has any.
+    pub fn next_drop(&self) -> Option<UnixMs> {
+        let (ended_at, _) = self.ended.get(self.dropped)?;
+        Some(ended_at.saturating_add(Self::CONTENT_KEPT.as_millis() as UnixMs))
+    }
+
     /// Number of jobs without a started task, by queue.
     pub fn pending(&self) -> BTreeMap<Name, u64> {
         let live = self.live.iter().filter_map(|id| self.jobs.get(id));
@@ -123,6 +141,7 @@
             organisation.as_ref().and_then(|name| Some((name, config?.organisation(name)?)));
         let surplus = limits.is_some_and(|(name, limits)| self.rates.take(name, limits, at));
         let record = JobRecord::new(queue, spec, delay, at);
+        self.footprint += record.footprint();
         self.jobs.insert(id, Box::new(JobRecord { organisation, surplus, ..record }));
         self.live.insert(id);
         vec![Outcome::Accepted(id)]
@@ -149,13 +168,13 @@
     }
 
     fn apply_batch(&mut self, at: UnixMs, batch: Batch) -> Vec<Outcome> {
+        self.forget_ended_jobs(at);
         let mut outcomes = Vec::new();
         for end in batch.ends {
             self.apply_end(end, at, &mut outcomes);
         }
         for claim in batch.claims {
-            let record = self.jobs.get_mut(&claim.task.job);
-            if record.is_some_and(|record| record.claim(&claim)) {
+            if self.update(claim.task.job, |record| record.claim(&claim)) == Some(true) {
                 outcomes.push(Outcome::Claimed(claim));
             }
         }
@@ -178,12 +197,13 @@
     fn apply_end(&mut self, end: AttemptEnd, at: UnixMs, outcomes: &mut Vec<Outcome>) {
         let id = end.task.job;
         let attempts = self.max_attempts(id);
-        if let Some(record) = self.jobs.get_mut(&id) {
-            let was_terminal = record.state.is_terminal();
-            record.end(&end, attempts, at);
+        let was_terminal = self.jobs.get(&id).is_some_and(|record| record.state.is_terminal());
+        self.update(id, |record| record.end(&end, attempts, at));
+        if let Some(record) = self.jobs.get(&id) {
             if was_terminal {
                 if record.open_attempts == 0 {
                     self.live.remove(&id);
+                    self.drop_content_if_old(id, at);
                 }
             } else if record.state.is_terminal() {
                 outcomes.extend(self.record_job_end(id, at));
@@ -209,15 +229,42 @@
         Some(Outcome::JobEnded(id))
     }
 
+    /// Changes a job, and updates the memory that all take.
+    fn update<R>(&mut self, id: JobId, change: impl FnOnce(&mut JobRecord) -> R) -> Option<R> {
+        let record = self.jobs.get_mut(&id)?;
+        let before = record.footprint();
+        let result = change(record);
+        self.footprint = (self.footprint + record.footprint()).saturating_sub(before);
+        Some(result)
+    }
+
+    /// Drops the content of an ended job without open attempts, unless it has ended lately.
+    fn drop_content_if_old(&mut self, id: JobId, now: UnixMs) {
+        let kept = Self::CONTENT_KEPT.as_millis() as UnixMs;
+        let ended_at = self.jobs.get(&id).and_then(|record| record.ended_at);
+        let is_old = ended_at.is_some_and(|ended_at| ended_at.saturating_add(kept) <= now);
+        if is_old && !self.live.contains(&id) {
+            self.update(id, JobRecord::drop_content);
+        }
+    }
+
     /// Removes the jobs that ended longer than [`Table::REMEMBERED`] ago, unless they still have
-    /// attempts without an end.
+    /// attempts without an end, and drops the content of those that ended earlier.
     fn forget_ended_jobs(&mut self, now: UnixMs) {
+        while self.next_drop().is_some_and(|at| at <= now) {
+            let (_, id) = self.ended[self.dropped];
+            self.dropped += 1;
+            self.drop_content_if_old(id, now);
+        }
         let horizon = now.saturating_sub(Self::REMEMBERED.as_millis() as UnixMs);
         while let Some((at, id)) = self.ended.front().copied().filter(|(at, _)| *at < horizon) {
             debug_assert!(at < horizon);
             self.ended.pop_front();
-            if !self.live.contains(&id) {
-                self.jobs.remove(&id);
+            self.dropped = self.dropped.saturating_sub(1);
+            if !self.live.contains(&id)
+                && let Some(record) = self.jobs.remove(&id)
+            {
+                self.footprint = self.footprint.saturating_sub(record.footprint());
             }
         }
     }
--- a/crates/job/src/wait_causes.rs
+++ b/crates/job/src/wait_causes.rs
@@ -371,7 +371,7 @@
         record: &JobRecord,
         queue: Option<&Queue>,
     ) -> Activity {
-        let Some(round) = record.rounds.first() else { return Activity::Runs };
+        let Some(round) = record.rounds.get(0) else { return Activity::Runs };
         let waits = |(position, group): &(u16, &Group)| {
             round.waiting[usize::from(*position)] > 0 && round.dependencies_done(group)
         };
--- a/crates/job/tests/contention.rs
+++ b/crates/job/tests/contention.rs
@@ -276,15 +276,7 @@
     for id in 1..=jobs + 400 {
         let name = names.get(id as usize % organisations.max(1));
         let spec = chain(&[4], 2000, 500 + id % 1000);
-        let command = Command::Submit {
-            id,
-            queue: "a".into(),
-            spec,
-            organisation: name.map(|name| name.as_str().into()),
-            at: world.unix(),
-        };
-        let outcomes = world.table.apply(command);
-        world.step(Event::CommandCommitted(outcomes));
+        world.submit_for(name.map(String::as_str), id, "a", spec);
     }
     world.run(300);
     let mut now = Duration::from_millis(world.now);
--- a/crates/job/tests/usage.rs
+++ b/crates/job/tests/usage.rs
@@ -5,10 +5,7 @@
 use {job::*, model::Resources, std::time::Duration, world::*};
 
 fn submit_as(world: &mut World, id: JobId, spec: Spec, organisation: &str) {
-    let organisation = Some(organisation.into());
-    let command = Command::Submit { id, queue: "a".into(), spec, organisation, at: world.unix() };
-    let outcomes = world.table.apply(command);
-    world.step(Event::CommandCommitted(outcomes));
+    world.submit_for(Some(organisation), id, "a", spec);
 }
 
 fn used(world: &World, organisation: &str) -> u64 {
--- a/crates/job/tests/wait_causes.rs
+++ b/crates/job/tests/wait_causes.rs
@@ -138,14 +138,7 @@
     world.run(300);
     world.submit(1, "a", chain(&[1], 16_000, 1000));
     world.run(50);
-    let outcomes = world.table.apply(Command::Submit {
-        id: 2,
-        queue: "a".into(),
-        spec: chain(&[1], 16_000, 1000),
-        organisation: Some("o".into()),
-        at: world.unix(),
-    });
-    world.step(Event::CommandCommitted(outcomes));
+    world.submit_for(Some("o"), 2, "a", chain(&[1], 16_000, 1000));
     world.run(8000);
     let why = &summaries(&world).into_iter().find(|n| n.about.ends_with('2')).unwrap().why;
     assert!(field(why, "wait-organisation") > waited(why) / 2, "{why}");
--- a/crates/job/tests/world/calls.rs
+++ b/crates/job/tests/world/calls.rs
@@ -123,7 +123,7 @@
         lease: u64,
     ) -> Reply {
         let at = self.now;
-        let group = self.table.jobs[&task.job].group(task).expect("the task has a group").clone();
+        let group = self.group(task).clone();
         let instance = self.instances.get_mut(receiver).expect("the instance is in the world");
         let now = instance.clock(at);
         if instance.running.get(&task).is_some_and(|run| run.number == number) {
--- a/crates/job/tests/world/checks.rs
+++ b/crates/job/tests/world/checks.rs
@@ -35,7 +35,7 @@
             panic!("{task} starts on {incarnation} while it runs on {other}");
         }
         for after in &group.after {
-            let Group { count, gang, .. } = record.spec.groups[usize::from(*after)];
+            let Group { count, gang, .. } = self.specs[&task.job].groups[usize::from(*after)];
             let mut before = (0..count).map(|index| TaskId { group: *after, index, ..task });
             let is_done = |before: TaskId| self.done.contains(&before);
             // A gang is done as soon as one of its tasks is.
@@ -72,8 +72,7 @@
         if !self.instances[incarnation].running.get(&task).is_some_and(at_work) {
             return;
         }
-        let record = &self.table.jobs[&task.job];
-        let group = record.group(task).expect("the task has a group");
+        let group = self.group(task);
         let is_cancelled = self.cancelled.contains_key(&task.job);
         let Some(budget) = group.max_unavailable.filter(|_| !is_cancelled) else {
             return;
@@ -113,8 +112,7 @@
     /// Remembers the tasks whose successful end is committed.
     pub(super) fn note_done(&mut self, batch: &Batch) {
         for end in batch.ends.iter().filter(|end| end.reason == EndReason::Done) {
-            let record = self.table.jobs.get(&end.task.job);
-            if record.and_then(|e| e.group(end.task)).is_some_and(|group| !group.continuous) {
+            if !self.group(end.task).continuous {
                 self.done.insert(end.task);
             }
         }
--- a/crates/job/tests/world/limits.rs
+++ b/crates/job/tests/world/limits.rs
@@ -60,8 +60,8 @@
             let name = self.table.jobs[&task.job].organisation.clone();
             *claimed.entry(name).or_default() += size(&task).expect("the task has a size");
         }
-        for record in self.table.jobs.values() {
-            if record.spec.groups.iter().any(|group| group.gang) {
+        for (job, record) in &self.table.jobs {
+            if self.specs[job].groups.iter().any(|group| group.gang) {
                 gangs.insert(record.organisation.clone());
             }
         }
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -141,6 +141,8 @@
     list: Vec<Machine>,
     /// Number of starts of each task after each crash of an instance that ran it, by crash.
     pub starts_after_crashes: BTreeMap<TaskId, Vec<u32>>,
+    /// Descriptions of all jobs, of which the table drops those of jobs that have ended.
+    specs: BTreeMap<JobId, Spec>,
     /// Tasks whose successful end was committed.
     done: BTreeSet<TaskId>,
     /// Organisations of each configuration that has been in force.
@@ -196,6 +198,7 @@
             list: Vec::new(),
             clock_ahead_ms: 0,
             starts_after_crashes: BTreeMap::new(),
+            specs: BTreeMap::new(),
             done: BTreeSet::new(),
             organisations: vec![config.organisations.clone()],
             claimed_under: BTreeMap::new(),
@@ -404,6 +407,7 @@
         spec: Spec,
     ) {
         let organisation = name.map(Into::into);
+        self.specs.insert(id, spec.clone());
         let command = Command::Submit { id, queue: queue.into(), spec, organisation, at };
         let outcomes = self.table.apply(command);
         self.step(Event::CommandCommitted(outcomes));
@@ -538,6 +542,11 @@
         permille > 0 && self.rng.random_range(0..1000) < permille
     }
 
+    /// Group of a task, as its caller described it.
+    fn group(&self, task: TaskId) -> &Group {
+        &self.specs[&task.job].groups[usize::from(task.group)]
+    }
+
     /// Passes an event to the scheduler and carries out its effects.
     pub fn step(&mut self, event: Event) {
         let (now, unix) = (self.time(), self.unix());
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -90,6 +90,18 @@
         (self.offset, self.offset_term) = (index, term);
     }
 
+    /// Index before the first of the entries up to `index` that are kept, given their maximum number
+    /// and size in bytes.
+    pub fn start_of_tail(&self, index: Index, max_entries: u64, max_bytes: usize) -> Index {
+        let mut bytes = 0;
+        let first = index.saturating_sub(max_entries).max(self.offset);
+        let too_large = |at: &Index| {
+            bytes += self.get(*at).map_or(0, |entry| entry.command.len());
+            bytes > max_bytes
+        };
+        (first + 1..=index).rev().find(too_large).unwrap_or(first)
+    }
+
     /// Entries from index `first` on.
     pub fn entries_from(&self, first: Index) -> impl Iterator<Item = &Entry> {
         self.entries.iter().skip(first.saturating_sub(self.offset + 1) as usize)
--- a/crates/quorum/src/snapshots.rs
+++ b/crates/quorum/src/snapshots.rs
@@ -22,7 +22,8 @@
 
     fn store_snapshot(&mut self, snapshot: Snapshot, effects: &mut Vec<Effect>) {
         let entries = self.log.entries_from(snapshot.index + 1).cloned().collect();
-        self.log.compact(snapshot.index.saturating_sub(self.limits.retained_entries));
+        let Limits { retained_entries, retained_bytes, .. } = self.limits;
+        self.log.compact(self.log.start_of_tail(snapshot.index, retained_entries, retained_bytes));
         effects.push(Effect::Persist(Record::Snapshot { snapshot: snapshot.clone(), entries }));
         self.snapshot = Some(snapshot);
     }
--- a/crates/quorum/tests/replication.rs
+++ b/crates/quorum/tests/replication.rs
@@ -2,7 +2,9 @@
 
 use {
     model::Name,
-    quorum::{Effect, Event, Limits, Message, PersistentState, Role, State, Timer, Timing},
+    quorum::{
+        Effect, Entry, Event, Limits, Log, Message, PersistentState, Role, State, Timer, Timing,
+    },
     std::{collections::VecDeque, time::Duration},
 };
 
@@ -214,7 +216,12 @@
 /// for each proposal.
 #[test]
 fn a_member_that_receives_a_snapshot_gets_no_message_for_each_proposal() {
-    let limits = Limits { snapshot_interval_bytes: 50, retained_entries: 1, max_message_bytes: 60 };
+    let limits = Limits {
+        snapshot_interval_bytes: 50,
+        retained_entries: 1,
+        retained_bytes: 1000,
+        max_message_bytes: 60,
+    };
     let (a, mut b) = leader_and_follower();
     let mut a = a.with_limits(limits);
     let now = 6 * SECOND;
@@ -248,3 +255,16 @@
     }
     assert!(more <= 1, "{more} messages in 100 ms");
 }
+
+/// Guards against memory that grows with the size of commands: entries are retained up to a number of
+/// bytes as well.
+#[test]
+fn large_entries_before_a_snapshot_are_not_all_retained() {
+    let entry = |bytes| Entry { term: 1, command: vec![0; bytes], members: None };
+    let log = Log::new(None, vec![entry(10), entry(400), entry(400), entry(400), entry(10)]);
+    assert_eq!(log.start_of_tail(5, 1000, 10_000), 0, "all");
+    assert_eq!(log.start_of_tail(5, 1000, 1000), 2);
+    assert_eq!(log.start_of_tail(5, 3, 10_000), 2);
+    assert_eq!(log.start_of_tail(4, 1000, 400), 3);
+    assert_eq!(log.start_of_tail(4, 1000, 10), 4, "none");
+}
--- a/crates/quorum/tests/simulator/host.rs
+++ b/crates/quorum/tests/simulator/host.rs
@@ -1,8 +1,12 @@
 use super::*;
 
 /// Small limits, so that snapshots are frequent and need several chunks.
-const LIMITS: Limits =
-    Limits { snapshot_interval_bytes: 500, retained_entries: 10, max_message_bytes: 60 };
+const LIMITS: Limits = Limits {
+    snapshot_interval_bytes: 500,
+    retained_entries: 10,
+    retained_bytes: 100,
+    max_message_bytes: 60,
+};
 
 /// A simulated member with its disk, clock and timers.
 pub struct Host {
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -1,3 +1,5 @@
+use super::*;
+
 /// A frame of a log file: a prefix and a body. The prefix has a checksum of its own, so that a
 /// damaged length is distinguished from a truncated frame.
 #[derive(Debug, PartialEq, Eq)]
@@ -31,12 +33,14 @@
         Some(Self { length: number(4) as usize, checksum: number(8) })
     }
 
-    fn write(&self, buffer: &mut Vec<u8>, salt: u32) {
-        let mut prefix = Self::MAGIC.to_vec();
-        prefix.extend_from_slice(&(self.length as u32).to_le_bytes());
-        prefix.extend_from_slice(&self.checksum.to_le_bytes());
-        buffer.extend_from_slice(&prefix);
-        buffer.extend_from_slice(&checksum(&prefix, salt).to_le_bytes());
+    fn encoded(&self, salt: u32) -> [u8; Self::BYTES] {
+        let mut prefix = [0; Self::BYTES];
+        prefix[..4].copy_from_slice(&Self::MAGIC);
+        prefix[4..8].copy_from_slice(&(self.length as u32).to_le_bytes());
+        prefix[8..12].copy_from_slice(&self.checksum.to_le_bytes());
+        let own = checksum(&prefix[..12], salt).to_le_bytes();
+        prefix[12..].copy_from_slice(&own);
+        prefix
     }
 }
 
@@ -54,10 +58,20 @@
         (1..bytes.len()).any(|at| Prefix::read(&bytes[at..], salt).is_some())
     }
 
-    pub(crate) fn write(buffer: &mut Vec<u8>, body: &[u8], salt: u32) {
-        let prefix = Prefix { length: body.len(), checksum: checksum(body, salt) };
-        prefix.write(buffer, salt);
-        buffer.extend_from_slice(body);
+    /// Appends a frame whose body is the encoded `value`. The body may be a large snapshot, so that it
+    /// is encoded in place.
+    pub(crate) fn write<T: Serialize>(
+        buffer: &mut Vec<u8>,
+        value: &T,
+        salt: u32,
+    ) -> postcard::Result<()> {
+        let start = buffer.len();
+        buffer.extend_from_slice(&[0; Prefix::BYTES]);
+        *buffer = postcard::to_extend(value, std::mem::take(buffer))?;
+        let body = &buffer[start + Prefix::BYTES..];
+        let prefix = Prefix { length: body.len(), checksum: checksum(body, salt) }.encoded(salt);
+        buffer[start..start + Prefix::BYTES].copy_from_slice(&prefix);
+        Ok(())
     }
 }
 
--- a/crates/store/src/header.rs
+++ b/crates/store/src/header.rs
@@ -13,7 +13,7 @@
 
 impl Header {
     /// Format version that this build reads and writes.
-    pub(crate) const VERSION: u32 = 2;
+    pub(crate) const VERSION: u32 = 3;
     /// Checksum salt of header frames; the frames that hold records use [`Self::record_salt`].
     pub(crate) const SALT: u32 = 0;
 
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -188,8 +188,6 @@
 
 /// Appends a frame with the encoded `value` to `bytes`; `path` is only used for errors.
 fn write_frame<T: Serialize>(path: &Path, bytes: &mut Vec<u8>, value: &T, salt: u32) -> Result {
-    let encoded = postcard::to_stdvec(value);
-    let body = encoded.map_err(|source| Error::Encode { path: path.to_path_buf(), source })?;
-    Frame::write(bytes, &body, salt);
-    Ok(())
+    let encode = |source| Error::Encode { path: path.to_path_buf(), source };
+    Frame::write(bytes, value, salt).map_err(encode)
 }
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -202,7 +202,7 @@
     let folder = folder();
     fs::write(folder.path().join("log"), "version 1").expect("the file can be created");
     let error = open(&folder).expect_err("it is refused");
-    assert!(matches!(error, Error::Version { found: 1, expected: 2, .. }), "{error}");
+    assert!(matches!(error, Error::Version { found: 1, expected: 3, .. }), "{error}");
 }
 
 #[test]
