--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -48,7 +48,7 @@
             instance.record_failure(now, *error);
         }
         if matches!(result, Err(CallError::Broken | CallError::Refused)) {
-            self.machines.expect_crash();
+            self.machines.expect_crash(now);
         }
         match pending {
             PendingCall::Start(task, number) => {
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -132,8 +132,9 @@
     const DRIFT_PERMILLE: u32 = 25;
     /// Maximum number of attempts that a log line names.
     const MAX_ATTEMPTS_IN_LOG: usize = 64;
-    /// How long no connection to an instance worked before a list was requested that shows its end.
-    const UNREACHABLE_BEFORE_LIST: Duration = Duration::from_millis(250);
+    /// How long no connection to an instance worked before a list was requested that shows its end; one
+    /// that is up has answered a repeated renewal by then.
+    pub(crate) const UNREACHABLE_BEFORE_LIST: Duration = Duration::from_millis(150);
     /// Time added to every lease expiry for rounding and timer delays.
     const EXPIRY_MARGIN: Duration = Duration::from_millis(100);
 
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -51,8 +51,8 @@
     pub(crate) complete: bool,
     /// When the last list was requested.
     list_requested_at: Option<Time>,
-    /// Whether connections to an instance broke since the last list was requested.
-    list_urgent: bool,
+    /// When connections to an instance first broke since the last list was requested.
+    list_urgent_since: Option<Time>,
     /// List request in flight and when it was sent.
     list_in_flight: Option<(CallId, Time)>,
     /// When the first page of the list that is being read was requested. The platform may answer
@@ -168,8 +168,8 @@
     }
 
     /// Requests the next list soon, since connections to an instance broke.
-    pub(crate) fn expect_crash(&mut self) {
-        self.list_urgent = true;
+    pub(crate) fn expect_crash(&mut self, now: Time) {
+        self.list_urgent_since.get_or_insert(now);
     }
 
     /// Whether an order about a machine is pending or may still be carried out.
@@ -304,7 +304,12 @@
         if self.machines.list_in_flight.as_ref().is_some_and(expired) {
             self.machines.list_in_flight = None;
         }
-        let interval = if self.machines.list_urgent { URGENT_LIST_INTERVAL } else { LIST_INTERVAL };
+        // An earlier list would not be conclusive.
+        let is_urgent = self
+            .machines
+            .list_urgent_since
+            .is_some_and(|since| now >= since + Instance::UNREACHABLE_BEFORE_LIST);
+        let interval = if is_urgent { URGENT_LIST_INTERVAL } else { LIST_INTERVAL };
         let due = self
             .machines
             .list_requested_at
@@ -312,7 +317,7 @@
         if self.machines.list_in_flight.is_none() && due {
             self.machines.list_requested_at = Some(now);
             self.machines.list_began = now;
-            self.machines.list_urgent = false;
+            self.machines.list_urgent_since = None;
             self.request_list(now, None, effects);
         }
         let (idle, given_up): (Vec<_>, Vec<_>) = self
@@ -519,7 +524,7 @@
             if instance.attempts.is_empty() {
                 continue;
             }
-            self.machines.expect_crash();
+            self.machines.expect_crash(now);
             if !instance.unresponsive {
                 // The renewal in flight may be held open for long.
                 instance.unresponsive = true;
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -454,7 +454,7 @@
         let why = instance.on_board(now);
         effects.push(note("instance-leaving", incarnation.to_string(), why));
         self.stop_leaving(now, &incarnation);
-        self.machines.expect_crash();
+        self.machines.expect_crash(now);
         self.needs_planning = true;
     }
 
