An instance that a list shows as ended is asked, and counts for nothing until it answers

Instances of a rack that goes dark were held for ended up to a second later, and until then got tasks and orders.

Change: an instance that a list shows as ended and that was heard lately is asked for a report; it gets no tasks and no orders until it answers. The next list is requested 300 ms later and ends it if there was no answer.

--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -48,7 +48,7 @@
             instance.record_failure(now, *error);
         }
         if matches!(result, Err(CallError::Broken | CallError::Refused)) {
-            self.machines.expect_crash(now);
+            self.machines.expect_crash(now + Instance::UNREACHABLE_BEFORE_LIST);
         }
         match pending {
             PendingCall::Start(task, number) => {
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -12,6 +12,9 @@
     /// Since when no connection to it works, if nothing has been heard from it since: they break or are
     /// refused.
     pub(crate) unreachable_since: Option<Time>,
+    /// Since when a report has been requested because a list shows its end, if nothing has been heard
+    /// from it since.
+    pub(crate) asked_since: Option<Time>,
     /// When the last report of its attempts arrived.
     pub(crate) last_report: Time,
     /// Latest reading of its clock, and the local time at which it arrived. The clock may have
@@ -135,6 +138,8 @@
     /// How long no connection to an instance worked before a list was requested that shows its end; one
     /// that is up has answered a repeated renewal by then.
     pub(crate) const UNREACHABLE_BEFORE_LIST: Duration = Duration::from_millis(150);
+    /// The same for an instance that was asked for a report because of an earlier list.
+    pub(crate) const UNANSWERED_BEFORE_LIST: Duration = Duration::from_millis(300);
     /// Time added to every lease expiry for rounding and timer delays.
     const EXPIRY_MARGIN: Duration = Duration::from_millis(100);
 
@@ -145,6 +150,7 @@
             last_heard: now,
             broken_since: None,
             unreachable_since: None,
+            asked_since: None,
             last_report: Time::ZERO,
             clock,
             lease: 0,
@@ -183,6 +189,7 @@
         self.last_heard = now;
         self.broken_since = None;
         self.unreachable_since = None;
+        self.asked_since = None;
     }
 
     /// Records that a call failed at `now`.
@@ -199,12 +206,13 @@
 
     /// Whether a list of machines that was requested at `sent` can show that it has ended. The list may
     /// be older than its request, so that it may still show the machine as it was before this
-    /// instance. An instance that is up is heard again soon after its connections broke.
+    /// instance. An instance that is up is heard again soon after its connections broke, or after a
+    /// report was requested.
     pub(crate) fn is_list_conclusive(&self, sent: Time) -> bool {
-        match self.unreachable_since {
-            Some(since) => sent >= since + Self::UNREACHABLE_BEFORE_LIST,
-            None => sent >= self.last_heard + machines::MAX_LIST_AGE,
-        }
+        let over = |since: Option<Time>, time| since.is_some_and(|since| sent >= since + time);
+        over(self.unreachable_since, Self::UNREACHABLE_BEFORE_LIST)
+            || over(self.asked_since, Self::UNANSWERED_BEFORE_LIST)
+            || over(Some(self.last_heard), machines::MAX_LIST_AGE)
     }
 
     /// Records a clock reading of the instance that arrived at `now`.
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -51,8 +51,8 @@
     pub(crate) complete: bool,
     /// When the last list was requested.
     list_requested_at: Option<Time>,
-    /// When connections to an instance first broke since the last list was requested.
-    list_urgent_since: Option<Time>,
+    /// From when on a list is wanted soon, since it may show the end of an instance.
+    list_wanted_from: Option<Time>,
     /// List request in flight and when it was sent.
     list_in_flight: Option<(CallId, Time)>,
     /// When the first page of the list that is being read was requested. The platform may answer
@@ -167,9 +167,9 @@
             Some((mean * (MOVE_TIME_WEIGHT_DIVISOR - 1) + took) / MOVE_TIME_WEIGHT_DIVISOR);
     }
 
-    /// Requests the next list soon, since connections to an instance broke.
-    pub(crate) fn expect_crash(&mut self, now: Time) {
-        self.list_urgent_since.get_or_insert(now);
+    /// Requests the next list soon after `from`, since it may show the end of an instance.
+    pub(crate) fn expect_crash(&mut self, from: Time) {
+        self.list_wanted_from.get_or_insert(from);
     }
 
     /// Whether an order about a machine is pending or may still be carried out.
@@ -304,11 +304,7 @@
         if self.machines.list_in_flight.as_ref().is_some_and(expired) {
             self.machines.list_in_flight = None;
         }
-        // An earlier list would not be conclusive.
-        let is_urgent = self
-            .machines
-            .list_urgent_since
-            .is_some_and(|since| now >= since + Instance::UNREACHABLE_BEFORE_LIST);
+        let is_urgent = self.machines.list_wanted_from.is_some_and(|from| now >= from);
         let interval = if is_urgent { URGENT_LIST_INTERVAL } else { LIST_INTERVAL };
         let due = self
             .machines
@@ -317,7 +313,7 @@
         if self.machines.list_in_flight.is_none() && due {
             self.machines.list_requested_at = Some(now);
             self.machines.list_began = now;
-            self.machines.list_urgent_since = None;
+            self.machines.list_wanted_from = None;
             self.request_list(now, None, effects);
         }
         let (idle, given_up): (Vec<_>, Vec<_>) = self
@@ -521,10 +517,11 @@
     fn ask_doubtful(&mut self, now: Time, doubtful: &[(Incarnation, Departure)]) {
         for (incarnation, _) in doubtful {
             let Some(instance) = self.instances.get_mut(incarnation) else { continue };
-            if instance.attempts.is_empty() {
-                continue;
+            if !instance.attempts.is_empty() {
+                self.machines.expect_crash(now + Instance::UNANSWERED_BEFORE_LIST);
             }
-            self.machines.expect_crash(now);
+            // Until it answers, it gets no tasks, and its machine is not ordered away.
+            instance.asked_since.get_or_insert(now);
             if !instance.unresponsive {
                 // The renewal in flight may be held open for long.
                 instance.unresponsive = true;
