A list ends an instance that was first heard a second before

Change: the age of the instance decides, not its silence. A list may be 1 s old; of an instance first heard before that it cannot show the time before, so that it is conclusive at once. Only one that has just joined is asked, as before.

--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -5,6 +5,8 @@
 pub(crate) struct Instance {
     /// Its latest announcement; `None` if it is only known from claims in the table.
     pub(crate) announcement: Option<Announcement>,
+    /// When it was first heard.
+    pub(crate) joined: Time,
     /// When the last announcement or answer arrived.
     pub(crate) last_heard: Time,
     /// Since when connections to it break, if nothing has been heard from it since.
@@ -147,6 +149,7 @@
         let clock = announcement.as_ref().map(|announcement| (announcement.clock, now));
         Self {
             announcement,
+            joined: now,
             last_heard: now,
             broken_since: None,
             unreachable_since: None,
@@ -205,14 +208,14 @@
     }
 
     /// Whether a list of machines that was requested at `sent` can show that it has ended. The list may
-    /// be older than its request, so that it may still show the machine as it was before this
-    /// instance. An instance that is up is heard again soon after its connections broke, or after a
-    /// report was requested.
+    /// be older than its request, so that it may still show the machine as it was before an instance
+    /// that has just joined. One that is up is heard again soon after its connections broke, or after
+    /// a report was requested.
     pub(crate) fn is_list_conclusive(&self, sent: Time) -> bool {
         let over = |since: Option<Time>, time| since.is_some_and(|since| sent >= since + time);
         over(self.unreachable_since, Self::UNREACHABLE_BEFORE_LIST)
             || over(self.asked_since, Self::UNANSWERED_BEFORE_LIST)
-            || over(Some(self.last_heard), machines::MAX_LIST_AGE)
+            || over(Some(self.joined), machines::MAX_LIST_AGE)
     }
 
     /// Records a clock reading of the instance that arrived at `now`.
