One place for a report at once, for messages to all members, and for a pool of a test

Machines::list_began was list_requested_at; the renewal that gives way to a report, the check for waiting tasks and the loop over the other members were written several times; three tests had the same world.

--- a/crates/entry/src/membership.rs
+++ b/crates/entry/src/membership.rs
@@ -95,9 +95,9 @@
             members.voters().find(unresponsive).or_else(|| members.voters().find(ends));
         let replaceable = replaceable.filter(|_| !standby.is_empty() || voters > 2);
         // The replacement becomes a voter first. With fewer voters, the next one that fails would leave
-        // no majority, even if the silent one answers again.
-        let is_replaced = voters.is_multiple_of(2) && voters > 2;
-        if let Some(name) = replaceable.filter(|_| is_replaced) {
+        // no majority, even if the one that is replaced answers again.
+        let has_replacement = voters.is_multiple_of(2) && voters > 2;
+        if let Some(name) = replaceable.filter(|_| has_replacement) {
             return Some(quorum::Change::Remove(name.clone()));
         }
         // With two voters, the data survives the loss of one disk. Beyond that, an even number of
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -230,12 +230,7 @@
 
     /// Sends an announcement of an instance to the other members, since each may lead later.
     fn broadcast_announcement(&self, announcement: &job::Announcement, effects: &mut Vec<Effect>) {
-        let Some(quorum) = &self.quorum else { return };
-        let others = quorum.members().iter().filter(|(name, _)| **name != self.id);
-        effects.extend(others.map(|(to, _)| {
-            let message = Message::Announced(announcement.clone());
-            Effect::Send { to: to.clone(), message }
-        }));
+        self.broadcast(&Message::Announced(announcement.clone()), effects);
     }
 
     /// Sends an answer to the client, or to the daemon that forwarded the call.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -265,11 +265,15 @@
         let Some(quorum) = self.quorum.as_ref().filter(|_| self.stop.is_some()) else { return };
         let boot = quorum.boot();
         self.membership.leave(self.id.clone(), boot);
+        self.broadcast(&Message::Leaving { boot }, effects);
+    }
+
+    /// Sends a message to the other members.
+    pub(crate) fn broadcast(&self, message: &Message, effects: &mut Vec<Effect>) {
+        let Some(quorum) = &self.quorum else { return };
         let others = quorum.members().iter().filter(|(name, _)| **name != self.id);
-        effects.extend(
-            others
-                .map(|(to, _)| Effect::Send { to: to.clone(), message: Message::Leaving { boot } }),
-        );
+        let send = |to: &Name| Effect::Send { to: to.clone(), message: message.clone() };
+        effects.extend(others.map(|(to, _)| send(to)));
     }
 
     /// Answers clients whose command is not committed by the deadline of all calls.
--- a/crates/job/src/answers.rs
+++ b/crates/job/src/answers.rs
@@ -64,9 +64,7 @@
                 let attempt = instance.attempts.get_mut(&task);
                 if let Some(attempt) = attempt.filter(|a| answered && a.number == number) {
                     attempt.conclusive_from = Some(now);
-                    // The renewal in flight was sent before the stop and may be held open for long.
-                    instance.renewal_in_flight = false;
-                    instance.renew_at = now;
+                    instance.request_report(now);
                 }
             }
             PendingCall::Renew { sent } => {
@@ -160,9 +158,7 @@
             }
             Ok(Reply::Report { .. } | Reply::Fenced) | Err(_) => {
                 attempt.stage = Stage::Unanswered;
-                // The renewal in flight may be held open for long.
-                instance.renewal_in_flight = false;
-                instance.renew_at = now;
+                instance.request_report(now);
                 self.record_start_time(took);
                 let why = "the start request was not answered".into();
                 return effects.push(note("start-unanswered", format!("{task} {number}"), why));
--- a/crates/job/src/commit.rs
+++ b/crates/job/src/commit.rs
@@ -48,12 +48,11 @@
         let Claim { task, number, incarnation } = claim;
         let (task, number) = (*task, *number);
         let record = table.jobs.get(&task.job).filter(|record| !record.state.is_terminal());
-        let instance = self.instances.get_mut(incarnation);
-        let is_departing = instance.as_ref().is_some_and(|instance| instance.is_departing());
-        let instance = instance.filter(|instance| {
-            instance.attempts.get(&task).is_some_and(|attempt| attempt.number == number)
+        let instance = self.instances.get_mut(incarnation).filter(|instance| {
+            let attempt = instance.attempts.get(&task);
+            !instance.is_departing() && attempt.is_some_and(|attempt| attempt.number == number)
         });
-        let Some((instance, record)) = instance.zip(record).filter(|_| !is_departing) else {
+        let Some((instance, record)) = instance.zip(record) else {
             return self.drop_start(claim, effects);
         };
         let Some(attempt) = instance.attempts.get_mut(&task) else { return };
--- a/crates/job/src/due.rs
+++ b/crates/job/src/due.rs
@@ -48,7 +48,7 @@
             let due = record.rounds.iter_open().take_while(move |(number, _)| is_due(*number));
             let mut waiting = 0;
             let due = due.take_while(move |(_, round)| {
-                waiting += usize::from(round.waiting.iter().any(|waiting| *waiting > 0));
+                waiting += usize::from(round.has_waiting_tasks());
                 waiting <= Self::MAX_WAITING
             });
             due.map(move |(number, round)| {
--- a/crates/job/src/instance.rs
+++ b/crates/job/src/instance.rs
@@ -195,6 +195,13 @@
         self.asked_since = None;
     }
 
+    /// Requests a report at once: the renewal in flight may have been sent earlier, and be held open for
+    /// long.
+    pub(crate) fn request_report(&mut self, now: Time) {
+        self.renewal_in_flight = false;
+        self.renew_at = now;
+    }
+
     /// Records that a call failed at `now`.
     pub(crate) fn record_failure(&mut self, now: Time, error: CallError) {
         match error {
--- a/crates/job/src/machines.rs
+++ b/crates/job/src/machines.rs
@@ -55,9 +55,6 @@
     list_wanted_from: Option<Time>,
     /// List request in flight and when it was sent.
     list_in_flight: Option<(CallId, Time)>,
-    /// When the first page of the list that is being read was requested. The platform may answer
-    /// every page from its state at that time.
-    list_began: Time,
     /// Orders to commit in the next batch.
     uncommitted: Vec<MachineOrder>,
     /// Orders in the batch being committed.
@@ -312,7 +309,6 @@
             .is_none_or(|list_requested_at| now >= list_requested_at + interval);
         if self.machines.list_in_flight.is_none() && due {
             self.machines.list_requested_at = Some(now);
-            self.machines.list_began = now;
             self.machines.list_wanted_from = None;
             self.request_list(now, None, effects);
         }
@@ -378,7 +374,9 @@
         if self.machines.list_in_flight.is_some_and(|(list_in_flight, _)| list_in_flight == id) {
             self.machines.list_in_flight = None;
             if let Ok(MachineReply::Listed { machines, next }) = result {
-                self.on_listed(now, self.machines.list_began, machines, effects);
+                // The platform may answer every page from its state at the first request.
+                let sent = self.machines.list_requested_at.unwrap_or(now);
+                self.on_listed(now, sent, machines, effects);
                 self.machines.complete |= next.is_none();
                 if next.is_some() {
                     self.request_list(now, next, effects);
@@ -458,8 +456,7 @@
             return;
         }
         instance.unresponsive = true;
-        instance.renewal_in_flight = false;
-        instance.renew_at = now;
+        instance.request_report(now);
     }
 
     /// Handles a page of a list of machines that was requested at `sent`.
@@ -523,10 +520,8 @@
             // Until it answers, it gets no tasks, and its machine is not ordered away.
             instance.asked_since.get_or_insert(now);
             if !instance.unresponsive {
-                // The renewal in flight may be held open for long.
                 instance.unresponsive = true;
-                instance.renewal_in_flight = false;
-                instance.renew_at = now;
+                instance.request_report(now);
                 self.touched.insert(incarnation.clone());
             }
         }
--- a/crates/job/src/round.rs
+++ b/crates/job/src/round.rs
@@ -42,6 +42,11 @@
         self.open.iter().all(|open| *open == 0)
     }
 
+    /// Whether a task waits to be started.
+    pub(crate) fn has_waiting_tasks(&self) -> bool {
+        self.waiting.iter().any(|waiting| *waiting > 0)
+    }
+
     /// Whether every group that `group` depends on is done.
     pub(crate) fn dependencies_done(&self, group: &Group) -> bool {
         group.after.iter().all(|after| self.open[usize::from(*after)] == 0)
--- a/crates/job/src/rounds.rs
+++ b/crates/job/src/rounds.rs
@@ -92,8 +92,7 @@
 
     /// Whether a task waits to be started, now or in a later round.
     pub(crate) fn have_waiting_tasks(&self) -> bool {
-        let waits = |(_, round): (u32, &Round)| round.waiting.iter().any(|waiting| *waiting > 0);
-        self.iter_open().any(waits)
+        self.iter_open().any(|(_, round)| round.has_waiting_tasks())
     }
 
     /// End of the range of done rounds that `number` is in.
--- a/crates/job/src/scheduler.rs
+++ b/crates/job/src/scheduler.rs
@@ -466,9 +466,7 @@
         for task in tasks {
             instance.request_stop(&task);
         }
-        // The renewal in flight may be held open for long.
-        instance.renewal_in_flight = false;
-        instance.renew_at = now;
+        instance.request_report(now);
         self.touched.insert(incarnation.clone());
     }
 
--- a/crates/job/tests/departures.rs
+++ b/crates/job/tests/departures.rs
@@ -8,15 +8,6 @@
 /// Time by which a lease granted to an instance has expired for certain, in milliseconds.
 const LEASE_MS: u64 = 5800;
 
-fn one_pool(seed: u64, machines: usize) -> World {
-    let mut world = World::new(seed, config(&["a"]));
-    for i in 0..machines {
-        world.add_machine(&format!("m{i}"), "a", &format!("r{}", i % 2), 16_000);
-    }
-    world.run(200);
-    world
-}
-
 /// Submits a job of one task, and returns the instance on which it starts.
 fn start_task(world: &mut World, job: JobId, run_time_ms: u64) -> Incarnation {
     world.submit(job, "a", chain(&[1], 2000, run_time_ms));
@@ -31,7 +22,7 @@
 /// Guards against a task that runs twice: an instance that is cut off reports its end and works on.
 #[test]
 fn a_reported_end_ends_no_task_of_an_instance_that_is_cut_off() {
-    let mut world = one_pool(1, 3);
+    let mut world = World::one_pool(1, 3);
     let leaving = start_task(&mut world, 7, 20_000);
     world.disconnect(&leaving, 60_000);
     world.report_departure(&leaving);
@@ -46,7 +37,7 @@
 /// Guards against a task that runs twice: the next leader knows of the report from the former one.
 #[test]
 fn a_reported_end_ends_no_task_under_the_next_leader() {
-    let mut world = one_pool(2, 3);
+    let mut world = World::one_pool(2, 3);
     let leaving = start_task(&mut world, 7, 20_000);
     world.disconnect(&leaving, 60_000);
     world.report_departure(&leaving);
@@ -61,7 +52,7 @@
 /// Guards against a task that runs twice: an announcement from before the report arrives after it.
 #[test]
 fn an_announcement_that_arrives_after_the_report_brings_no_instance_back() {
-    let mut world = one_pool(3, 1);
+    let mut world = World::one_pool(3, 1);
     let leaving = start_task(&mut world, 7, 20_000);
     let mut late = world.instances[&leaving].announcement.clone();
     world.report_departure(&leaving);
@@ -75,7 +66,7 @@
 /// Guards against waiting for the lease of an instance that can be asked.
 #[test]
 fn the_tasks_of_an_instance_that_reports_its_end_are_stopped_and_start_elsewhere() {
-    let mut world = one_pool(4, 3);
+    let mut world = World::one_pool(4, 3);
     let leaving = start_task(&mut world, 7, 20_000);
     world.report_departure(&leaving);
     let reported = world.now;
@@ -89,7 +80,7 @@
 #[test]
 fn a_start_on_its_way_to_an_instance_that_reports_its_end_is_made_impossible_first() {
     for delay_ms in [1, 4, 8, 10, 12, 30] {
-        let mut world = one_pool(delay_ms, 2);
+        let mut world = World::one_pool(delay_ms, 2);
         world.delay_ms = 20;
         world.submit(7, "a", chain(&[1], 2000, 20_000));
         world.run(delay_ms);
@@ -109,7 +100,7 @@
 /// progress or run for ever move before their instance ends.
 #[test]
 fn continuous_tasks_leave_a_draining_instance_in_the_time_that_it_has() {
-    let mut world = one_pool(5, 4);
+    let mut world = World::one_pool(5, 4);
     world.submit_continuous(7, 3);
     world.run(2000);
     let leaving = world.starts[0].3.clone();
@@ -128,7 +119,7 @@
 /// Guards against stops of tasks that end in time by themselves.
 #[test]
 fn a_short_task_on_a_draining_instance_ends_by_itself() {
-    let mut world = one_pool(6, 2);
+    let mut world = World::one_pool(6, 2);
     let leaving = start_task(&mut world, 7, 1500);
     world.drain(&leaving, 1500);
     world.run(2000);
@@ -140,7 +131,7 @@
 /// first page was requested.
 #[test]
 fn a_page_that_is_older_than_its_request_ends_no_task() {
-    let mut world = one_pool(7, 2);
+    let mut world = World::one_pool(7, 2);
     let crashed: Vec<_> = world.instances.keys().cloned().collect();
     for incarnation in &crashed {
         world.lose_power(incarnation);
@@ -161,7 +152,7 @@
 fn a_list_that_lags_ends_no_task() {
     for list_lag_ms in [100, 300, 700] {
         for after_ms in (2900..3800).step_by(50) {
-            let mut world = one_pool(8, 2);
+            let mut world = World::one_pool(8, 2);
             world.list_lag_ms = list_lag_ms;
             world.run(2000);
             for incarnation in world.instances.keys().cloned().collect::<Vec<_>>() {
--- a/crates/job/tests/evidence.rs
+++ b/crates/job/tests/evidence.rs
@@ -5,15 +5,6 @@
 
 use {job::*, world::*};
 
-fn one_pool(seed: u64, machines: usize) -> World {
-    let mut world = World::new(seed, config(&["a"]));
-    for i in 0..machines {
-        world.add_machine(&format!("m{i}"), "a", &format!("r{}", i % 2), 16_000);
-    }
-    world.run(200);
-    world
-}
-
 fn first_task(job: JobId) -> TaskId {
     TaskId { job, round: 0, group: 0, index: 0 }
 }
@@ -45,7 +36,7 @@
 
 #[test]
 fn a_continuous_job_survives_crashes_soon_after_changes_of_leader() {
-    let mut world = one_pool(1, 9);
+    let mut world = World::one_pool(1, 9);
     world.submit_continuous(7, 1);
     for _ in 0..4 {
         world.run(20_000);
@@ -61,7 +52,7 @@
 
 #[test]
 fn a_job_on_silent_instances_is_not_failed_while_the_list_is_unavailable() {
-    let mut world = one_pool(1, 8);
+    let mut world = World::one_pool(1, 8);
     world.submit(7, "a", chain(&[1], 2000, 300_000));
     world.run(3000);
     world.list_unavailable = true;
@@ -81,7 +72,7 @@
 
 #[test]
 fn avoided_instances_do_not_keep_a_continuous_job_waiting() {
-    let mut world = one_pool(1, 6);
+    let mut world = World::one_pool(1, 6);
     for instance in world.instances.values_mut() {
         instance.fails = true;
     }
@@ -102,7 +93,7 @@
 
 #[test]
 fn a_job_whose_tasks_are_done_is_not_failed_by_a_lower_limit_of_attempts() {
-    let mut world = one_pool(1, 3);
+    let mut world = World::one_pool(1, 3);
     world.submit(7, "a", chain(&[1], 1000, 500));
     for instance in world.instances.values_mut() {
         instance.fails = true;
@@ -146,7 +137,7 @@
 #[test]
 fn deadly_tasks_on_instances_that_restart_under_their_names_are_given_up() {
     for after_ms in [0, 10, 300, 900] {
-        let mut world = one_pool(3, 8);
+        let mut world = World::one_pool(3, 8);
         world.restarts_after_crash = true;
         run_deadly(&mut world, 4, after_ms, &chain(&[1], 2000, 2000), false);
     }
@@ -155,7 +146,7 @@
 #[test]
 fn deadly_continuous_tasks_on_instances_that_restart_under_their_names_are_given_up() {
     for after_ms in [0, 10, 300, 900] {
-        let mut world = one_pool(3, 8);
+        let mut world = World::one_pool(3, 8);
         world.restarts_after_crash = true;
         run_deadly(&mut world, 4, after_ms, &continuous(1), false);
     }
@@ -164,7 +155,7 @@
 #[test]
 fn a_deadly_task_is_given_up_while_the_list_is_unavailable() {
     for after_ms in [0, 10, 300, 900] {
-        let mut world = one_pool(3, 8);
+        let mut world = World::one_pool(3, 8);
         world.list_unavailable = true;
         run_deadly(&mut world, 1, after_ms, &chain(&[1], 2000, 2000), true);
     }
@@ -173,7 +164,7 @@
 #[test]
 fn a_deadly_continuous_task_is_given_up_while_the_list_is_unavailable() {
     for after_ms in [0, 10, 300, 900] {
-        let mut world = one_pool(3, 8);
+        let mut world = World::one_pool(3, 8);
         world.list_unavailable = true;
         run_deadly(&mut world, 1, after_ms, &continuous(1), false);
     }
@@ -182,7 +173,7 @@
 #[test]
 fn a_continuous_task_that_crashes_its_instances_within_a_second_beside_others_is_given_up() {
     for after_ms in [300, 900] {
-        let mut world = one_pool(3, 8);
+        let mut world = World::one_pool(3, 8);
         run_deadly(&mut world, 1, after_ms, &continuous(1), true);
     }
 }
@@ -204,7 +195,7 @@
 
 #[test]
 fn a_continuous_job_whose_starts_never_arrived_is_not_failed() {
-    let mut world = one_pool(1, 9);
+    let mut world = World::one_pool(1, 9);
     world.delay_ms = 20;
     world.submit_continuous(7, 1);
     for number in 1..=3 {
@@ -217,7 +208,7 @@
 
 #[test]
 fn a_rack_that_loses_power_and_restarts_under_its_names_ends_no_continuous_job() {
-    let mut world = one_pool(1, 8);
+    let mut world = World::one_pool(1, 8);
     world.submit_continuous(7, 3);
     for _ in 0..4 {
         world.run(400);
@@ -237,7 +228,7 @@
 
 #[test]
 fn a_clock_that_was_ahead_does_not_keep_a_suspect_waiting() {
-    let mut world = one_pool(1, 3);
+    let mut world = World::one_pool(1, 3);
     world.submit_continuous(1000, 3);
     world.run(5000);
     world.clock_ahead_ms = 60_000;
--- a/crates/job/tests/safety.rs
+++ b/crates/job/tests/safety.rs
@@ -4,16 +4,6 @@
 
 use {job::*, std::time::Duration, world::*};
 
-/// A world with machines in one pool, on two racks.
-fn one_pool(seed: u64, machines: usize) -> World {
-    let mut world = World::new(seed, config(&["a"]));
-    for i in 0..machines {
-        world.add_machine(&format!("m{i}"), "a", &format!("r{}", i % 2), 16_000);
-    }
-    world.run(200);
-    world
-}
-
 /// Submits a job with two continuous tasks that must run on different instances.
 fn submit_continuous(world: &mut World, id: JobId) {
     let mut continuous = chain(&[2], 2000, 500);
@@ -37,7 +27,7 @@
 
 #[test]
 fn a_job_runs_its_groups_in_order_and_completes() {
-    let mut world = one_pool(1, 3);
+    let mut world = World::one_pool(1, 3);
     world.submit(7, "a", chain(&[3, 4], 2000, 500));
     world.run(100);
     assert_eq!(state(&world, 7), JobState::Running);
@@ -49,7 +39,7 @@
 
 #[test]
 fn the_first_task_starts_soon_if_there_is_capacity() {
-    let mut world = one_pool(1, 3);
+    let mut world = World::one_pool(1, 3);
     let submitted = world.now;
     world.submit(7, "a", chain(&[3], 2000, 500));
     world.run(300);
@@ -58,7 +48,7 @@
 
 #[test]
 fn an_unanswered_start_is_stopped_before_the_task_starts_elsewhere() {
-    let mut world = one_pool(2, 2);
+    let mut world = World::one_pool(2, 2);
     world.faults = FaultRates { delayed: 1000, ..FaultRates::default() };
     world.submit(7, "a", chain(&[1], 2000, 800));
     world.run(30);
@@ -70,7 +60,7 @@
 
 #[test]
 fn tasks_of_an_unresponsive_instance_wait_until_its_lease_expires() {
-    let mut world = one_pool(3, 2);
+    let mut world = World::one_pool(3, 2);
     world.submit(7, "a", chain(&[1], 2000, 20_000));
     world.run(500);
     let (_, _, _, incarnation) = world.starts[0].clone();
@@ -89,7 +79,7 @@
 
 #[test]
 fn a_later_incarnation_proves_that_the_earlier_one_ended() {
-    let mut world = one_pool(4, 2);
+    let mut world = World::one_pool(4, 2);
     world.submit(7, "a", chain(&[1], 2000, 20_000));
     world.run(500);
     let (_, _, _, incarnation) = world.starts[0].clone();
@@ -101,7 +91,7 @@
 
 #[test]
 fn a_start_answered_by_a_later_incarnation_is_stopped_there_first() {
-    let mut world = one_pool(4, 2);
+    let mut world = World::one_pool(4, 2);
     let incarnations: Vec<_> = world.instances.keys().cloned().collect();
     for incarnation in &incarnations {
         world.restart(incarnation);
@@ -118,7 +108,7 @@
 
 #[test]
 fn a_new_leader_adopts_running_attempts() {
-    let mut world = one_pool(5, 3);
+    let mut world = World::one_pool(5, 3);
     world.submit(7, "a", chain(&[6], 2000, 3000));
     world.run(500);
     world.change_leader(true);
@@ -129,7 +119,7 @@
 
 #[test]
 fn a_batch_lost_with_its_leader_starts_nothing() {
-    let mut world = one_pool(6, 3);
+    let mut world = World::one_pool(6, 3);
     world.submit(7, "a", chain(&[2], 2000, 300));
     world.run(5);
     world.change_leader(false);
@@ -140,7 +130,7 @@
 
 #[test]
 fn a_cancelled_job_is_stopped_and_its_resources_are_freed() {
-    let mut world = one_pool(7, 1);
+    let mut world = World::one_pool(7, 1);
     world.submit(7, "a", chain(&[8], 2000, 60_000));
     world.run(500);
     world.cancel(7);
@@ -154,7 +144,7 @@
 
 #[test]
 fn a_job_fails_when_a_task_fails_too_often() {
-    let mut world = one_pool(8, 1);
+    let mut world = World::one_pool(8, 1);
     for instance in world.instances.values_mut() {
         instance.fails = true;
     }
@@ -166,7 +156,7 @@
 
 #[test]
 fn an_instance_that_fails_every_task_is_avoided() {
-    let mut world = one_pool(9, 2);
+    let mut world = World::one_pool(9, 2);
     let bad = world.instances.keys().next().unwrap().clone();
     world.instances.get_mut(&bad).unwrap().fails = true;
     for id in 0..30 {
@@ -186,7 +176,7 @@
 
 #[test]
 fn continuous_tasks_are_restarted_and_kept_on_different_instances() {
-    let mut world = one_pool(10, 3);
+    let mut world = World::one_pool(10, 3);
     let mut spec = chain(&[3], 2000, 500);
     spec.groups[0].continuous = true;
     spec.groups[0].max_per_instance = Some(1);
@@ -201,7 +191,7 @@
 
 #[test]
 fn gang_members_start_together() {
-    let mut world = one_pool(11, 2);
+    let mut world = World::one_pool(11, 2);
     let mut spec = chain(&[6], 4000, 500);
     spec.groups[0].gang = true;
     world.submit(6, "a", chain(&[4], 4000, 1000));
@@ -218,7 +208,7 @@
 
 #[test]
 fn rounds_start_when_they_are_due() {
-    let mut world = one_pool(12, 1);
+    let mut world = World::one_pool(12, 1);
     let mut spec = chain(&[1], 2000, 100);
     let first = world.unix() + 1000;
     let interval = Duration::from_millis(2000);
@@ -237,7 +227,7 @@
 
 #[test]
 fn a_wave_drains_each_machine_first_and_keeps_its_budget() {
-    let mut world = one_pool(13, 6);
+    let mut world = World::one_pool(13, 6);
     let mut spec = chain(&[4], 2000, 500);
     spec.groups[0].continuous = true;
     spec.groups[0].max_per_instance = Some(1);
@@ -251,7 +241,7 @@
 
 #[test]
 fn orders_of_two_leaders_about_a_machine_are_some_time_apart() {
-    let mut world = one_pool(12, 2);
+    let mut world = World::one_pool(12, 2);
     world.run(4000);
     world.faults = FaultRates { platform_answer_lost: 1000, ..FaultRates::default() };
     world.start_wave(1, &["m0", "m1"], 1);
@@ -268,7 +258,7 @@
 
 #[test]
 fn a_new_leader_keeps_the_budget_of_a_wave() {
-    let mut world = one_pool(14, 6);
+    let mut world = World::one_pool(14, 6);
     world.start_wave(1, &["m0", "m1", "m2", "m3", "m4", "m5"], 2);
     for _ in 0..8 {
         world.run(700);
@@ -280,7 +270,7 @@
 
 #[test]
 fn a_repeated_machine_order_does_not_affect_the_next_instance() {
-    let mut world = one_pool(15, 3);
+    let mut world = World::one_pool(15, 3);
     world.faults.platform_answer_lost = 1000;
     world.start_wave(1, &["m0"], 1);
     world.run(3500);
@@ -295,7 +285,7 @@
 
 #[test]
 fn a_start_request_that_reaches_a_later_incarnation_does_no_harm() {
-    let mut world = one_pool(16, 2);
+    let mut world = World::one_pool(16, 2);
     world.delay_ms = 100;
     world.submit(7, "a", chain(&[1], 2000, 5000));
     let incarnation = loop {
@@ -319,7 +309,7 @@
 
 #[test]
 fn a_job_with_unanswered_starts_meets_its_objective() {
-    let mut world = one_pool(17, 2);
+    let mut world = World::one_pool(17, 2);
     // Another job keeps a renewal of both instances open.
     submit_continuous(&mut world, 6);
     world.run(1300);
@@ -351,7 +341,7 @@
 }
 
 fn run_late_start(seed: u64) {
-    let mut world = one_pool(seed, 2);
+    let mut world = World::one_pool(seed, 2);
     // Another job keeps the leases of both instances alive.
     submit_continuous(&mut world, 6);
     world.run(500);
@@ -374,7 +364,7 @@
 
 #[test]
 fn an_outdated_announcement_is_ignored() {
-    let mut world = one_pool(19, 1);
+    let mut world = World::one_pool(19, 1);
     let incarnation = world.instances.keys().next().expect("an instance").clone();
     let late = world.instances[&incarnation].announcement.clone();
     let instance = world.instances.get_mut(&incarnation).expect("an instance");
@@ -388,7 +378,7 @@
 
 #[test]
 fn a_job_is_queued_again_when_no_task_could_be_started() {
-    let mut world = one_pool(20, 1);
+    let mut world = World::one_pool(20, 1);
     world.faults.delayed = 1000;
     world.submit(7, "a", chain(&[2], 2000, 300));
     world.run(70);
@@ -407,7 +397,7 @@
 
 #[test]
 fn a_member_forgets_instances_that_have_been_silent_for_long() {
-    let world = one_pool(13, 4);
+    let world = World::one_pool(13, 4);
     let mut follower = Scheduler::new(Bounds::default());
     let announcements = world.instances.values().map(|i| i.announcement.clone());
     for (i, announcement) in announcements.enumerate() {
--- a/crates/job/tests/world/mod.rs
+++ b/crates/job/tests/world/mod.rs
@@ -215,6 +215,16 @@
         world
     }
 
+    /// A world with machines in one pool, on two racks.
+    pub fn one_pool(seed: u64, machines: usize) -> Self {
+        let mut world = Self::new(seed, config(&["a"]));
+        for i in 0..machines {
+            world.add_machine(&format!("m{i}"), "a", &format!("r{}", i % 2), 16_000);
+        }
+        world.run(200);
+        world
+    }
+
     pub fn unix(&self) -> UnixMs {
         EPOCH_MS + self.now + self.clock_ahead_ms
     }
