Show that a machine at work is taken away as idle

Cause: idle machines are taken from all records of instances; that of an idle runner that crashed stays for seconds beside the one of its successor.

--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -137,7 +137,7 @@
         self.work, self.done_before = work, checkpoint
         self.started = time.monotonic()
         self.working_since = self.started + (RESTORE if checkpoint else 0.0)
-        self.ended, self.how, self.stopping = None, None, False
+        self.ended, self.how, self.stopping, self.was_at_work = None, None, False, False
         self.noted = None
 
     def progress(self):
@@ -198,17 +198,19 @@
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.watch())]
         self.world.record.write("runner-up", id=self.ident, machine=self.machine.name, born=self.born)
 
-    def crash(self):
+    def crash(self, how="lost"):
+        """Ends the life; `how` is `moved` if an order about its machine ends it."""
         for task in self.tasks:
             task.cancel()
         self.server.crash()
         for run in list(self.running.values()):
-            run.ended, run.how = time.monotonic(), "lost"
+            run.was_at_work = run.percent() == 100 and not run.stopping
+            run.ended, run.how = time.monotonic(), how
             self.world.record.write(
-                "run-lost", task=run.task, run=run.number, runner=self.ident, why="crash"
+                "run-over", task=run.task, run=run.number, runner=self.ident, how=how
             )
         self.running.clear()
-        self.world.record.write("runner-crash", id=self.ident, machine=self.machine.name)
+        self.world.record.write("runner-over", id=self.ident, machine=self.machine.name, how=how)
 
     async def beat(self):
         while True:
@@ -502,7 +504,7 @@
         pool = body.get("pool", machine.pool)
         if pool == machine.pool and path.endswith("machine-move"):
             return 200, None
-        machine.life.crash()
+        machine.life.crash("moved")
         machine.state, machine.pool = "moving", pool
         asyncio.create_task(self.return_later(machine))
         return 200, None
