--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -157,11 +157,11 @@
 
 class Job:
     """A job that a client hands in. `work` gives the seconds of work of a task, by step; each task
-    takes up to the part `uneven` more or less."""
+    takes up to the part `uneven` more or less. With `fails`, its runs end `failed`."""
 
-    def __init__(self, ident, steps, work, spec="spec", uneven=0.0, more=None):
+    def __init__(self, ident, steps, work, spec="spec", uneven=0.0, fails=False, more=None):
         self.ident, self.steps, self.work, self.spec = ident, steps, work, spec
-        self.uneven, self.more = uneven, more or {}
+        self.uneven, self.fails, self.more = uneven, fails, more or {}
         self.accepted = None
 
     def step(self, task):
@@ -257,6 +257,8 @@
 
     def finish(self, run):
         job = self.world.job_of(run.task)
+        if job.fails:
+            return self.end(run, "failed")
         members = self.world.gang(run) if job.step(run.task).get("gang") else [run]
         for member in members:
             member.runner.end(member, "done")
@@ -572,10 +574,10 @@
         headers = {"Host": "jobs.example", "Deadline-Ms": int(deadline * 1000)}
         return await request(address, method, f"/{queue}/{ident}", body, headers, deadline)
 
-    async def submit(self, queue, steps, work, uneven=0.0, **more):
+    async def submit(self, queue, steps, work, uneven=0.0, fails=False, **more):
         """Hands a job in as a client does: again with the same id after no clear answer."""
         ident = "%016x" % self.random.getrandbits(64)
-        job = Job(ident, steps, work, uneven=uneven, more=more)
+        job = Job(ident, steps, work, uneven=uneven, fails=fails, more=more)
         self.jobs[ident] = job
         for _ in range(8):
             body = {"spec": job.spec, "steps": steps, **more}
