--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -187,7 +187,7 @@
         self.running, self.finished, self.highest = {}, [], {}
         self.lease, self.lapsed_at, self.acknowledged = 0.0, None, 0
         self.end_listed = asyncio.Event()
-        self.server = Server(machine.address, self.handle)
+        self.server = Server(machine.address, self.take)
         self.tasks = []
 
     def clock(self):
@@ -282,6 +282,13 @@
         if until is not None:
             self.lease = max(self.lease, min(until, self.clock() + MAX_HOLD * 1000))
 
+    async def take(self, method, path, headers, body):
+        """Takes a call from the network, which a case may have delayed."""
+        if self.world.delays(self, path, body):
+            self.world.delayed.append((self.machine, method, path, headers, body))
+            await asyncio.sleep(60)
+        return await self.handle(method, path, headers, body)
+
     async def handle(self, method, path, headers, body):
         if method == "GET":
             return 200, None
@@ -399,7 +406,7 @@
         self.temp = tempfile.mkdtemp(prefix="case-")
         self.base = "127.%d.%d" % (random.randint(10, 250), random.randint(1, 250))
         self.processes, self.machines, self.jobs, self.runs = {}, {}, {}, []
-        self.noted = {}
+        self.delayed = []
         self.services, self.routes = [], []
         self.version = 0
         self.hosts = [f"{self.base}.{i}" for i in (1, 2, 3)]
@@ -515,6 +522,18 @@
         await asyncio.sleep(MIGRATION)
         await self.start_life(machine)
 
+    def delays(self, life, path, body):
+        """Whether the network holds a call up."""
+        return False
+
+    async def deliver(self, machine):
+        """Delivers the calls that the network has held up to the present life of a runner."""
+        for call in [call for call in self.delayed if call[0] is machine]:
+            self.delayed.remove(call)
+            _, method, path, headers, body = call
+            answer = await machine.life.handle(method, path, headers, body)
+            self.record.write("late-call", path=path, body=body.decode(), answer=answer[0])
+
     def odd_entries(self, life, finished):
         """What a case adds to a list of ends."""
         return finished
