--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -186,6 +186,7 @@
         self.token, self.sequence, self.last_end = 0, 0, 0
         self.running, self.finished, self.highest = {}, [], {}
         self.lease, self.lapsed_at, self.acknowledged = 0.0, None, 0
+        self.over = False
         self.end_listed = asyncio.Event()
         self.server = Server(machine.address, self.take)
         self.tasks = []
@@ -200,6 +201,7 @@
 
     def crash(self, how="lost"):
         """Ends the life; `how` is `moved` if an order about its machine ends it."""
+        self.over = True
         for task in self.tasks:
             task.cancel()
         self.server.crash()
@@ -284,10 +286,15 @@
 
     async def take(self, method, path, headers, body):
         """Takes a call from the network, which a case may have delayed."""
+        if self.over:
+            raise ConnectionResetError
         if self.world.delays(self, path, body):
             self.world.delayed.append((self.machine, method, path, headers, body))
             await asyncio.sleep(60)
-        return await self.handle(method, path, headers, body)
+        answer = await self.handle(method, path, headers, body)
+        if self.over:
+            raise ConnectionResetError
+        return answer
 
     async def handle(self, method, path, headers, body):
         if method == "GET":
