--- a/review/common-3/stand_ins.py
+++ b/review/common-3/stand_ins.py
@@ -288,6 +288,7 @@
         """Takes a call from the network, which a case may have delayed."""
         if self.over:
             raise ConnectionResetError
+        self.world.orders += method == "POST"
         if self.world.delays(self, path, body):
             self.world.delayed.append((self.machine, method, path, headers, body))
             await asyncio.sleep(60)
@@ -413,7 +414,7 @@
         self.temp = tempfile.mkdtemp(prefix="case-")
         self.base = "127.%d.%d" % (random.randint(10, 250), random.randint(1, 250))
         self.processes, self.machines, self.jobs, self.runs = {}, {}, {}, []
-        self.delayed = []
+        self.delayed, self.orders = [], 0
         self.services, self.routes = [], []
         self.version = 0
         self.hosts = [f"{self.base}.{i}" for i in (1, 2, 3)]
@@ -712,6 +713,7 @@
         sys.exit(2)
     finally:
         world.end()
+    world.record.write("orders", sent=world.orders)
     for text in breaks:
         world.record.write("rule-broken", what=text)
     for text in breaks[:5]:
